--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := -e packages/decisions -e packages/node -e packages/standins -e packages/ctl
+
+.PHONY: install demo test check format bench-path
+
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
+	  pytest hypothesis ruff mypy $(PACKAGES)
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/rosemaryferryctl demo
+
+test: install
+	$(BIN)/python -m pytest
+
+check: install
+	$(BIN)/ruff format --check packages tools
+	$(BIN)/ruff check packages tools
+	$(BIN)/mypy
+	$(BIN)/python tools/check_style.py
+
+format: install
+	$(BIN)/ruff format packages tools
+	$(BIN)/ruff check --fix packages tools
+
+bench-path: install
+	$(BIN)/rosemaryferryctl bench path --json
--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool."""
--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_demo.py
@@ -0,0 +1,276 @@
+"""`rosemaryferryctl demo`: the main job on stand-ins, in one process."""
+
+import concurrent.futures
+import random
+import sys
+import threading
+import time
+
+from absl import logging
+import attrs
+import click
+import ferry_standins as standins
+import psycopg
+
+PASSWORD = "demo-password"  # noqa: S105 - of a stand-in on loopback
+CUSTOMERS = {"lone-star": 20, "blue-mountain": 5}
+CLERKS = {"lone-star": 5, "blue-mountain": 3}
+RUN_S = 9.0
+FAULT_AT_S = 4.0
+STARTUP_S = 10.0
+ORDER_SHARE = 0.1
+LAG_S = 0.02
+PAUSE_S = 0.004
+
+
+class DemoFailedError(click.ClickException):
+    """The demo saw something that must never happen."""
+
+
+@attrs.define
+class Tally:
+    """What the clerks saw.
+
+    Attributes:
+        statements: Statements that were answered.
+        refused: Requests that were told not to have run.
+        unknown: Requests whose outcome was not known.
+        violations: Reads that did not show the clerk's own orders.
+        acknowledged: Orders that were acknowledged, by number.
+        unsure: Orders whose outcome was not known, by number.
+        not_run: Orders that were told not to have run, by number.
+        ack_times: When each order was acknowledged, in seconds.
+    """
+
+    statements: int = 0
+    refused: int = 0
+    unknown: int = 0
+    violations: int = 0
+    acknowledged: set[int] = attrs.field(factory=set)
+    unsure: set[int] = attrs.field(factory=set)
+    not_run: set[int] = attrs.field(factory=set)
+    ack_times: list[float] = attrs.field(factory=list)
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+
+class Clerk:
+    """Places orders, and reads them back through whatever node comes next."""
+
+    def __init__(
+        self,
+        fleet: standins.Fleet,
+        customer: str,
+        number: int,
+        tally: Tally,
+    ) -> None:
+        self._fleet = fleet
+        self._customer = customer
+        self._number = number
+        self._tally = tally
+        self._random = random.Random(f"{customer}-{number}")
+        self._conns: dict[str, psycopg.Connection[tuple[int]]] = {}
+        self._token = ""
+        self._own: set[int] = set()
+        self._next = 0
+
+    def work(self, end: float) -> None:
+        """Works until a moment, in seconds of the monotonic clock."""
+        while time.monotonic() < end:
+            node = self._random.choice(list(self._fleet.nodes))
+            if self._random.random() < ORDER_SHARE:
+                self._order(node)
+            else:
+                self._read(node)
+            time.sleep(PAUSE_S)
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for conn in self._conns.values():
+            conn.close()
+
+    def _conn(self, node: str) -> "psycopg.Connection[tuple[int]]":
+        conn = self._conns.get(node)
+        if conn is None or conn.closed:
+            dsn = self._fleet.dsn(node, self._customer, "clerk")
+            conn = psycopg.connect(dsn, password=PASSWORD, autocommit=True)
+            self._conns[node] = conn
+        if self._token:
+            conn.execute(f"SET rosemaryferry.session = '{self._token}'")
+        return conn
+
+    def _keep_token(self, conn: "psycopg.Connection[tuple[int]]") -> None:
+        status = conn.pgconn.parameter_status(b"rosemaryferry.session")
+        if status:
+            self._token = status.decode()
+
+    def _order(self, node: str) -> None:
+        self._next += 1
+        serial = self._number * 1_000_000 + self._next
+        try:
+            conn = self._conn(node)
+            conn.execute(
+                "INSERT INTO orders (serial, customer) VALUES (%s, %s)",
+                (serial, self._customer),
+            )
+        except psycopg.Error as exc:
+            self._note_failure(exc, serial)
+            return
+        self._keep_token(conn)
+        self._own.add(serial)
+        with self._tally.lock:
+            self._tally.statements += 1
+            self._tally.acknowledged.add(serial)
+            self._tally.ack_times.append(time.monotonic())
+
+    def _read(self, node: str) -> None:
+        try:
+            conn = self._conn(node)
+            rows = conn.execute(
+                "SELECT serial FROM orders WHERE serial > %s AND serial < %s",
+                (self._number * 1_000_000, (self._number + 1) * 1_000_000),
+            ).fetchall()
+        except psycopg.Error as exc:
+            self._note_failure(exc, None)
+            return
+        self._keep_token(conn)
+        seen = {row[0] for row in rows}
+        with self._tally.lock:
+            self._tally.statements += 1
+            if not self._own <= seen:
+                self._tally.violations += 1
+
+    def _note_failure(self, exc: psycopg.Error, serial: int | None) -> None:
+        detail = exc.diag.message_detail or "outcome=unknown"
+        with self._tally.lock:
+            if "not_run" in detail:
+                self._tally.refused += 1
+                if serial is not None:
+                    self._tally.not_run.add(serial)
+            else:
+                self._tally.unknown += 1
+                if serial is not None:
+                    self._tally.unsure.add(serial)
+
+
+def start_fleet() -> standins.Fleet:
+    """Returns a fleet that serves, with both customers' contracts."""
+    logging.set_verbosity(logging.ERROR)
+    fleet = standins.Fleet(standins.FleetPlan())
+    for customer, share in CUSTOMERS.items():
+        fleet.add_contract(customer, {"clerk": PASSWORD}, share)
+    end = time.monotonic() + STARTUP_S
+    while True:
+        try:
+            node = next(iter(fleet.nodes))
+            dsn = fleet.dsn(node, "lone-star", "clerk")
+            with psycopg.connect(
+                dsn, password=PASSWORD, autocommit=True
+            ) as conn:
+                conn.execute(
+                    "CREATE TABLE IF NOT EXISTS orders "
+                    "(serial integer PRIMARY KEY, customer text)"
+                )
+            return fleet
+        except psycopg.Error as exc:
+            if time.monotonic() > end:
+                fleet.close()
+                raise DemoFailedError(f"did not come up: {exc}") from exc
+            time.sleep(0.1)
+
+
+@click.command()
+@click.option("--serve", is_flag=True, help="Stay up for your own client.")
+def demo(serve: bool) -> None:
+    """Runs the main job on stand-ins and prints what was seen."""
+    fleet = start_fleet()
+    try:
+        if serve:
+            _serve(fleet)
+        else:
+            _run(fleet)
+    finally:
+        fleet.close()
+
+
+def _serve(fleet: standins.Fleet) -> None:
+    for name, node in fleet.nodes.items():
+        dsn = fleet.dsn(name, "lone-star", "clerk")
+        click.echo(f"{name}: {dsn} password={PASSWORD}")
+        click.echo(f"  administration: http://127.0.0.1:{node.admin.port}")
+    click.echo(f"  operators' token: {standins.ADMIN_TOKEN}")
+    click.echo("Ctrl-C ends it.")
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        click.echo("ended")
+
+
+def _run(fleet: standins.Fleet) -> None:
+    tally = Tally()
+    clerks = [
+        Clerk(fleet, customer, number + offset, tally)
+        for offset, (customer, count) in zip(
+            (1, 101), CLERKS.items(), strict=True
+        )
+        for number in range(count)
+    ]
+    fleet.groups["plates"].faults.delay_s = LAG_S
+    end = time.monotonic() + RUN_S
+    with concurrent.futures.ThreadPoolExecutor(len(clerks)) as pool:
+        futs = [pool.submit(clerk.work, end) for clerk in clerks]
+        time.sleep(FAULT_AT_S)
+        old = fleet.primary("plates")
+        fault_at = time.monotonic()
+        fleet.isolate("plates", old.name)
+        for fut in futs:
+            fut.result()
+    for clerk in clerks:
+        clerk.close()
+    stored = _stored(fleet)
+    _report(fleet, tally, stored, fault_at, old.name)
+
+
+def _stored(fleet: standins.Fleet) -> list[int]:
+    node = list(fleet.nodes)[-1]
+    dsn = fleet.dsn(node, "lone-star", "clerk")
+    with psycopg.connect(dsn, password=PASSWORD, autocommit=True) as conn:
+        conn.execute("SET rosemaryferry.read = 'primary'")
+        rows = conn.execute("SELECT serial FROM orders").fetchall()
+    return [row[0] for row in rows]
+
+
+def _report(
+    fleet: standins.Fleet,
+    tally: Tally,
+    stored: list[int],
+    fault_at: float,
+    old: str,
+) -> None:
+    lost = tally.acknowledged - set(stored)
+    doubled = len(stored) - len(set(stored))
+    untrue = tally.not_run & set(stored)
+    before = max((t for t in tally.ack_times if t <= fault_at), default=0.0)
+    after = min((t for t in tally.ack_times if t > fault_at + 0.5), default=0)
+    by_replicas = sum(
+        n.dispatcher.reads_by_replicas for n in fleet.nodes.values()
+    )
+    by_primary = sum(
+        n.dispatcher.reads_by_primary for n in fleet.nodes.values()
+    )
+    share = by_replicas / max(1, by_replicas + by_primary)
+    lines = [
+        ("statements answered", f"{tally.statements}"),
+        ("orders acknowledged", f"{len(tally.acknowledged)}"),
+        ("replica share of reads", f"{share:.1%}"),
+        ("consistency violations", f"{tally.violations}"),
+        ("orders lost or doubled", f"{len(lost) + doubled}"),
+        ("'not run' that ran", f"{len(untrue)}"),
+        ("told not run", f"{tally.refused}"),
+        ("told unknown", f"{tally.unknown}"),
+        ("old and new primary", f"{old} -> {fleet.primary('plates').name}"),
+        ("failover gap", f"{after - before:.2f} s"),
+    ]
+    for name, value in lines:
+        click.echo(f"{name:26} {value}")
+    if tally.violations or lost or doubled or untrue or not after:
+        sys.exit(1)
--- /dev/null
+++ b/packages/decisions/src/ferry_decisions/_flows.py
@@ -0,0 +1,158 @@
+"""Steps of work written one after another over futures.
+
+A flow is a generator that yields `concurrent.futures.Future` objects. It goes
+on when the future it waits for is done: with the result, or with the failure
+raised at the `yield`. All futures of a flow complete on the thread that owns
+the flow, so no locks are needed.
+"""
+
+from collections.abc import Callable
+from collections.abc import Generator
+import concurrent.futures
+import typing
+
+from ferry_decisions import _timers
+
+T = typing.TypeVar("T")
+Future = concurrent.futures.Future
+Flow = Generator["Future[typing.Any]", typing.Any, T]
+
+
+class TimeoutExpiredError(Exception):
+    """A future was not done within the time that its caller allows."""
+
+
+def completed(value: T) -> "Future[T]":
+    """Returns a future that already holds `value`."""
+    fut: Future[T] = Future()
+    fut.set_result(value)
+    return fut
+
+
+def failed(exc: BaseException) -> "Future[typing.Any]":
+    """Returns a future that already holds the failure `exc`."""
+    fut: Future[typing.Any] = Future()
+    fut.set_exception(exc)
+    return fut
+
+
+def resolve(fut: "Future[T]", value: T) -> bool:
+    """Sets the result unless the future is done; returns whether it was set."""
+    if fut.done():
+        return False
+    fut.set_result(value)
+    return True
+
+
+def reject(fut: "Future[typing.Any]", exc: BaseException) -> bool:
+    """Sets the failure unless the future is done; returns whether it was."""
+    if fut.done():
+        return False
+    fut.set_exception(exc)
+    return True
+
+
+def start(flow: "Flow[T]") -> "Future[T]":
+    """Starts a flow; returns the future of its return value."""
+    out: Future[T] = Future()
+    _step(flow, out, lambda: next(flow))
+    return out
+
+
+def _step(
+    flow: "Flow[T]",
+    out: "Future[T]",
+    resume: Callable[[], "Future[typing.Any]"],
+) -> None:
+    """Runs the flow until it waits for a future that is not done."""
+    while True:
+        try:
+            waited = resume()
+        except StopIteration as exc:
+            resolve(out, exc.value)
+            return
+        except Exception as exc:  # noqa: BLE001 - handed to the future's owner
+            reject(out, exc)
+            return
+        if not waited.done():
+            waited.add_done_callback(
+                lambda fut: _step(flow, out, _resumption(flow, fut))
+            )
+            return
+        resume = _resumption(flow, waited)
+
+
+def _resumption(
+    flow: "Flow[typing.Any]", fut: "Future[typing.Any]"
+) -> Callable[[], "Future[typing.Any]"]:
+    exc = fut.exception()
+    if exc is not None:
+        return lambda: flow.throw(exc)
+    return lambda: flow.send(fut.result())
+
+
+def sleep(timers: _timers.TimerService, seconds: float) -> "Future[None]":
+    """Returns a future that is done after `seconds`."""
+    fut: Future[None] = Future()
+    timers.after(seconds, lambda: resolve(fut, None))
+    return fut
+
+
+def within(
+    timers: _timers.TimerService, seconds: float, fut: "Future[T]"
+) -> "Future[T]":
+    """Returns a future that fails with a timeout when `fut` takes too long."""
+    if fut.done():
+        return fut
+    out: Future[T] = Future()
+    timer = timers.after(
+        seconds, lambda: reject(out, TimeoutExpiredError(f"{seconds:.3f} s"))
+    )
+
+    def finish(done: "Future[T]") -> None:
+        timer.cancel()
+        exc = done.exception()
+        if exc is not None:
+            reject(out, exc)
+        else:
+            resolve(out, done.result())
+
+    fut.add_done_callback(finish)
+    return out
+
+
+@typing.final
+class Settled(typing.Generic[T]):
+    """What a future came to: a result, or a failure."""
+
+    def __init__(self, fut: "Future[T]") -> None:
+        self.failure = fut.exception()
+        self._fut = fut
+
+    @property
+    def result(self) -> T:
+        """The result.
+
+        Raises:
+            BaseException: The failure of the future, if it failed.
+        """
+        return self._fut.result()
+
+
+def settle_all(
+    futs: "list[Future[T]]", enough: Callable[[list[Settled[T]]], bool]
+) -> "Future[list[Settled[T]]]":
+    """Gathers futures until all are done or those done are `enough`."""
+    out: Future[list[Settled[T]]] = Future()
+    settled: list[Settled[T]] = []
+
+    def note(fut: "Future[T]") -> None:
+        settled.append(Settled(fut))
+        if len(settled) == len(futs) or enough(settled):
+            resolve(out, list(settled))
+
+    if not futs:
+        out.set_result([])
+    for fut in futs:
+        fut.add_done_callback(note)
+    return out
--- /dev/null
+++ b/packages/decisions/src/ferry_decisions/_outcomes.py
@@ -0,0 +1,84 @@
+"""What a caller is told of its request.
+
+There are three outcomes. RAN: the whole answer follows. NOT_RUN: nothing of it
+was handed to an endpoint, or the endpoint itself said that it did not run.
+UNKNOWN: it was handed over and its fate could not be learned. SQLSTATE class
+RF is free for implementations and used for the failures that only this system
+knows.
+"""
+
+import enum
+
+import attrs
+
+
+class Outcome(enum.Enum):
+    """What became of a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(slots=True)
+class Reason:
+    """Why a request has no answer.
+
+    Attributes:
+        sqlstate: The five characters that a caller's client sees.
+        outcome: What the caller may conclude.
+        name: A stable identifier, used in logs, metrics and peer messages.
+        retry_after_s: Seconds after which to ask again; 0 where that is of no
+            use.
+    """
+
+    sqlstate: str = attrs.field(
+        validator=attrs.validators.matches_re(r"[0-9A-Z]{5}")
+    )
+    outcome: Outcome
+    name: str
+    retry_after_s: float = 0.0
+
+
+OVERLOADED = Reason("RF001", Outcome.NOT_RUN, "overloaded", 1.0)
+DEADLINE_IN_QUEUE = Reason("RF002", Outcome.NOT_RUN, "deadline_in_queue", 1.0)
+NO_PRIMARY = Reason("RF003", Outcome.NOT_RUN, "no_primary", 1.0)
+NO_CONTRACT = Reason("RF004", Outcome.NOT_RUN, "no_contract", 2.0)
+NO_CONNECTION = Reason("RF005", Outcome.NOT_RUN, "no_connection", 0.5)
+TERM_CHANGED = Reason("RF006", Outcome.NOT_RUN, "term_changed", 0.2)
+STOPPING = Reason("RF007", Outcome.NOT_RUN, "stopping", 0.1)
+NO_SERVING_NODE = Reason("RF008", Outcome.NOT_RUN, "no_serving_node", 1.0)
+BEHIND = Reason("RF009", Outcome.NOT_RUN, "behind", 0.2)
+TRANSACTION_LOST = Reason("RF010", Outcome.NOT_RUN, "transaction_lost")
+READ_CUT = Reason("RF011", Outcome.NOT_RUN, "read_cut", 0.1)
+DUPLICATE_KEY = Reason("RF012", Outcome.NOT_RUN, "duplicate_key")
+ANSWER_LOST = Reason("RF101", Outcome.UNKNOWN, "answer_lost")
+NOT_CONFIRMED = Reason("RF102", Outcome.UNKNOWN, "not_confirmed")
+UNSUPPORTED = Reason("0A000", Outcome.NOT_RUN, "unsupported")
+INVALID_SETTING = Reason("22023", Outcome.NOT_RUN, "invalid_setting")
+PROTOCOL_VIOLATION = Reason("08P01", Outcome.NOT_RUN, "protocol_violation")
+TOO_MANY_CONNECTIONS = Reason(
+    "53300", Outcome.NOT_RUN, "too_many_connections", 1.0
+)
+LOGIN_REFUSED = Reason("28P01", Outcome.NOT_RUN, "login_refused")
+CANCELED = Reason("57014", Outcome.NOT_RUN, "canceled")
+
+BY_NAME: dict[str, Reason] = {
+    value.name: value
+    for value in list(globals().values())
+    if isinstance(value, Reason)
+}
+
+
+class RequestFailedError(Exception):
+    """A request has no answer, for a typed reason.
+
+    Attributes:
+        reason: The type of the failure.
+        detail: Words for a reader of logs; never parsed.
+    """
+
+    def __init__(self, reason: Reason, detail: str = "") -> None:
+        super().__init__(f"{reason.name}: {detail}" if detail else reason.name)
+        self.reason = reason
+        self.detail = detail
--- /dev/null
+++ b/packages/node/src/ferry_node/__init__.py
@@ -0,0 +1,47 @@
+"""The node: wires decisions to sockets, timers and the platform."""
+
+from ferry_node._auth import make_login
+from ferry_node._drivers import CONTROL_FUNCTION
+from ferry_node._drivers import ControlOrder
+from ferry_node._endpoint import EndpointConn
+from ferry_node._loop import EventLoop
+from ferry_node._loop import call_on
+from ferry_node._loop import on_loop
+from ferry_node._node import Node
+from ferry_node._settings import CallerSettings
+from ferry_node._settings import EndpointSettings
+from ferry_node._settings import PolicySettings
+from ferry_node._settings import Settings
+from ferry_node._settings import SettingsUnreadableError
+from ferry_node._settings import settings_from_file
+from ferry_node._settings import settings_from_text
+from ferry_node._store import HttpStore
+from ferry_node._streams import Listener
+from ferry_node._streams import Stream
+from ferry_node._streams import connect
+from ferry_node._vms import Vm
+from ferry_node._vms import VmList
+
+__all__ = [
+    "CONTROL_FUNCTION",
+    "CallerSettings",
+    "ControlOrder",
+    "EndpointConn",
+    "EndpointSettings",
+    "EventLoop",
+    "HttpStore",
+    "Listener",
+    "Node",
+    "PolicySettings",
+    "Settings",
+    "SettingsUnreadableError",
+    "Stream",
+    "Vm",
+    "VmList",
+    "call_on",
+    "connect",
+    "make_login",
+    "on_loop",
+    "settings_from_file",
+    "settings_from_text",
+]
--- /dev/null
+++ b/packages/node/src/ferry_node/_auth.py
@@ -0,0 +1,115 @@
+"""Who a caller is: SCRAM-SHA-256 against the logins of the contracts.
+
+A user name has the form `login@customer`. The customer's contract holds the
+login and names the databases; an unknown login goes through the same exchange
+as a wrong password.
+"""
+
+import base64
+import hashlib
+import hmac
+
+import attrs
+import ferry_decisions as decisions
+import scramp
+
+MECHANISM = "SCRAM-SHA-256"
+ITERATIONS = 4096
+
+
+@attrs.frozen(slots=True)
+class Identity:
+    """A caller that has been let in.
+
+    Attributes:
+        customer: The customer in whose name it acts.
+        login: Its login.
+        database: The database that it chose.
+    """
+
+    customer: str
+    login: str
+    database: str
+
+
+def make_login(name: str, password: str, salt: bytes) -> decisions.Login:
+    """Returns a login that holds no password, only what checks it."""
+    salted = hashlib.pbkdf2_hmac("sha256", password.encode(), salt, ITERATIONS)
+    client_key = hmac.digest(salted, b"Client Key", "sha256")
+    stored_key = hashlib.sha256(client_key).digest()
+    server_key = hmac.digest(salted, b"Server Key", "sha256")
+    return decisions.Login(
+        name=name,
+        salt=_text(salt),
+        stored_key=_text(stored_key),
+        server_key=_text(server_key),
+        iterations=ITERATIONS,
+    )
+
+
+def _text(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def split_user(user: str) -> tuple[str, str]:
+    """Returns the login and the customer of a user name."""
+    login, _, customer = user.rpartition("@")
+    return login, customer
+
+
+class LoginExchange:
+    """One SCRAM exchange with a caller."""
+
+    def __init__(self, login: decisions.Login | None, secret: bytes) -> None:
+        """Starts the exchange.
+
+        Args:
+            login: The login, or None for one that does not exist.
+            secret: This process's secret, from which a login that does not
+                exist gets keys that nobody knows.
+        """
+        found = login or _nobody(secret)
+        info = (
+            base64.b64decode(found.salt),
+            base64.b64decode(found.stored_key),
+            base64.b64decode(found.server_key),
+            found.iterations,
+        )
+        mechanism = scramp.ScramMechanism(MECHANISM)
+        self._server = mechanism.make_server(lambda _: info)
+
+    def first(self, client_first: bytes) -> str:
+        """Returns the challenge for the caller's first message.
+
+        Raises:
+            RequestFailedError: The message is malformed.
+        """
+        try:
+            text = client_first.decode()
+            # PostgreSQL's clients leave the name empty, which the library
+            # refuses; the exchange is signed with what they sent.
+            self._server.set_client_first(text.replace("n=,", "n=*,", 1))
+            self._server.client_first_bare = text.split(",", 2)[2]
+            return str(self._server.get_server_first())
+        except (scramp.ScramException, ValueError) as exc:
+            raise _refused() from exc
+
+    def final(self, client_final: bytes) -> str:
+        """Returns the server's last message for a right password.
+
+        Raises:
+            RequestFailedError: The password is wrong.
+        """
+        try:
+            self._server.set_client_final(client_final.decode())
+            return str(self._server.get_server_final())
+        except (scramp.ScramException, ValueError) as exc:
+            raise _refused() from exc
+
+
+def _refused() -> decisions.RequestFailedError:
+    return decisions.RequestFailedError(decisions.LOGIN_REFUSED)
+
+
+def _nobody(secret: bytes) -> decisions.Login:
+    return make_login("nobody", secret.hex(), secret[:16])
--- /dev/null
+++ b/packages/node/src/ferry_node/_callers.py
@@ -0,0 +1,261 @@
+"""The port that callers connect to: startup, login, and their batches."""
+
+import collections
+from collections.abc import Callable
+import secrets
+import ssl
+
+from absl import logging
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _batches
+from ferry_node import _conversation
+from ferry_node import _login
+from ferry_node import _loop
+from ferry_node import _settings
+from ferry_node import _streams
+from ferry_node import _wire
+
+LOGIN_TIMEOUT_S = 10.0
+SECRET_BYTES = 4
+HIGH_WATER_BYTES = 1 << 24
+MAX_PIPELINED = 1_000
+
+
+@attrs.frozen(slots=True)
+class CallerContext:
+    """What callers' connections share.
+
+    Attributes:
+        loop: The node's loop.
+        cfg: The node's settings.
+        contracts: The contracts in force.
+        sessions: What the sessions share.
+        tls: The TLS context; None without TLS.
+        secret: This process's secret.
+        cancel: Called with a process id and a secret to stop a batch.
+    """
+
+    loop: _loop.EventLoop
+    cfg: _settings.Settings
+    contracts: decisions.ContractBook
+    sessions: _conversation.ConversationContext
+    tls: ssl.SSLContext | None
+    secret: bytes
+    cancel: Callable[[int, bytes], object]
+
+
+class CallerConn:
+    """One caller's connection."""
+
+    __slots__ = (
+        "_ctx",
+        "_stream",
+        "_decoder",
+        "_reader",
+        "_dialog",
+        "_session",
+        "_batches",
+        "_busy",
+        "_skipping",
+        "_on_closed",
+        "_timer",
+        "process_id",
+        "secret",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        ctx: CallerContext,
+        stream: _streams.Stream,
+        process_id: int,
+        on_closed: "Callable[[CallerConn], object]",
+    ) -> None:
+        self._ctx = ctx
+        self._stream = stream
+        self._decoder = _wire.CallerDecoder()
+        self._reader: _batches.BatchReader | None = None
+        self._dialog: _login.LoginDialog | None = None
+        self._session: _conversation.Conversation | None = None
+        self._batches: collections.deque[_batches.Batch] | None = None
+        self._busy = False
+        self._skipping = False
+        self._on_closed = on_closed
+        self.process_id = process_id
+        self.secret = secrets.token_bytes(SECRET_BYTES)
+        self.stopping = False
+        self._timer: decisions.Timer | None = ctx.loop.after(
+            LOGIN_TIMEOUT_S, self._login_expired
+        )
+        stream.on_data = self._receive
+        stream.on_closed = self._lost
+
+    @property
+    def busy(self) -> bool:
+        """Whether a batch or a transaction is under way."""
+        session = self._session
+        return self._busy or (session is not None and session.in_transaction)
+
+    def stop(self) -> None:
+        """Closes the connection as soon as nothing is under way."""
+        self.stopping = True
+        if not self.busy:
+            self._end(decisions.STOPPING, "this node is being stopped")
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self._stream.close()
+        self._closed()
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            for msg in self._decoder.feed(data):
+                if self._stream.closed:
+                    return
+                self._take(msg)
+        except _wire.MalformedMessageError as exc:
+            self._end(decisions.PROTOCOL_VIOLATION, str(exc))
+        except decisions.RequestFailedError as exc:
+            self._end(exc.reason, exc.detail)
+
+    def _take(self, msg: _wire.Message) -> None:
+        if isinstance(msg, _wire.Terminate):
+            self.close()
+        elif self._session is not None:
+            self._take_statement(self._session, msg)
+        elif self._dialog is not None:
+            self._take_login(self._dialog, msg)
+        else:
+            self._take_startup(msg)
+
+    def _take_startup(self, msg: _wire.Message) -> None:
+        match msg:
+            case _wire.SSLRequest():
+                self._stream.send(
+                    _wire.encode_tls_answer(self._ctx.tls is not None)
+                )
+                if self._ctx.tls is not None:
+                    self._stream.start_tls(self._ctx.tls)
+            case _wire.GSSEncRequest():
+                self._stream.send(_wire.encode_gss_refusal())
+            case _wire.CancelRequest():
+                self._ctx.cancel(msg.process_id, msg.secret_key)
+                self.close()
+            case _wire.StartupMessage():
+                dialog = _login.LoginDialog(
+                    self._ctx.cfg, self._ctx.contracts, self._ctx.secret
+                )
+                self._stream.send(dialog.begin(msg.params, self._stream.is_tls))
+                self._decoder.expect_sasl_initial()
+                self._dialog = dialog
+            case _:
+                raise decisions.RequestFailedError(
+                    decisions.PROTOCOL_VIOLATION, type(msg).__name__
+                )
+
+    def _take_login(
+        self, dialog: _login.LoginDialog, msg: _wire.Message
+    ) -> None:
+        self._stream.send(dialog.take(msg))
+        if dialog.granted is None:
+            self._decoder.expect_sasl_response()
+            return
+        identity, state = dialog.granted
+        self._dialog = None
+        self._decoder.expect_statements()
+        self._session = _conversation.Conversation(
+            self._ctx.sessions, identity, state, self._send
+        )
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._stream.send(
+            _wire.encode_login_ok(
+                _login.PARAMETERS, self.process_id, self.secret
+            )
+        )
+
+    def _take_statement(
+        self, session: _conversation.Conversation, msg: _wire.Message
+    ) -> None:
+        if self._skipping:
+            if isinstance(msg, _wire.Sync):
+                self._skipping = False
+                session.send_ready()
+            return
+        if self._reader is None:
+            self._reader = _batches.BatchReader()
+        try:
+            batch = self._reader.take(msg)
+        except decisions.RequestFailedError as exc:
+            self._reader.reset()
+            self._skipping = True
+            self._stream.send(_wire.encode_error(exc.reason, exc.detail))
+            return
+        if batch is None:
+            return
+        if not self._busy:
+            self._start(session, batch)
+            return
+        if self._batches is None:
+            self._batches = collections.deque()
+        self._batches.append(batch)
+        if len(self._batches) > MAX_PIPELINED:
+            self._end(decisions.OVERLOADED, "too many batches in one pipeline")
+
+    def _start(
+        self, session: _conversation.Conversation, batch: _batches.Batch
+    ) -> None:
+        self._busy = True
+        session.run(batch).add_done_callback(
+            lambda fut: self._finished(session, fut)
+        )
+
+    def _finished(
+        self,
+        session: _conversation.Conversation,
+        fut: "decisions.Future[None]",
+    ) -> None:
+        exc = fut.exception()
+        if exc is not None:
+            logging.error("event=batch_failed", exc_info=exc)
+            self._end(decisions.ANSWER_LOST, "internal failure")
+        if self._stream.closed:
+            self._busy = False
+            session.close()
+            return
+        if self._batches:
+            batch = self._batches.popleft()
+            self._ctx.loop.call_soon(lambda: self._start(session, batch))
+            return
+        self._busy = False
+        if self.stopping:
+            self.stop()
+
+    def _send(self, data: bytes) -> None:
+        self._stream.send(data)
+        if self._stream.queued > HIGH_WATER_BYTES:
+            self._end(decisions.ANSWER_LOST, "the caller does not read")
+
+    def _login_expired(self) -> None:
+        self._end(decisions.LOGIN_REFUSED, "login took too long")
+
+    def _end(self, reason: decisions.Reason, detail: str) -> None:
+        if self._stream.closed:
+            return
+        self._stream.send(_wire.encode_error(reason, detail, "FATAL"))
+        self._stream.close_when_sent()
+        self._closed()
+
+    def _lost(self, _: _streams.StreamClosedError) -> None:
+        self._closed()
+
+    def _closed(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._session is not None and not self._busy:
+            self._session.close()
+        self._on_closed(self)
--- /dev/null
+++ b/packages/node/src/ferry_node/_conversation.py
@@ -0,0 +1,292 @@
+"""A caller's session after its login: its state, transaction and answers."""
+
+from collections.abc import Callable
+import typing
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _auth
+from ferry_node import _batches
+from ferry_node import _entry
+from ferry_node import _messages
+from ferry_node import _tracing
+from ferry_node import _wire
+
+IN_FAILED_TRANSACTION = "25P02"
+
+
+@attrs.frozen(slots=True)
+class ConversationContext:
+    """What all sessions of a node share.
+
+    Attributes:
+        timers: The timer service.
+        dispatcher: Runs batches.
+        metrics: Called with the customer, the seconds and the outcome of each
+            batch.
+        tracer: Makes the spans.
+    """
+
+    timers: decisions.TimerService
+    dispatcher: _entry.Dispatcher
+    metrics: Callable[[str, float, str], object]
+    tracer: _tracing.Tracer
+
+
+@attrs.define(slots=True)
+class _Transaction:
+    """The transaction that a caller has open.
+
+    Attributes:
+        target: The member and node that hold it.
+        channel: Its number there; 0 once it was lost.
+        status: What the caller was told of it: T or E.
+    """
+
+    target: _entry.Target
+    channel: int
+    status: str = "T"
+
+
+class Conversation:
+    """Runs one caller's batches, one after another."""
+
+    __slots__ = (
+        "_ctx",
+        "_identity",
+        "_send",
+        "_state",
+        "_transaction",
+        "_token_sent",
+        "_wrote_at",
+    )
+
+    def __init__(
+        self,
+        ctx: ConversationContext,
+        identity: _auth.Identity,
+        state: decisions.SessionState,
+        send: Callable[[bytes], object],
+    ) -> None:
+        """Starts the session.
+
+        Args:
+            ctx: What all sessions share.
+            identity: Who the caller is.
+            state: What its startup message asked for.
+            send: Sends bytes to the caller.
+        """
+        self._ctx = ctx
+        self._identity = identity
+        self._send = send
+        self._state = state
+        self._transaction: _Transaction | None = None
+        self._token_sent = ""
+        self._wrote_at = float("-inf")
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open at an endpoint."""
+        return self._transaction is not None and self._transaction.channel > 0
+
+    def run(self, batch: _batches.Batch) -> "decisions.Future[None]":
+        """Runs a batch and sends its whole answer."""
+        return decisions.start(self._run(batch))
+
+    def fail(self, reason: decisions.Reason, detail: str) -> None:
+        """Sends an error that ends a batch."""
+        self._send(_wire.encode_error(reason, detail))
+        self.send_ready()
+
+    def send_ready(self) -> None:
+        """Sends a ReadyForQuery."""
+        transaction = self._transaction
+        self._send(
+            _wire.encode_ready(transaction.status if transaction else "I")
+        )
+
+    def close(self) -> None:
+        """Rolls back what is open: the caller is gone."""
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None and transaction.channel:
+            self._ctx.dispatcher.drop(transaction.target, transaction.channel)
+
+    def _run(self, batch: _batches.Batch) -> "decisions.Flow[None]":
+        transaction = self._transaction
+        if transaction is not None and not transaction.channel:
+            self._answer_lost(batch)
+        elif batch.is_local:
+            self._run_local(batch)
+        elif batch.changes_session:
+            self.fail(
+                decisions.UNSUPPORTED,
+                "endpoint connections are shared; session state is not kept",
+            )
+        else:
+            yield from self._run_remote(batch)
+
+    def _answer_lost(self, batch: _batches.Batch) -> None:
+        """Answers inside a transaction that is already rolled back."""
+        ends = batch.first_kind is decisions.Kind.END
+        if ends and len(batch.statements) == 1:
+            self._transaction = None
+            self._send(_batches.ended_answer(batch))
+        else:
+            self._send(
+                _wire.encode_sqlstate(
+                    IN_FAILED_TRANSACTION,
+                    "the transaction was rolled back; end it",
+                )
+            )
+        self.send_ready()
+
+    def _run_local(self, batch: _batches.Batch) -> None:
+        values = []
+        try:
+            for statement in batch.statements:
+                if statement.kind is decisions.Kind.SET:
+                    self._state = self._state.with_setting(
+                        statement.name, statement.value
+                    )
+                    values.append(statement.value)
+                else:
+                    values.append(self._state.setting(statement.name))
+        except decisions.RequestFailedError as exc:
+            self.fail(exc.reason, exc.detail)
+            return
+        self._send(_batches.local_answer(batch, values))
+        self.send_ready()
+
+    def _run_remote(self, batch: _batches.Batch) -> "decisions.Flow[None]":
+        begun = self._ctx.timers.now()
+        span = self._ctx.tracer.begin("caller")
+        if batch.is_read and self._transaction is None:
+            yield from self._look_up_floor()
+        filtered = _batches.AnswerFilter(batch.hidden)
+
+        def on_part(data: bytes) -> None:
+            self._send(filtered.feed(data))
+
+        req = self._request(batch, span.context)
+        if req.idempotency_key and (req.begin or self._transaction):
+            self.fail(
+                decisions.UNSUPPORTED, "an idempotency key in a transaction"
+            )
+            return
+        reply = yield from self._dispatch(req, begun, on_part)
+        outcome = reply.reason or "ran"
+        elapsed = self._ctx.timers.now() - begun
+        self._ctx.metrics(self._identity.customer, elapsed, outcome)
+        span.end(outcome)
+        self._note_reply(batch, reply)
+        self._answer(reply, filtered)
+
+    def _look_up_floor(self) -> "decisions.Flow[None]":
+        """Finds a floor for a session that came back without a token."""
+        database = self._identity.database
+        if self._state.staleness_s <= 0 or self._state.floor(database):
+            return
+        found = yield self._ctx.dispatcher.find_floor(database)
+        if found is not None:
+            self._state = self._state.with_seen(database, found)
+
+    def _request(
+        self, batch: _batches.Batch, trace: str
+    ) -> _messages.ExecuteRequest:
+        kind = batch.first_kind
+        read_only = kind is decisions.Kind.BEGIN_READ_ONLY
+        read = batch.is_read or read_only
+        floor = self._state.floor(self._identity.database)
+        return _messages.ExecuteRequest(
+            customer=self._identity.customer,
+            database=self._identity.database,
+            member="",
+            as_primary=not read,
+            read=read,
+            begin=kind is decisions.Kind.BEGIN or read_only,
+            may_end=batch.may_end,
+            channel=0,
+            floor=str(floor) if floor is not None else "",
+            staleness_s=self._state.staleness_s,
+            budget_s=self._state.timeout_s,
+            idempotency_key="" if read else self._state.idempotency_key,
+            payload=batch.payload,
+            trace=trace,
+        )
+
+    def _dispatch(
+        self,
+        req: _messages.ExecuteRequest,
+        begun: float,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        transaction = self._transaction
+        if transaction is not None:
+            return (yield from self._continue(transaction, req, on_part))
+        since = begun - self._wrote_at
+        reply, target = yield self._ctx.dispatcher.run(req, since, on_part)
+        if reply.channel and target is not None:
+            self._transaction = _Transaction(target, reply.channel)
+        return typing.cast(_messages.ExecuteReply, reply)
+
+    def _continue(
+        self,
+        transaction: _Transaction,
+        req: _messages.ExecuteRequest,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        """Runs a batch where the transaction is open."""
+        target = transaction.target
+        bound = attrs.evolve(
+            req,
+            member=target.member,
+            as_primary=target.primary,
+            channel=transaction.channel,
+            begin=False,
+        )
+        reply = yield self._ctx.dispatcher.send(target.node, bound, on_part)
+        lost = bool(reply.reason) and not reply.channel
+        if lost and reply.reason == decisions.TRANSACTION_LOST.name:
+            transaction.channel = 0
+            transaction.status = "E"
+        elif not reply.channel:
+            self._transaction = None
+        return typing.cast(_messages.ExecuteReply, reply)
+
+    def _note_reply(
+        self, batch: _batches.Batch, reply: _messages.ExecuteReply
+    ) -> None:
+        if reply.reason:
+            return
+        if self._transaction is not None:
+            self._transaction.status = reply.status
+        if not batch.is_read:
+            self._wrote_at = self._ctx.timers.now()
+            if self._state.idempotency_key:
+                self._state = attrs.evolve(self._state, idempotency_key="")
+        if reply.position and not reply.channel:
+            seen = decisions.Position.from_text(reply.position)
+            self._state = self._state.with_seen(self._identity.database, seen)
+
+    def _answer(
+        self,
+        reply: _messages.ExecuteReply,
+        filtered: _batches.AnswerFilter,
+    ) -> None:
+        if reply.reason:
+            reason = decisions.BY_NAME.get(reply.reason, decisions.ANSWER_LOST)
+            self.fail(reason, reply.detail)
+            return
+        data = filtered.feed(reply.data)
+        token = self._state.token
+        if token == self._token_sent:
+            self._send(data)
+            return
+        self._token_sent = token
+        body, ready = data[:-_READY_SIZE], data[-_READY_SIZE:]
+        parameter = _wire.encode_parameter(_wire.SESSION_PARAMETER, token)
+        self._send(body + parameter + ready)
+
+
+_READY_SIZE = len(_wire.encode_ready("I"))
--- /dev/null
+++ b/packages/node/src/ferry_node/_endpoint.py
@@ -0,0 +1,257 @@
+"""One connection to an endpoint.
+
+At most one request is under way on it. A connection that owes an answer is
+never used again: it is closed, so that a late answer reaches nobody.
+"""
+
+import collections
+from collections.abc import Callable
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _loop
+from ferry_node import _streams
+from ferry_node import _wire
+
+BUFFER_BYTES = 1 << 18
+USER_TIMEOUT_MS = 1_500
+TAIL_FRAMES = 2
+
+Sink = Callable[[bytes], object]
+
+
+class EndpointLostError(Exception):
+    """The connection ended while it owed an answer: the outcome is unknown."""
+
+
+class EndpointLoginError(Exception):
+    """The endpoint refused the login or the connection.
+
+    Attributes:
+        sqlstate: The code that it gave.
+    """
+
+    def __init__(self, sqlstate: str, message: str) -> None:
+        super().__init__(f"{sqlstate} {message}")
+        self.sqlstate = sqlstate
+
+
+@attrs.define(slots=True)
+class Answer:
+    """The answer to one request.
+
+    Attributes:
+        frames: The frames that were not streamed yet, in order.
+        streamed: Whether a part went to the sink already.
+        status: The transaction status after it: I, T or E.
+        sqlstate: The code of its error; empty without one.
+        position: The member's position after it, if it told one.
+    """
+
+    frames: collections.deque[_wire.Frame] = attrs.field(
+        factory=collections.deque
+    )
+    streamed: bool = False
+    status: str = ""
+    sqlstate: str = ""
+    position: decisions.Position | None = None
+
+    @property
+    def data(self) -> bytes:
+        """The bytes that were not streamed yet."""
+        return b"".join(f.data for f in self.frames)
+
+
+@attrs.define(slots=True)
+class _Pending:
+    """A request under way."""
+
+    fut: "decisions.Future[Answer]"
+    sink: Sink | None
+    answer: Answer = attrs.field(factory=Answer)
+    buffered: int = 0
+
+
+class EndpointConn:
+    """A connection to one member, opened under one term."""
+
+    def __init__(
+        self,
+        loop: _loop.EventLoop,
+        host: str,
+        port: int,
+        parameters: dict[str, str],
+        connect_timeout_s: float,
+    ) -> None:
+        self._loop = loop
+        self._host = host
+        self._port = port
+        self._stream = _streams.connect(loop, host, port)
+        self._stream.keep_alive(USER_TIMEOUT_MS)
+        self._splitter = _wire.FrameSplitter()
+        self._pending: collections.deque[_Pending] = collections.deque()
+        self._key = (0, b"")
+        self._position: decisions.Position | None = None
+        self.ready: decisions.Future[EndpointConn] = decisions.Future()
+        self.closed = False
+        self.customer = ""
+        self.term = int(parameters.get(_wire.TERM_PARAMETER, "0"))
+        self.idle_since = loop.now()
+        self.on_closed: Callable[[EndpointConn], object] | None = None
+        self._timer = loop.after(connect_timeout_s, self._connect_expired)
+        self._stream.on_open = lambda: self._stream.send(
+            _wire.encode_startup(parameters)
+        )
+        self._stream.on_data = self._receive
+        self._stream.on_closed = self._lost
+
+    @property
+    def position(self) -> decisions.Position | None:
+        """The last position that the member told."""
+        return self._position
+
+    def execute(
+        self, payload: bytes, sink: Sink | None = None
+    ) -> "decisions.Future[Answer]":
+        """Hands a request over; returns the future of its answer.
+
+        The request has exactly one ReadyForQuery to wait for. With a sink,
+        a long answer is passed on in parts, all but its last frames.
+        Fails with `EndpointLostError` when the connection ends first.
+        """
+        if self.closed:
+            return decisions.failed(EndpointLostError("closed before"))
+        pending = _Pending(decisions.Future(), sink)
+        self._pending.append(pending)
+        self._stream.send(payload)
+        return pending.fut
+
+    def pause(self) -> None:
+        """Stops taking in the answer until `resume`."""
+        self._stream.pause()
+
+    def resume(self) -> None:
+        """Takes in the answer again."""
+        self._stream.resume()
+
+    def close(self, cancel: bool = False) -> None:
+        """Closes the connection.
+
+        Args:
+            cancel: Whether to ask the endpoint to stop what it runs.
+        """
+        if self.closed:
+            return
+        if cancel and self._pending:
+            self._send_cancel()
+        elif not self._pending:
+            self._stream.send(_wire.TERMINATE_BYTES)
+        self._finish(EndpointLostError("closed by this node"))
+        self._stream.close_when_sent()
+
+    def _send_cancel(self) -> None:
+        stream = _streams.connect(self._loop, self._host, self._port)
+        request = _wire.encode_cancel(*self._key)
+
+        def send() -> None:
+            stream.send(request)
+            stream.close_when_sent()
+
+        stream.on_open = send
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            for frame in self._splitter.feed(data):
+                self._take(frame)
+        except (_wire.MalformedMessageError, ValueError) as exc:
+            self._stream.close()
+            self._finish(EndpointLostError(str(exc)))
+
+    def _take(self, frame: _wire.Frame) -> None:
+        if not self.ready.done():
+            self._take_startup(frame)
+            return
+        if frame.kind == _wire.PARAMETER:
+            self._take_parameter(frame)
+            return
+        if not self._pending:
+            return
+        pending = self._pending[0]
+        answer = pending.answer
+        if frame.kind == _wire.ERROR:
+            answer.sqlstate = _wire.error_fields(frame).get("C", "XX000")
+        answer.frames.append(frame)
+        if frame.kind == _wire.READY:
+            self._complete(pending, frame)
+            return
+        pending.buffered += len(frame.data)
+        if pending.sink is not None and pending.buffered > BUFFER_BYTES:
+            self._stream_out(pending)
+
+    def _stream_out(self, pending: _Pending) -> None:
+        """Passes on all frames but the last ones, which carry the outcome."""
+        assert pending.sink is not None
+        parts = []
+        frames = pending.answer.frames
+        while len(frames) > TAIL_FRAMES:
+            parts.append(frames.popleft().data)
+        pending.buffered = sum(len(f.data) for f in frames)
+        pending.answer.streamed = True
+        pending.sink(b"".join(parts))
+
+    def _complete(self, pending: _Pending, frame: _wire.Frame) -> None:
+        self._pending.popleft()
+        pending.answer.status = _wire.ready_status(frame)
+        pending.answer.position = self._position
+        self.idle_since = self._loop.now()
+        decisions.resolve(pending.fut, pending.answer)
+
+    def _take_parameter(self, frame: _wire.Frame) -> None:
+        name, value = _wire.parameter(frame)
+        if name == _wire.POSITION_PARAMETER:
+            self._position = decisions.Position.from_text(value)
+
+    def _take_startup(self, frame: _wire.Frame) -> None:
+        if frame.kind == _wire.ERROR:
+            fields = _wire.error_fields(frame)
+            self._refuse(fields.get("C", "XX000"), fields.get("M", ""))
+        elif frame.kind == _wire.AUTHENTICATION:
+            if _wire.authentication_code(frame) != 0:
+                self._refuse("28000", "endpoint asks for an unknown login")
+        elif frame.kind == _wire.PARAMETER:
+            self._take_parameter(frame)
+        elif frame.kind == _wire.BACKEND_KEY:
+            self._key = _wire.backend_key(frame)
+        elif frame.kind == _wire.READY:
+            self._timer.cancel()
+            self.idle_since = self._loop.now()
+            decisions.resolve(self.ready, self)
+
+    def _refuse(self, sqlstate: str, message: str) -> None:
+        self._stream.close()
+        self._finish(EndpointLoginError(sqlstate, message))
+
+    def _connect_expired(self) -> None:
+        self._stream.close()
+        self._finish(decisions.EndpointUnreachableError("connection timed out"))
+
+    def _lost(self, exc: _streams.StreamClosedError) -> None:
+        if not self.ready.done():
+            self._finish(
+                decisions.EndpointUnreachableError(str(exc), exc.refused)
+            )
+            return
+        self._finish(EndpointLostError(str(exc)))
+
+    def _finish(self, exc: Exception) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._timer.cancel()
+        decisions.reject(self.ready, exc)
+        pending, self._pending = self._pending, collections.deque()
+        for each in pending:
+            decisions.reject(each.fut, exc)
+        if self.on_closed is not None:
+            self.on_closed(self)
--- /dev/null
+++ b/packages/node/src/ferry_node/_entry.py
@@ -0,0 +1,371 @@
+"""The entry side: sends a caller's batch to the node that serves the member.
+
+What was handed over is never repeated, unless a replica ran it. What was
+proved not to have run is tried elsewhere until the caller's deadline.
+"""
+
+import collections
+from collections.abc import Callable
+import random
+import typing
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _messages
+from ferry_node import _peers
+from ferry_node import _settings
+
+MAX_HELD = 2_000
+BEHIND_S = 0.2
+FIRST_BACKOFF_S = 0.01
+LAST_BACKOFF_S = 0.25
+RETRY_SHARE = 0.1
+RETRY_BURST = 20.0
+FLOOR_TIMEOUT_S = 0.05
+
+TRY_ELSEWHERE = frozenset(
+    {
+        decisions.BEHIND.name,
+        decisions.READ_CUT.name,
+        decisions.NO_CONNECTION.name,
+        decisions.NO_SERVING_NODE.name,
+        decisions.STOPPING.name,
+        decisions.TERM_CHANGED.name,
+    }
+)
+WAIT_FOR_CHANGE = frozenset(
+    {
+        decisions.TERM_CHANGED.name,
+        decisions.NO_PRIMARY.name,
+        decisions.NO_CONNECTION.name,
+        decisions.NO_SERVING_NODE.name,
+        decisions.STOPPING.name,
+    }
+)
+
+LocalExecute = Callable[
+    [_messages.ExecuteRequest, Callable[[bytes], object] | None],
+    "decisions.Future[_messages.ExecuteReply]",
+]
+
+
+class PeerCalls(typing.Protocol):
+    """Reaches other nodes."""
+
+    def call(
+        self,
+        node: decisions.Node,
+        message: _messages.Message,
+        on_part: Callable[[bytes], object] | None = None,
+    ) -> "decisions.Future[typing.Any]":
+        """Sends a request; fails with `PeerLostError`."""
+
+    def tell(self, node: decisions.Node, message: _messages.Message) -> None:
+        """Sends a one-way message."""
+
+
+@attrs.frozen(slots=True)
+class Target:
+    """A member and the node that serves it.
+
+    Attributes:
+        member: The member's name.
+        node: The node.
+        primary: Whether the member is the primary.
+    """
+
+    member: str
+    node: decisions.Node
+    primary: bool
+
+
+@attrs.frozen(slots=True)
+class EntryContext:
+    """What the entry side needs from its node.
+
+    Attributes:
+        timers: The timer service.
+        cfg: The node's settings.
+        peers: Streams to the other nodes.
+        nodes: Returns the nodes that are live.
+        database: Returns a database's description.
+        record: Returns a database's record.
+        execute: Runs a request at this node.
+        drop: Rolls back an open transaction at this node.
+        position: Proves a primary's position at this node.
+    """
+
+    timers: decisions.TimerService
+    cfg: _settings.Settings
+    peers: PeerCalls
+    nodes: Callable[[], tuple[decisions.Node, ...]]
+    database: Callable[[str], decisions.Database | None]
+    record: Callable[[str], decisions.Record | None]
+    execute: LocalExecute
+    drop: Callable[[int], object]
+    position: Callable[
+        [_messages.PositionRequest],
+        "decisions.Future[_messages.PositionReply]",
+    ]
+
+
+class Dispatcher:
+    """Finds a member for each batch, and tries again where that is safe."""
+
+    def __init__(self, ctx: EntryContext) -> None:
+        self._ctx = ctx
+        self._policy = decisions.READ_POLICIES.get(ctx.cfg.policy.read_policy)()
+        self._behind: dict[tuple[str, str], float] = {}
+        self._budgets: dict[str, decisions.RetryBudget] = (
+            collections.defaultdict(
+                lambda: decisions.RetryBudget(RETRY_SHARE, RETRY_BURST)
+            )
+        )
+        self._random = random.Random(ctx.cfg.node)
+        self._held = 0
+        self.reads_by_replicas = 0
+        self.reads_by_primary = 0
+
+    def run(
+        self,
+        req: _messages.ExecuteRequest,
+        since_write_s: float,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Future[tuple[_messages.ExecuteReply, Target | None]]":
+        """Runs a batch that belongs to no open transaction.
+
+        Args:
+            req: The request; its member is chosen here. With `read` it may
+                go to a replica.
+            since_write_s: Seconds since its session last wrote.
+            on_part: Gets the parts of a long answer.
+        """
+        return decisions.start(self._run(req, since_write_s, on_part))
+
+    def send(
+        self,
+        node: decisions.Node,
+        req: _messages.ExecuteRequest,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Future[_messages.ExecuteReply]":
+        """Sends a request to one node; a lost stream becomes a reply."""
+        if node.name == self._ctx.cfg.node:
+            return self._ctx.execute(req, on_part)
+        return decisions.start(self._send(node, req, on_part))
+
+    def find_floor(
+        self, database: str
+    ) -> "decisions.Future[decisions.Position | None]":
+        """Returns a floor that covers all that any session was told.
+
+        None where the primary could not be asked within the bound.
+        """
+        return decisions.start(self._find_floor(database))
+
+    def _find_floor(
+        self, database: str
+    ) -> "decisions.Flow[decisions.Position | None]":
+        record = self._ctx.record(database)
+        if record is None or not record.primary:
+            return None
+        request = _messages.PositionRequest(database, record.primary)
+        target = self._target(database, record, record.primary)
+        if target is None:
+            return None
+        if target.node.name == self._ctx.cfg.node:
+            fut = self._ctx.position(request)
+        else:
+            fut = self._ctx.peers.call(target.node, request)
+        try:
+            reply = yield decisions.within(
+                self._ctx.timers, FLOOR_TIMEOUT_S, fut
+            )
+        except (decisions.TimeoutExpiredError, _peers.PeerLostError):
+            return None
+        if not reply.position:
+            return None
+        return decisions.Position.from_text(reply.position)
+
+    def drop(self, target: Target, channel: int) -> None:
+        """Rolls back a transaction whose caller is gone."""
+        if target.node.name == self._ctx.cfg.node:
+            self._ctx.drop(channel)
+            return
+        self._ctx.peers.tell(target.node, _messages.CloseChannel(channel))
+
+    def _send(
+        self,
+        node: decisions.Node,
+        req: _messages.ExecuteRequest,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        try:
+            reply = yield self._ctx.peers.call(node, req, on_part)
+        except _peers.PeerLostError as exc:
+            return _messages.ExecuteReply(
+                reason=_reason_of_loss(req, exc).name, detail=str(exc)
+            )
+        assert isinstance(reply, _messages.ExecuteReply)
+        return reply
+
+    def _run(
+        self,
+        req: _messages.ExecuteRequest,
+        since_write_s: float,
+        on_part: Callable[[bytes], object],
+    ) -> "decisions.Flow[tuple[_messages.ExecuteReply, Target | None]]":
+        timers = self._ctx.timers
+        deadline = timers.now() + req.budget_s
+        budget = self._budgets[req.database]
+        budget.note_first()
+        streamed = False
+
+        def part(data: bytes) -> None:
+            nonlocal streamed
+            streamed = True
+            on_part(data)
+
+        tried = 0
+        reply = _messages.ExecuteReply(reason=decisions.NO_SERVING_NODE.name)
+        target: Target | None = None
+        while True:
+            for target in self._targets(req, since_write_s, tried):
+                left = deadline - timers.now()
+                if left <= 0:
+                    break
+                reply = yield self.send(
+                    target.node, _addressed(req, target, left), part
+                )
+                if reply.reason not in TRY_ELSEWHERE or streamed:
+                    break
+                self._note_behind(req.database, target, reply)
+            done = not reply.reason or streamed
+            if done or reply.reason not in WAIT_FOR_CHANGE:
+                break
+            tried += 1
+            if not (yield from self._pause(budget, tried, deadline)):
+                break
+        self._count(req, target, reply)
+        return reply, target
+
+    def _pause(
+        self, budget: decisions.RetryBudget, tried: int, deadline: float
+    ) -> "decisions.Flow[bool]":
+        """Holds a batch before its next try; returns whether it may go on.
+
+        Nothing of it was handed over, so trying again costs the endpoint
+        nothing; the budget keeps the load between nodes in bounds.
+        """
+        pause = decisions.backoff(
+            tried, FIRST_BACKOFF_S, LAST_BACKOFF_S, self._random
+        )
+        if self._held >= MAX_HELD:
+            return False
+        if not budget.take():
+            pause = LAST_BACKOFF_S
+        if self._ctx.timers.now() + pause >= deadline:
+            return False
+        self._held += 1
+        try:
+            yield decisions.sleep(self._ctx.timers, pause)
+        finally:
+            self._held -= 1
+        return True
+
+    def _targets(
+        self,
+        req: _messages.ExecuteRequest,
+        since_write_s: float,
+        tried: int,
+    ) -> list[Target]:
+        database = self._ctx.database(req.database)
+        record = self._ctx.record(req.database)
+        if database is None or record is None:
+            return []
+        if req.as_primary or tried:
+            names = [record.primary]
+        else:
+            names = self._policy.order(
+                database,
+                self._read_request(req, database, record, since_write_s),
+            )
+        found = [self._target(req.database, record, n) for n in names if n]
+        return [t for t in found if t is not None]
+
+    def _target(
+        self, name: str, record: decisions.Record, member: str
+    ) -> Target | None:
+        database = self._ctx.database(name)
+        if database is None:
+            return None
+        node = decisions.serving_node(
+            database, database.member(member), self._ctx.nodes()
+        )
+        if node is None:
+            return None
+        return Target(member, node, member == record.primary)
+
+    def _read_request(
+        self,
+        req: _messages.ExecuteRequest,
+        database: decisions.Database,
+        record: decisions.Record,
+        since_write_s: float,
+    ) -> decisions.ReadRequest:
+        now = self._ctx.timers.now()
+        behind = frozenset(
+            m.name
+            for m in database.members
+            if self._behind.get((database.name, m.name), 0.0) > now
+        )
+        return decisions.ReadRequest(
+            data_centre=self._ctx.cfg.data_centre,
+            primary=record.primary,
+            floor_known=bool(req.floor),
+            staleness_s=req.staleness_s,
+            since_write_s=since_write_s,
+            behind=behind,
+        )
+
+    def _note_behind(
+        self, database: str, target: Target, reply: _messages.ExecuteReply
+    ) -> None:
+        """Avoids for a while a replica that was out of reach or too old."""
+        if not target.primary and reply.detail != "below_floor":
+            until = self._ctx.timers.now() + BEHIND_S
+            self._behind[(database, target.member)] = until
+
+    def _count(
+        self,
+        req: _messages.ExecuteRequest,
+        target: Target | None,
+        reply: _messages.ExecuteReply,
+    ) -> None:
+        if not req.read or reply.reason or target is None:
+            return
+        if target.primary:
+            self.reads_by_primary += 1
+        else:
+            self.reads_by_replicas += 1
+
+
+def _addressed(
+    req: _messages.ExecuteRequest, target: Target, left: float
+) -> _messages.ExecuteRequest:
+    return attrs.evolve(
+        req, member=target.member, as_primary=target.primary, budget_s=left
+    )
+
+
+def _reason_of_loss(
+    req: _messages.ExecuteRequest, exc: _peers.PeerLostError
+) -> decisions.Reason:
+    """Returns what a lost stream to a serving node means for a request."""
+    if not exc.handed:
+        return decisions.NO_SERVING_NODE
+    if (req.begin or req.channel) and not req.may_end:
+        return decisions.TRANSACTION_LOST
+    if req.read and not req.as_primary:
+        return decisions.READ_CUT
+    return decisions.ANSWER_LOST
--- /dev/null
+++ b/packages/node/src/ferry_node/_gates.py
@@ -0,0 +1,155 @@
+"""The conditions that a request meets before and after it is run."""
+
+import typing
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _endpoint
+from ferry_node import _messages
+from ferry_node import _settings
+
+POLL_S = 0.003
+FAR_BEHIND_S = 0.5
+
+
+@attrs.define(slots=True)
+class Work:
+    """A request on its way through the steps."""
+
+    req: _messages.ExecuteRequest
+    contract: decisions.Contract
+    deadline: float
+    sink: _endpoint.Sink | None
+    asked_at: float
+    handed: bool = False
+    streamed: bool = False
+
+
+class Gates:
+    """The conditions for requests at one member."""
+
+    def __init__(
+        self,
+        timers: decisions.TimerService,
+        watch: decisions.DatabaseWatch,
+        member: decisions.Member,
+        cfg: _settings.PolicySettings,
+    ) -> None:
+        self._timers = timers
+        self._watch = watch
+        self._member = member
+        self._cfg = cfg
+
+    @property
+    def leads(self) -> bool:
+        """Whether the member is the primary, by the record."""
+        record = self._watch.record
+        return record is not None and record.primary == self._member.name
+
+    def until_fit(self, work: Work) -> "decisions.Flow[None]":
+        """Waits a little for a replica to show what the read needs."""
+        floor = floor_of(work.req)
+        tracker = self._watch.tracker
+        name = self._member.name
+        end = min(work.deadline, self._timers.now() + self._cfg.catch_up_s)
+        while True:
+            fitness = tracker.fitness(name, floor, work.req.staleness_s)
+            if fitness is decisions.Fitness.FIT:
+                return
+            too_old = fitness is decisions.Fitness.AGE
+            hopeless = tracker.age(name) > self._cfg.catch_up_s + FAR_BEHIND_S
+            if too_old or hopeless or self._timers.now() >= end:
+                raise decisions.RequestFailedError(
+                    decisions.BEHIND, fitness.value
+                )
+            status = yield self._watch.driver.status(self._member)
+            tracker.note_applied(name, status.applied)
+            if (
+                tracker.fitness(name, floor, work.req.staleness_s)
+                is not decisions.Fitness.FIT
+            ):
+                yield decisions.sleep(self._timers, POLL_S)
+
+    def until_responsive(self, work: Work) -> "decisions.Flow[None]":
+        """Holds work back from a member that has gone silent."""
+        while True:
+            record = self._watch.record
+            if work.req.as_primary and not self.leads:
+                reason = decisions.TERM_CHANGED
+                if record is not None and not record.primary:
+                    reason = decisions.NO_PRIMARY
+                raise decisions.RequestFailedError(reason)
+            if self._watch.silence(self._member.name) <= self._cfg.hold_s:
+                return
+            if not work.req.as_primary:
+                raise decisions.RequestFailedError(
+                    decisions.BEHIND, "replica is silent"
+                )
+            if self._timers.now() >= work.deadline:
+                raise decisions.RequestFailedError(decisions.NO_PRIMARY)
+            yield decisions.sleep(self._timers, POLL_S)
+
+    def confirm(
+        self, work: Work, answer: _endpoint.Answer
+    ) -> "decisions.Flow[None]":
+        """Waits until a majority holds what the primary's answer shows."""
+        if not work.req.as_primary or answer.position is None:
+            return
+        confirmations = self._watch.confirmations
+        record = self._watch.record
+        if confirmations is None or record is None:
+            raise decisions.RequestFailedError(decisions.ANSWER_LOST)
+        if answer.position.term != record.term or not decisions.satisfies(
+            answer.position, floor_of(work.req), record.history
+        ):
+            raise decisions.RequestFailedError(decisions.ANSWER_LOST)
+        led_at = work.asked_at
+        if work.req.read and work.req.floor:
+            led_at -= work.req.staleness_s
+        wait_s = min(
+            work.contract.commit_wait_s, work.deadline - self._timers.now()
+        )
+        try:
+            yield decisions.within(
+                self._timers,
+                max(0.0, wait_s),
+                confirmations.confirm(answer.position.index, led_at),
+            )
+        except decisions.TimeoutExpiredError as exc:
+            raise decisions.RequestFailedError(
+                decisions.NOT_CONFIRMED, f"at {answer.position}"
+            ) from exc
+
+    def position(self) -> "decisions.Future[decisions.Position | None]":
+        """Returns a position that shows all that was acknowledged so far.
+
+        None where the member is not proved to be the primary.
+        """
+        return decisions.start(self._position())
+
+    def _position(self) -> "decisions.Flow[decisions.Position | None]":
+        asked_at = self._timers.now()
+        watch = self._watch
+        confirmations = watch.confirmations
+        if confirmations is None or not self.leads:
+            return None
+        try:
+            status = yield watch.driver.status(self._member)
+            if not status.is_primary or status.term != watch.record.term:  # type: ignore[union-attr]
+                return None
+            yield confirmations.confirm(status.received.index, asked_at)
+        except (
+            decisions.EndpointUnreachableError,
+            decisions.EndpointRefusedError,
+            decisions.TermReplacedError,
+        ):
+            return None
+        return typing.cast(decisions.Position, status.received)
+
+
+def floor_of(req: _messages.ExecuteRequest) -> decisions.Position:
+    """Returns the position that a request has to show."""
+    if not req.floor:
+        return decisions.ZERO
+    return decisions.Position.from_text(req.floor)
--- /dev/null
+++ b/packages/node/src/ferry_node/_idempotency.py
@@ -0,0 +1,110 @@
+"""Writes with an idempotency key: run once, answered as often as asked.
+
+The key and the first answer are kept in the database itself, in the same
+transaction as the write. So they survive exactly what the write survives,
+through any node and across a change of primary.
+"""
+
+import re
+import typing
+
+import ferry_decisions as decisions
+
+from ferry_node import _endpoint
+from ferry_node import _wire
+
+TABLE = "rosemaryferry_keys"
+MAX_KEPT_BYTES = 65_536
+UNIQUE_VIOLATION = "23505"
+_KEY = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+_CREATE = (
+    f"CREATE TABLE IF NOT EXISTS {TABLE} ("
+    "customer text, key text, request text, answer text, "
+    "PRIMARY KEY (customer, key))"
+)
+
+
+def run_once(
+    conn: _endpoint.EndpointConn, customer: str, key: str, payload: bytes
+) -> "decisions.Flow[_endpoint.Answer]":
+    """Runs a batch unless its key has run; returns the first answer.
+
+    Raises:
+        RequestFailedError: The key is malformed or belongs to another request.
+        EndpointLostError: The connection ended; the outcome is unknown.
+    """
+    if not _KEY.fullmatch(key):
+        raise decisions.RequestFailedError(
+            decisions.INVALID_SETTING, f"idempotency_key: {_KEY.pattern}"
+        )
+    digest = _digest(payload)
+    yield _query(conn, _CREATE)
+    yield _query(conn, "BEGIN")
+    claimed = yield _query(
+        conn,
+        f"INSERT INTO {TABLE} (customer, key, request, answer) "
+        f"VALUES ('{customer}', '{key}', '{digest}', '')",
+    )
+    if claimed.sqlstate:
+        yield _query(conn, "ROLLBACK")
+        if claimed.sqlstate != UNIQUE_VIOLATION:
+            return typing.cast(_endpoint.Answer, claimed)
+        return (yield from _first_answer(conn, customer, key, digest))
+    answer: _endpoint.Answer = yield conn.execute(payload)
+    if answer.sqlstate:
+        yield _query(conn, "ROLLBACK")
+        return _ended(answer, conn)
+    kept = answer.data[:MAX_KEPT_BYTES].hex()
+    yield _query(
+        conn,
+        f"UPDATE {TABLE} SET answer = '{kept}' "
+        f"WHERE customer = '{customer}' AND key = '{key}'",
+    )
+    committed = yield _query(conn, "COMMIT")
+    if committed.sqlstate:
+        return typing.cast(_endpoint.Answer, committed)
+    return _ended(answer, conn)
+
+
+def _first_answer(
+    conn: _endpoint.EndpointConn, customer: str, key: str, digest: str
+) -> "decisions.Flow[_endpoint.Answer]":
+    found = yield _query(
+        conn,
+        f"SELECT request, answer FROM {TABLE} "
+        f"WHERE customer = '{customer}' AND key = '{key}'",
+    )
+    rows = [f for f in found.frames if f.kind == _wire.ROW]
+    if not rows:
+        raise decisions.RequestFailedError(decisions.ANSWER_LOST)
+    request, kept = _wire.data_row(rows[0])
+    if (request or b"").decode() != digest:
+        raise decisions.RequestFailedError(
+            decisions.DUPLICATE_KEY, "the key belongs to another request"
+        )
+    frames = _wire.FrameSplitter().feed(bytes.fromhex((kept or b"").decode()))
+    found.frames.clear()
+    found.frames.extend(frames)
+    return _ended(found, conn)
+
+
+def _ended(
+    answer: _endpoint.Answer, conn: _endpoint.EndpointConn
+) -> _endpoint.Answer:
+    """Returns an answer as it looks after the transaction."""
+    if answer.frames and answer.frames[-1].kind == _wire.READY:
+        answer.frames.pop()
+    answer.frames.append(_wire.Frame(_wire.READY, _wire.encode_ready("I")))
+    answer.status = "I"
+    answer.position = conn.position
+    return answer
+
+
+def _query(
+    conn: _endpoint.EndpointConn, sql: str
+) -> "decisions.Future[_endpoint.Answer]":
+    return conn.execute(_wire.encode_query(sql))
+
+
+def _digest(payload: bytes) -> str:
+    return decisions.content_digest(payload)
--- /dev/null
+++ b/packages/node/src/ferry_node/_messages.py
@@ -0,0 +1,359 @@
+"""Messages between nodes, and their coding by `msgpack`.
+
+On the wire a message is an array: protocol version, type code, correlation
+id, and the fields in their order. An unknown version or code, or a field of
+another type, is a typed error and closes that stream only.
+"""
+
+from collections.abc import Iterator
+import typing
+
+import attrs
+import ferry_decisions as decisions
+import msgpack
+
+VERSION = 1
+MAX_MESSAGE_BYTES = 96 << 20
+
+
+class PeerProtocolError(Exception):
+    """A peer sent what is no message of this protocol."""
+
+
+M = typing.TypeVar("M")
+_CODES: dict[int, type] = {}
+_CODE_OF: dict[type, int] = {}
+
+
+def _message(code: int) -> "typing.Callable[[type[M]], type[M]]":
+    def add(cls: type[M]) -> type[M]:
+        _CODES[code] = cls
+        _CODE_OF[cls] = code
+        return cls
+
+    return add
+
+
+@_message(1)
+@attrs.frozen(slots=True)
+class Hello:
+    """The first message of a stream.
+
+    Attributes:
+        node: The sender.
+        data_centre: Where it runs.
+    """
+
+    node: str
+    data_centre: str
+
+
+@_message(2)
+@attrs.frozen(slots=True)
+class ExecuteRequest:
+    """Asks the serving node of a member to run a batch.
+
+    Attributes:
+        customer: In whose name.
+        database: The database.
+        member: The member that is to run it.
+        as_primary: Whether the member has to be the primary.
+        read: Whether all of it is believed to read only.
+        begin: Whether it opens a transaction.
+        may_end: Whether it may commit; if not, a transaction that is lost in
+            the middle of it did not run.
+        channel: The open transaction that it belongs to; 0 for none.
+        floor: The position that a read must show, as text; empty for none.
+        staleness_s: Greatest age that a read accepts, in seconds.
+        budget_s: Time left until the caller's deadline, in seconds.
+        idempotency_key: The key of a write; empty for none.
+        payload: What is sent to the endpoint.
+        trace: The trace context; empty when tracing is off.
+    """
+
+    customer: str
+    database: str
+    member: str
+    as_primary: bool
+    read: bool
+    begin: bool
+    may_end: bool
+    channel: int
+    floor: str
+    staleness_s: float
+    budget_s: float
+    idempotency_key: str
+    payload: bytes
+    trace: str = ""
+
+
+@_message(3)
+@attrs.frozen(slots=True)
+class AnswerPart:
+    """A part of a long answer.
+
+    Attributes:
+        data: Whole frames of the endpoint's answer.
+    """
+
+    data: bytes
+
+
+@_message(4)
+@attrs.frozen(slots=True)
+class ExecuteReply:
+    """The end of an answer, or why there is none.
+
+    Attributes:
+        reason: Name of the failure's reason; empty when the batch ran.
+        detail: Words for a reader of logs.
+        data: The last frames of the answer, ReadyForQuery included.
+        status: The transaction status after it.
+        position: The position that the answer shows, as text.
+        channel: The transaction that is open after it; 0 for none.
+        sqlstate: The code of the endpoint's error; empty without one.
+    """
+
+    reason: str = ""
+    detail: str = ""
+    data: bytes = b""
+    status: str = "I"
+    position: str = ""
+    channel: int = 0
+    sqlstate: str = ""
+
+
+@_message(5)
+@attrs.frozen(slots=True)
+class CloseChannel:
+    """Rolls an open transaction back: its caller is gone.
+
+    Attributes:
+        channel: The transaction.
+    """
+
+    channel: int
+
+
+@_message(6)
+@attrs.frozen(slots=True)
+class CancelRequest:
+    """Asks to stop a batch that is under way.
+
+    Attributes:
+        request: The correlation id of its ExecuteRequest.
+    """
+
+    request: int
+
+
+@_message(7)
+@attrs.frozen(slots=True)
+class OpinionRequest:
+    """Asks whether a node finds a primary gone.
+
+    Attributes:
+        database: The database.
+        member: The primary.
+        term: Its term.
+    """
+
+    database: str
+    member: str
+    term: int
+
+
+@_message(8)
+@attrs.frozen(slots=True)
+class OpinionReply:
+    """Whether a node finds a primary gone.
+
+    Attributes:
+        suspects: Its opinion.
+        data_centres: The data centres for which it can speak.
+    """
+
+    suspects: bool
+    data_centres: list[str]
+
+
+@_message(9)
+@attrs.frozen(slots=True)
+class EntriesPush:
+    """Entries of the store, newer than what the receiver may know.
+
+    Attributes:
+        entries: Triples of a key, a value and a revision.
+    """
+
+    entries: list[list[typing.Any]]
+
+
+@_message(10)
+@attrs.frozen(slots=True)
+class SyncRequest:
+    """Asks for entries that are newer than the sender's.
+
+    Attributes:
+        digest: The sender's digest; equal digests need no more.
+        revisions: The sender's revisions by key; empty at the first ask.
+        full: Whether `revisions` is filled in.
+    """
+
+    digest: bytes
+    revisions: dict[str, int]
+    full: bool
+
+
+@_message(11)
+@attrs.frozen(slots=True)
+class SyncReply:
+    """The answer to a SyncRequest.
+
+    Attributes:
+        differs: Whether the digests differ.
+        entries: Triples of a key, a value and a revision.
+        revisions: The answering node's revisions by key, if they differ.
+    """
+
+    differs: bool
+    entries: list[list[typing.Any]]
+    revisions: dict[str, int]
+
+
+@_message(12)
+@attrs.frozen(slots=True)
+class Ping:
+    """Asks a peer for a sign of life on this stream."""
+
+
+@_message(13)
+@attrs.frozen(slots=True)
+class Pong:
+    """Answers a Ping."""
+
+
+@_message(14)
+@attrs.frozen(slots=True)
+class PositionRequest:
+    """Asks for a position that shows all that was acknowledged so far.
+
+    Attributes:
+        database: The database.
+        member: Its primary.
+    """
+
+    database: str
+    member: str
+
+
+@_message(15)
+@attrs.frozen(slots=True)
+class PositionReply:
+    """Answers a PositionRequest.
+
+    Attributes:
+        position: The position as text; empty where it could not be proved.
+    """
+
+    position: str
+
+
+Message = typing.Any
+
+
+@attrs.frozen(slots=True)
+class Envelope:
+    """A message with its correlation id.
+
+    Attributes:
+        correlation: Chosen by the asking side; the answer carries it too.
+        message: The message.
+    """
+
+    correlation: int
+    message: Message
+
+
+def encode(correlation: int, message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    fields = [getattr(message, a.name) for a in type(message).__attrs_attrs__]
+    row = [VERSION, _CODE_OF[type(message)], correlation, *fields]
+    return bytes(msgpack.packb(row))
+
+
+class MessageDecoder:
+    """Decodes a stream of messages."""
+
+    __slots__ = ("_unpacker",)
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+
+    def feed(self, data: bytes) -> Iterator[Envelope]:
+        """Yields the messages that are complete.
+
+        Raises:
+            PeerProtocolError: The bytes are no message of this protocol.
+        """
+        try:
+            self._unpacker.feed(data)
+            for row in self._unpacker:
+                yield _envelope(row)
+        except PeerProtocolError:
+            raise
+        except Exception as exc:  # noqa: BLE001 - whatever the library raises
+            raise PeerProtocolError(repr(exc)) from exc
+
+
+_FIELD_TYPES: dict[type, tuple[type, ...]] = {
+    str: (str,),
+    bytes: (bytes,),
+    int: (int,),
+    float: (float, int),
+    bool: (bool,),
+}
+
+
+def _envelope(row: object) -> Envelope:
+    if not isinstance(row, list) or len(row) < 3:
+        raise PeerProtocolError("not an array of three or more")
+    version, code, correlation, *fields = row
+    if version != VERSION:
+        raise PeerProtocolError(f"version {version!r}")
+    cls = _CODES.get(code) if isinstance(code, int) else None
+    if cls is None or not isinstance(correlation, int):
+        raise PeerProtocolError(f"type code {code!r}")
+    attributes = attrs.fields(cls)
+    if len(fields) != len(attributes):
+        raise PeerProtocolError(f"{cls.__name__}: {len(fields)} fields")
+    for attribute, value in zip(attributes, fields, strict=True):
+        allowed = _FIELD_TYPES.get(attribute.type, (list, dict))
+        if not isinstance(value, allowed):
+            raise PeerProtocolError(f"{cls.__name__}.{attribute.name}")
+    return Envelope(correlation, cls(*fields))
+
+
+def pack_entries(
+    entries: typing.Iterable[decisions.StoreEntry],
+) -> list[list[typing.Any]]:
+    """Returns entries of the store as triples."""
+    return [[e.key, e.value, e.revision] for e in entries]
+
+
+def unpack_entries(
+    triples: list[list[typing.Any]],
+) -> list[decisions.StoreEntry]:
+    """Returns entries of the store from triples.
+
+    Raises:
+        PeerProtocolError: One has another form.
+    """
+    entries = []
+    for triple in triples:
+        match triple:
+            case [str(key), bytes(value), int(revision)]:
+                entries.append(decisions.StoreEntry(key, value, revision))
+            case _:
+                raise PeerProtocolError("entry")
+    return entries
--- /dev/null
+++ b/packages/node/src/ferry_node/_node.py
@@ -0,0 +1,347 @@
+"""The daemon: every entry VM runs one node, and all nodes are alike."""
+
+from collections.abc import Callable
+import itertools
+import secrets
+import ssl
+
+from absl import logging
+import ferry_decisions as decisions
+
+from ferry_node import _admin
+from ferry_node import _board
+from ferry_node import _callers
+from ferry_node import _controllers
+from ferry_node import _conversation
+from ferry_node import _entry
+from ferry_node import _loop
+from ferry_node import _membership
+from ferry_node import _messages
+from ferry_node import _metrics
+from ferry_node import _peers
+from ferry_node import _settings
+from ferry_node import _spread
+from ferry_node import _store
+from ferry_node import _streams
+from ferry_node import _tracing
+from ferry_node import _vms
+
+SECRET_BYTES = 32
+OPINION_TIMEOUT_S = 0.3
+
+
+class Node:
+    """One node, built from its settings, on one loop."""
+
+    def __init__(self, loop: _loop.EventLoop, cfg: _settings.Settings) -> None:
+        self.cfg = cfg
+        self.loop = loop
+        self.board = decisions.Blackboard()
+        self.contracts = decisions.ContractBook()
+        self.directory = decisions.Directory()
+        self.metrics = _metrics.Metrics()
+        self.tracer = _tracing.Tracer(cfg.tracing)
+        self.store = _store.HttpStore(loop, cfg.store_url)
+        self.stopping = False
+        self._callers: dict[int, _callers.CallerConn] = {}
+        self._process_ids = itertools.count(secrets.randbelow(1 << 20) + 1)
+        hello = _messages.Hello(cfg.node, cfg.data_centre)
+        self.peers = _peers.Peers(
+            loop, hello, cfg.host, cfg.peer_port, self._serve
+        )
+        self._channels: dict[_peers.PeerStream, set[int]] = {}
+        self.peers.on_stream_closed.append(self._peer_closed)
+        self.spreader = _spread.Spreader(
+            loop, cfg, self.board, self.directory, self.store, self.peers
+        )
+        self.membership = _membership.MembershipService(
+            loop,
+            cfg,
+            self.board,
+            _vms.HttpVmLists(loop, cfg.vm_list_url),
+            self.peers.port,
+        )
+        self.controller = self._controller()
+        self.dispatcher = _entry.Dispatcher(
+            _entry.EntryContext(
+                timers=loop,
+                cfg=cfg,
+                peers=self.peers,
+                nodes=lambda: self.board.read(_board.NODES),
+                database=lambda n: self.board.read(_board.DATABASES).get(n),
+                record=lambda n: self.board.read(_board.RECORDS).get(n),
+                execute=self.execute,
+                drop=self.controller.drop_channel,
+                position=self.position,
+            )
+        )
+        self._caller_ctx = _callers.CallerContext(
+            loop=loop,
+            cfg=cfg,
+            contracts=self.contracts,
+            sessions=_conversation.ConversationContext(
+                timers=loop,
+                dispatcher=self.dispatcher,
+                metrics=self.metrics.record,
+                tracer=self.tracer,
+            ),
+            tls=_tls_context(cfg.callers),
+            secret=secrets.token_bytes(SECRET_BYTES),
+            cancel=lambda *_: None,
+        )
+        self._listener = _streams.Listener(
+            loop, cfg.callers.host, cfg.callers.port, self._accept
+        )
+        self.admin = _admin.AdminServer(self)
+        self._subscribe()
+        loop.on_late(self._note_lateness)
+
+    @property
+    def caller_port(self) -> int:
+        """The TCP port that callers connect to."""
+        return self._listener.port
+
+    @property
+    def caller_count(self) -> int:
+        """Callers that are connected."""
+        return len(self._callers)
+
+    def execute(
+        self,
+        req: _messages.ExecuteRequest,
+        sink: Callable[[bytes], object] | None,
+    ) -> "decisions.Future[_messages.ExecuteReply]":
+        """Runs a request for a member that this node serves."""
+        service = self.controller.services.get((req.database, req.member))
+        if service is None:
+            return decisions.completed(
+                _messages.ExecuteReply(reason=decisions.NO_SERVING_NODE.name)
+            )
+        span = self.tracer.begin("endpoint", req.trace)
+        fut = service.execute(req, sink)
+        fut.add_done_callback(lambda f: span.end(f.result().reason or "ran"))
+        return fut
+
+    def position(
+        self, req: _messages.PositionRequest
+    ) -> "decisions.Future[_messages.PositionReply]":
+        """Returns a primary's proved position, if this node serves it."""
+        return decisions.start(self._position(req))
+
+    def _position(
+        self, req: _messages.PositionRequest
+    ) -> "decisions.Flow[_messages.PositionReply]":
+        service = self.controller.services.get((req.database, req.member))
+        found = None
+        if service is not None:
+            found = yield service.gates.position()
+        return _messages.PositionReply(str(found) if found else "")
+
+    def publish(self, record: decisions.Record) -> None:
+        """Takes a record in, and makes every node learn it."""
+        fut = decisions.start(self._publish(record))
+        fut.add_done_callback(_log_failure)
+        records = self.board.read(_board.RECORDS)
+        if record.newer_than(records.get(record.database)):
+            self.board.write(
+                _board.RECORDS, {**records, record.database: record}
+            )
+
+    def stop(self) -> "decisions.Future[int]":
+        """Begins a graceful shutdown; the future counts what was cut off."""
+        self.stopping = True
+        self._listener.close()
+        self.membership.leave()
+        for conn in list(self._callers.values()):
+            conn.stop()
+        return decisions.start(self._drain())
+
+    def close(self) -> None:
+        """Ends the node at once."""
+        for conn in list(self._callers.values()):
+            conn.close()
+        self._listener.close()
+        self.admin.close()
+        self.membership.close()
+        self.spreader.close()
+        self.controller.close()
+        self.peers.close()
+        self.store.close()
+
+    def _drain(self) -> "decisions.Flow[int]":
+        end = self.loop.now() + self.cfg.policy.stop_s
+        while self.busy and self.loop.now() < end:
+            yield decisions.sleep(self.loop, 0.02)
+        return self.busy
+
+    @property
+    def busy(self) -> int:
+        """Batches and transactions under way."""
+        callers = sum(c.busy for c in self._callers.values())
+        return callers + sum(s.busy for s in self.controller.services.values())
+
+    def _controller(self) -> _controllers.ServiceController:
+        ctx = decisions.WatchContext(
+            timers=self.loop,
+            node=self.cfg.node,
+            data_centre=self.cfg.data_centre,
+            cfg=decisions.WatchSettings(
+                probe_s=self.cfg.policy.probe_s,
+                silence_s=self.cfg.policy.silence_s,
+                refused_s=self.cfg.policy.refused_s,
+            ),
+            store=self.store,
+            ask_opinions=lambda *a: decisions.start(self._ask_opinions(*a)),
+            publish=self.publish,
+            leaving=lambda: self.board.read(_board.LEAVING),
+            rank=self._rank,
+            new_id=lambda: secrets.token_hex(8),
+        )
+        return _controllers.ServiceController(
+            self.loop, self.cfg, self.contracts, ctx, self.publish
+        )
+
+    def _subscribe(self) -> None:
+        reader = _controllers.DirectoryReader(self.board, self.contracts)
+        self.directory.subscribe(reader.take)
+        self.board.subscribe(_controllers.PlacementController(self.cfg.node))
+        self.board.subscribe(_controllers.StoreReaderController(self.cfg))
+        self.board.subscribe(self.controller)
+        self.board.subscribe(self.spreader)
+
+    def _accept(self, stream: _streams.Stream) -> None:
+        if len(self._callers) >= self.cfg.callers.max_connections:
+            stream.close()
+            return
+        process_id = next(self._process_ids)
+        self._callers[process_id] = _callers.CallerConn(
+            self._caller_ctx, stream, process_id, self._caller_closed
+        )
+
+    def _caller_closed(self, conn: _callers.CallerConn) -> None:
+        self._callers.pop(conn.process_id, None)
+
+    def _note_lateness(self, late_s: float) -> None:
+        for watch in self.controller.watches.values():
+            watch.note_lateness(late_s)
+
+    def _observers(self, database: decisions.Database) -> list[decisions.Node]:
+        """Returns the nodes that serve a database's members, once each."""
+        nodes = self.board.read(_board.NODES)
+        found: dict[str, decisions.Node] = {}
+        for member in database.members:
+            node = decisions.serving_node(database, member, nodes)
+            if node is not None:
+                found.setdefault(node.name, node)
+        return list(found.values())
+
+    def _rank(self, database: decisions.Database) -> int:
+        ordered = decisions.ranked(database.name, self._observers(database))
+        names = [n.name for n in ordered]
+        return names.index(self.cfg.node) if self.cfg.node in names else 0
+
+    def _ask_opinions(
+        self,
+        database: decisions.Database,
+        member: str,
+        term: int,
+        enough: Callable[[set[str]], bool],
+    ) -> "decisions.Flow[set[str]]":
+        """Gathers the data centres that find a primary gone."""
+        request = _messages.OpinionRequest(database.name, member, term)
+        futs = [
+            decisions.within(
+                self.loop,
+                OPINION_TIMEOUT_S,
+                self.peers.call(node, request),
+            )
+            for node in self._observers(database)
+            if node.name != self.cfg.node
+        ]
+        settled = yield decisions.settle_all(
+            futs, lambda done: enough(_votes(done))
+        )
+        return _votes(settled)
+
+    def _publish(self, record: decisions.Record) -> "decisions.Flow[None]":
+        """Reads the record's entry back, so that it spreads by revision."""
+        entry = yield self.store.get(decisions.record_key(record.database))
+        if entry is not None:
+            self.spreader.publish([entry])
+
+    def _serve(
+        self, stream: _peers.PeerStream, envelope: _messages.Envelope
+    ) -> None:
+        """Answers what other nodes ask."""
+        correlation = envelope.correlation
+        match envelope.message:
+            case _messages.ExecuteRequest() as req:
+                self._serve_execute(stream, correlation, req)
+            case _messages.CloseChannel() as msg:
+                self.controller.drop_channel(msg.channel)
+            case _messages.OpinionRequest() as msg:
+                stream.answer(correlation, self._opinion(msg))
+            case _messages.SyncRequest() as msg:
+                stream.answer(correlation, self.spreader.answer(msg))
+            case _messages.EntriesPush() as msg:
+                self.spreader.take(_messages.unpack_entries(msg.entries))
+            case _messages.PositionRequest() as msg:
+                self.position(msg).add_done_callback(
+                    lambda f: stream.answer(correlation, f.result())
+                )
+
+    def _opinion(self, msg: _messages.OpinionRequest) -> _messages.OpinionReply:
+        watch = self.controller.watches.get(msg.database)
+        votes = watch.opinion(msg.member, msg.term) if watch else set()
+        return _messages.OpinionReply(bool(votes), sorted(votes))
+
+    def _serve_execute(
+        self,
+        stream: _peers.PeerStream,
+        correlation: int,
+        req: _messages.ExecuteRequest,
+    ) -> None:
+        def on_part(data: bytes) -> None:
+            stream.answer(correlation, _messages.AnswerPart(data))
+
+        def reply(fut: "decisions.Future[_messages.ExecuteReply]") -> None:
+            result = fut.result()
+            channels = self._channels.setdefault(stream, set())
+            channels.discard(req.channel)
+            if result.channel and stream.closed:
+                self.controller.drop_channel(result.channel)
+                return
+            if result.channel:
+                channels.add(result.channel)
+            stream.answer(correlation, result)
+
+        self.execute(req, on_part).add_done_callback(reply)
+
+    def _peer_closed(self, stream: _peers.PeerStream) -> None:
+        """Rolls back the transactions of a node that is gone."""
+        for number in self._channels.pop(stream, set()):
+            self.controller.drop_channel(number)
+
+
+def _votes(
+    settled: "list[decisions.Settled[_messages.OpinionReply]]",
+) -> set[str]:
+    votes: set[str] = set()
+    for each in settled:
+        if each.failure is None:
+            votes.update(each.result.data_centres)
+    return votes
+
+
+def _tls_context(cfg: _settings.CallerSettings) -> ssl.SSLContext | None:
+    if not cfg.tls_certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(cfg.tls_certificate, cfg.tls_key or None)
+    return context
+
+
+def _log_failure(fut: "decisions.Future[None]") -> None:
+    exc = fut.exception()
+    if exc is not None:
+        logging.warning("event=publish_failed detail=%r", exc)
--- /dev/null
+++ b/packages/node/src/ferry_node/_serving.py
@@ -0,0 +1,382 @@
+"""Serving one member: its slots, its connections and its transactions.
+
+All statements of the fleet for one member pass through the node that serves
+it, so one queue is fair and one pool keeps the limit.
+"""
+
+import itertools
+
+from absl import logging
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _endpoint
+from ferry_node import _gates
+from ferry_node import _idempotency
+from ferry_node import _messages
+from ferry_node import _pools
+from ferry_node import _settings
+
+READ_ONLY_SQLSTATE = "25006"
+STALE_TERM_SQLSTATE = "57P04"
+ROLLBACK = _pools.RESET
+
+
+@attrs.define(eq=False, slots=True)
+class Channel:
+    """An open transaction.
+
+    Attributes:
+        number: Its number at this node.
+        customer: Whose it is.
+        conn: The endpoint connection that is its own.
+        seat: Its right to hold a connection at the primary, if it has one.
+        used: When it last ran a statement, in seconds.
+        busy: Whether a statement of it is under way.
+    """
+
+    number: int
+    customer: str
+    conn: _endpoint.EndpointConn
+    seat: decisions.Slot | None
+    used: float
+    busy: bool = False
+
+
+class MemberService:
+    """Runs the statements for one member."""
+
+    def __init__(
+        self,
+        timers: decisions.TimerService,
+        watch: decisions.DatabaseWatch,
+        member: decisions.Member,
+        contracts: decisions.ContractBook,
+        cfg: _settings.Settings,
+        connect: _pools.Connect,
+        channel_numbers: "itertools.count[int]",
+    ) -> None:
+        self.member = member
+        self.watch = watch
+        self.channels: dict[int, Channel] = {}
+        self._timers = timers
+        self._contracts = contracts
+        self._cfg = cfg.policy
+        self.gates = _gates.Gates(timers, watch, member, cfg.policy)
+        self._numbers = channel_numbers
+        database = watch.database
+        order = decisions.ORDERS.get(cfg.policy.admission)
+        self.queue = decisions.AdmissionQueue(timers, database.slots, order())
+        self.seats = decisions.AdmissionQueue(
+            timers, database.transaction_connections, order()
+        )
+        self.pool = _pools.Pool(
+            timers,
+            connect,
+            cfg.endpoints,
+            database.replica_connections,
+        )
+        self._in_flight: set[_endpoint.EndpointConn] = set()
+        self.configure()
+        self._sweeper = decisions.PeriodicTimer(timers, 1.0, self._sweep)
+
+    @property
+    def busy(self) -> int:
+        """Statements under way and transactions open."""
+        return len(self._in_flight) + len(self.channels)
+
+    @property
+    def leads(self) -> bool:
+        """Whether the member is the primary, by the record."""
+        return self.gates.leads
+
+    def configure(self) -> None:
+        """Takes in the present record: the term, and the part of the limit."""
+        record = self.watch.record
+        database = self.watch.database
+        limit = (
+            database.primary_connections
+            if self.leads
+            else database.replica_connections
+        )
+        self.pool.configure(record.term if record else 0, limit)
+        if record is None:
+            return
+        for conn in list(self._in_flight):
+            if conn.term != record.term:
+                conn.close(cancel=True)
+        for channel in list(self.channels.values()):
+            if channel.conn.term != record.term:
+                self.drop(channel.number)
+
+    def execute(
+        self,
+        req: _messages.ExecuteRequest,
+        sink: _endpoint.Sink | None,
+    ) -> "decisions.Future[_messages.ExecuteReply]":
+        """Runs a batch; the future's reply tells what became of it."""
+        return decisions.start(self._execute(req, sink))
+
+    def drop(self, number: int) -> None:
+        """Rolls a transaction back by ending its connection."""
+        channel = self.channels.pop(number, None)
+        if channel is None:
+            return
+        channel.conn.close(cancel=channel.busy)
+        if channel.seat is not None:
+            self.seats.release(channel.seat)
+
+    def close(self) -> None:
+        """Ends everything that is under way."""
+        self._sweeper.stop()
+        for number in list(self.channels):
+            self.drop(number)
+        self.pool.close()
+
+    def _execute(
+        self,
+        req: _messages.ExecuteRequest,
+        sink: _endpoint.Sink | None,
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        now = self._timers.now()
+        deadline = now + req.budget_s
+        work: _gates.Work | None = None
+        try:
+            contract = self._contract(req)
+            work = _gates.Work(req, contract, deadline, sink, now)
+            if req.channel:
+                return (yield from self._continue(work))
+            if not req.as_primary:
+                yield from self.gates.until_fit(work)
+            yield from self.gates.until_responsive(work)
+            if req.begin:
+                return (yield from self._begin(work))
+            return (yield from self._run_alone(work))
+        except decisions.RequestFailedError as exc:
+            return _failure(exc.reason, exc.detail)
+        except (
+            decisions.EndpointUnreachableError,
+            _endpoint.EndpointLoginError,
+            _endpoint.EndpointLostError,
+            decisions.TermReplacedError,
+            decisions.TimeoutExpiredError,
+        ) as exc:
+            return _failure(self._reason(work, exc), repr(exc))
+
+    def _reason(
+        self, work: _gates.Work | None, exc: Exception
+    ) -> decisions.Reason:
+        """Returns what a caller may conclude from a failure below."""
+        if work is not None and work.handed:
+            in_transaction = work.req.begin or bool(work.req.channel)
+            if in_transaction and not work.req.may_end:
+                return decisions.TRANSACTION_LOST
+            repeatable = work.req.read and not work.req.as_primary
+            if repeatable and not work.streamed:
+                return decisions.READ_CUT
+            return decisions.ANSWER_LOST
+        login = isinstance(exc, _endpoint.EndpointLoginError)
+        if login and exc.sqlstate == STALE_TERM_SQLSTATE:  # type: ignore[attr-defined]
+            return decisions.TERM_CHANGED
+        return decisions.NO_CONNECTION
+
+    def _contract(self, req: _messages.ExecuteRequest) -> decisions.Contract:
+        try:
+            contract = self._contracts.get(req.customer)
+        except decisions.UnknownCustomerError as exc:
+            raise decisions.RequestFailedError(decisions.NO_CONTRACT) from exc
+        if req.database not in contract.databases:
+            raise decisions.RequestFailedError(
+                decisions.NO_CONTRACT, f"not for {req.database}"
+            )
+        return contract
+
+    def _run_alone(
+        self, work: _gates.Work
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        """Runs a batch outside a transaction."""
+        conn, answer = yield from self._with_slot(work, None)
+        if answer.status != "I":
+            channel = self._open_channel(work, conn, None)
+            return _reply(answer, channel.number)
+        self.pool.release(conn, clean=True)
+        yield from self.gates.confirm(work, answer)
+        return _reply(answer, 0)
+
+    def _begin(
+        self, work: _gates.Work
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        """Runs a batch that opens a transaction."""
+        seat = None
+        if self.leads:
+            seat = yield self.seats.acquire(work.contract, work.deadline)
+        try:
+            conn, answer = yield from self._with_slot(work, None)
+        except BaseException:
+            if seat is not None:
+                self.seats.release(seat)
+            raise
+        if answer.status == "I":
+            if seat is not None:
+                self.seats.release(seat)
+            self.pool.release(conn, clean=True)
+            yield from self.gates.confirm(work, answer)
+            return _reply(answer, 0)
+        channel = self._open_channel(work, conn, seat)
+        return _reply(answer, channel.number)
+
+    def _continue(
+        self, work: _gates.Work
+    ) -> "decisions.Flow[_messages.ExecuteReply]":
+        """Runs a batch of an open transaction."""
+        channel = self.channels.get(work.req.channel)
+        if channel is None or channel.customer != work.req.customer:
+            raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
+        channel.busy = True
+        try:
+            _, answer = yield from self._with_slot(work, channel)
+        except BaseException:
+            self.drop(channel.number)
+            raise
+        channel.busy = False
+        channel.used = self._timers.now()
+        if answer.status != "I":
+            return _reply(answer, channel.number)
+        self.channels.pop(channel.number, None)
+        if channel.seat is not None:
+            self.seats.release(channel.seat)
+        self.pool.release(channel.conn, clean=True)
+        yield from self.gates.confirm(work, answer)
+        return _reply(answer, 0)
+
+    def _with_slot(
+        self, work: _gates.Work, channel: Channel | None
+    ) -> "decisions.Flow[tuple[_endpoint.EndpointConn, _endpoint.Answer]]":
+        """Runs a batch under a slot; returns its connection and answer."""
+        slot = yield self.queue.acquire(work.contract, work.deadline)
+        try:
+            if channel is not None:
+                conn = channel.conn
+            else:
+                conn = yield from self.pool.acquire(
+                    work.req.customer, work.deadline
+                )
+            answer = yield from self._hand_over(work, conn, channel is not None)
+            return conn, answer
+        finally:
+            self.queue.release(slot)
+
+    def _hand_over(
+        self,
+        work: _gates.Work,
+        conn: _endpoint.EndpointConn,
+        in_transaction: bool,
+    ) -> "decisions.Flow[_endpoint.Answer]":
+        left = work.deadline - self._timers.now()
+        if left <= 0:
+            self.pool.release(conn, clean=not in_transaction)
+            raise decisions.RequestFailedError(decisions.DEADLINE_IN_QUEUE)
+        if in_transaction and conn.closed:
+            raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
+        asked_at = self._timers.now()
+        work.handed = True
+        self._in_flight.add(conn)
+        try:
+            answer: _endpoint.Answer = yield decisions.within(
+                self._timers, left, self._started(work, conn)
+            )
+        except (decisions.TimeoutExpiredError, _endpoint.EndpointLostError):
+            conn.close(cancel=True)
+            raise
+        finally:
+            self._in_flight.discard(conn)
+        self.watch.note_answer(self.member.name, answer.position, asked_at)
+        self._check(work, conn, answer, in_transaction)
+        return answer
+
+    def _started(
+        self, work: _gates.Work, conn: _endpoint.EndpointConn
+    ) -> "decisions.Future[_endpoint.Answer]":
+        if work.req.idempotency_key:
+            flow = _idempotency.run_once(
+                conn,
+                work.req.customer,
+                work.req.idempotency_key,
+                work.req.payload,
+            )
+            return decisions.start(flow)
+        sink = work.sink
+
+        def pass_on(data: bytes) -> None:
+            work.streamed = True
+            if sink is not None:
+                sink(data)
+
+        return conn.execute(
+            work.req.payload, pass_on if sink is not None else None
+        )
+
+    def _check(
+        self,
+        work: _gates.Work,
+        conn: _endpoint.EndpointConn,
+        answer: _endpoint.Answer,
+        in_transaction: bool,
+    ) -> None:
+        """Refuses an answer that shows less than was asked for."""
+        if answer.sqlstate == STALE_TERM_SQLSTATE:
+            work.handed = False
+            conn.close()
+            raise decisions.RequestFailedError(decisions.TERM_CHANGED)
+        if work.req.as_primary or in_transaction or answer.streamed:
+            return
+        refused = answer.sqlstate == READ_ONLY_SQLSTATE
+        floor = _gates.floor_of(work.req)
+        shown = answer.position or decisions.ZERO
+        if refused or not decisions.satisfies(
+            shown, floor, self.watch.tracker.history
+        ):
+            self.pool.release(conn, clean=answer.status == "I")
+            raise decisions.RequestFailedError(
+                decisions.BEHIND, "write" if refused else "floor"
+            )
+
+    def _open_channel(
+        self,
+        work: _gates.Work,
+        conn: _endpoint.EndpointConn,
+        seat: decisions.Slot | None,
+    ) -> Channel:
+        channel = Channel(
+            next(self._numbers),
+            work.req.customer,
+            conn,
+            seat,
+            self._timers.now(),
+        )
+        self.channels[channel.number] = channel
+        return channel
+
+    def _sweep(self) -> None:
+        """Rolls back transactions that were idle for too long."""
+        limit = self._timers.now() - self._cfg.transaction_idle_s
+        for channel in list(self.channels.values()):
+            if not channel.busy and channel.used < limit:
+                logging.info(
+                    "event=transaction_idle customer=%s", channel.customer
+                )
+                self.drop(channel.number)
+
+
+def _failure(reason: decisions.Reason, detail: str) -> _messages.ExecuteReply:
+    return _messages.ExecuteReply(reason=reason.name, detail=detail)
+
+
+def _reply(answer: _endpoint.Answer, channel: int) -> _messages.ExecuteReply:
+    return _messages.ExecuteReply(
+        data=answer.data,
+        status=answer.status,
+        position=str(answer.position) if answer.position else "",
+        channel=channel,
+        sqlstate=answer.sqlstate,
+    )
--- /dev/null
+++ b/packages/standins/src/ferry_standins/_control.py
@@ -0,0 +1,78 @@
+"""Control statements of a stand-in member: terms, roles and waits."""
+
+import json
+import typing
+
+import ferry_decisions as decisions
+import ferry_node as node
+
+from ferry_standins import _log
+
+if typing.TYPE_CHECKING:
+    from ferry_standins import _member
+    from ferry_standins import _session
+
+
+def run(
+    member: "_member.Member", session: "_session.Session", text: str
+) -> None:
+    """Carries out an order and answers with the member's status."""
+    raw = json.loads(text)
+    order = decisions.structure(raw, node.ControlOrder, "order")
+    if order.op == "wait":
+        _wait(member, session, order)
+        return
+    try:
+        _change(member, order)
+    except _log.RefusedError as exc:
+        session.refuse_control(str(exc))
+        return
+    session.answer_status()
+
+
+def _change(member: "_member.Member", order: node.ControlOrder) -> None:
+    replica = member.replica
+    match order.op:
+        case "fence":
+            led = replica.leads
+            replica.fence(order.term, order.claim_id)
+            if led and not replica.leads:
+                member.drop_callers()
+        case "promote":
+            member.apply_to(len(replica.log))
+            replica.lead(order.term, dict(order.starts)[order.term])
+        case "follow":
+            _follow(member, order)
+        case _:
+            return
+
+
+def _follow(member: "_member.Member", order: node.ControlOrder) -> None:
+    replica = member.replica
+    if order.term < replica.promised:
+        raise _log.RefusedError(f"promised {replica.promised}")
+    common = member.group.common_prefix(member.name, order.primary)
+    was_cut = replica.follow(order.term, order.primary, common)
+    member.drop_callers()
+    if was_cut:
+        member.rebuild()
+
+
+def _wait(
+    member: "_member.Member",
+    session: "_session.Session",
+    order: node.ControlOrder,
+) -> None:
+    """Answers once an index has been received, or at the timeout."""
+    if order.index <= len(member.replica.log):
+        session.answer_status()
+        return
+    waiting = (order.index, session)
+    member.waits.append(waiting)
+
+    def expire() -> None:
+        if waiting in member.waits:
+            member.waits.remove(waiting)
+            session.answer_status()
+
+    member.loop.after(order.timeout_s, expire)
--- /dev/null
+++ b/packages/standins/src/ferry_standins/_member.py
@@ -0,0 +1,179 @@
+"""A stand-in for one database member: SQLite in memory behind the protocol."""
+
+import collections
+from collections.abc import Callable
+import sqlite3
+import typing
+
+import attrs
+import ferry_decisions as decisions
+import ferry_node as node
+
+from ferry_standins import _log
+from ferry_standins import _session
+from ferry_standins import _sql
+
+LOCK_WAIT_S = 5.0
+
+
+@attrs.define
+class MemberFaults:
+    """What is wrong with a member at present.
+
+    Attributes:
+        silent: Whether it takes requests and answers none.
+        statement_s: Time that a statement takes, in seconds.
+    """
+
+    silent: bool = False
+    statement_s: float = 0.0
+
+
+class Member:
+    """One member: its tables, its log and its connections."""
+
+    def __init__(
+        self,
+        loop: node.EventLoop,
+        name: str,
+        group: _log.Group,
+        max_connections: int = 35,
+    ) -> None:
+        self.name = name
+        self.replica = _log.Replica(name, heard_at=loop.now())
+        self.faults = MemberFaults()
+        self.loop = loop
+        self.group = group
+        self.max_connections = max_connections
+        self.sessions: set[_session.Session] = set()
+        self.most_connections = 0
+        self.waits: list[tuple[int, _session.Session]] = []
+        self._db = self._open()
+        self._owner: _session.Session | None = None
+        self._lock_queue: collections.deque[
+            tuple[_session.Session, Callable[[], None]]
+        ] = collections.deque()
+        self._listener = node.Listener(loop, "127.0.0.1", 0, self._accept)
+        self.port = self._listener.port
+        group.add(self.replica, self.apply_to)
+        group.subscribe(self._received)
+
+    def _open(self) -> sqlite3.Connection:
+        return sqlite3.connect(
+            ":memory:", isolation_level=None, check_same_thread=False
+        )
+
+    def stop(self) -> None:
+        """Crashes the member: its connections end and its port closes."""
+        self.group.set_down(self.name, True)
+        self._listener.close()
+        for session in list(self.sessions):
+            session.close()
+
+    def restart(self) -> None:
+        """Starts the member again on its old port, with its log."""
+        self.group.set_down(self.name, False)
+        self._listener = node.Listener(
+            self.loop, "127.0.0.1", self.port, self._accept
+        )
+
+    def status(self) -> decisions.MemberStatus:
+        """Returns what the member says of itself."""
+        replica = self.replica
+        silence = 0.0 if replica.leads else self.loop.now() - replica.heard_at
+        return decisions.MemberStatus(
+            name=self.name,
+            promised=replica.promised,
+            is_primary=replica.leads,
+            received=replica.received,
+            applied=replica.shown,
+            term=replica.term,
+            upstream_silence_s=silence,
+        )
+
+    def apply_to(self, index: int) -> None:
+        """Shows entries up to an index."""
+        replica = self.replica
+        if replica.leads or self._owner is not None:
+            return
+        while replica.applied < min(index, len(replica.log)):
+            for statement in replica.log[replica.applied].statements:
+                self._db.execute(statement.sql, statement.values)
+            replica.applied += 1
+
+    def rebuild(self) -> None:
+        """Makes the tables anew from the log, after a cut."""
+        self._db.close()
+        self._db = self._open()
+        count = len(self.replica.log)
+        self.replica.applied = 0
+        self.apply_to(count)
+
+    def drop_callers(self) -> None:
+        """Ends the connections of callers, as a change of role does."""
+        for session in list(self.sessions):
+            if not session.is_control:
+                session.close()
+
+    def with_lock(
+        self, session: "_session.Session", work: Callable[[], None]
+    ) -> None:
+        """Runs work once no other session has a transaction open."""
+        if self._owner is None or self._owner is session:
+            work()
+            return
+        self._lock_queue.append((session, work))
+        self.loop.after(LOCK_WAIT_S, lambda: self._lock_expired(session, work))
+
+    def _lock_expired(
+        self, session: "_session.Session", work: Callable[[], None]
+    ) -> None:
+        if (session, work) in self._lock_queue:
+            self._lock_queue.remove((session, work))
+            session.fail_locked()
+
+    def own(self, session: "_session.Session | None") -> None:
+        """Sets the session that has a transaction open."""
+        self._owner = session
+        if session is None:
+            self.apply_to(len(self.replica.log))
+        while self._owner is None and self._lock_queue:
+            _, work = self._lock_queue.popleft()
+            work()
+
+    def owner(self) -> "_session.Session | None":
+        """Returns the session that has a transaction open."""
+        return self._owner
+
+    def run(self, sql: str, values: tuple[typing.Any, ...]) -> _sql.Result:
+        """Runs one statement on the tables.
+
+        Raises:
+            _sql.SqlError: SQLite refused it.
+        """
+        try:
+            cursor = self._db.execute(_sql.PARAMETER.sub(r"?\1", sql), values)
+            rows = cursor.fetchall()
+        except sqlite3.IntegrityError as exc:
+            raise _sql.SqlError("23505", str(exc)) from exc
+        except sqlite3.Error as exc:
+            raise _sql.SqlError("42601", str(exc)) from exc
+        columns = [d[0] for d in cursor.description or ()]
+        return _sql.Result(
+            columns, rows, _sql.command_tag(sql, cursor.rowcount, len(rows))
+        )
+
+    def _accept(self, stream: node.Stream) -> None:
+        _session.Session(self, stream)
+
+    def _received(self, name: str) -> None:
+        if name == self.name:
+            self.answer_waits()
+
+    def answer_waits(self) -> None:
+        """Answers the waits whose index has been received."""
+        have = len(self.replica.log)
+        due = [w for w in self.waits if w[0] <= have]
+        self.waits = [w for w in self.waits if w[0] > have]
+        for _, session in due:
+            session.answer_status()
--- /dev/null
+++ b/tools/check_style.py
@@ -0,0 +1,87 @@
+"""Holds the parts of the house style that the linter has no rule for.
+
+Usage: check_style.py. Prints one line a finding; exits 1 where there is any.
+"""
+
+import ast
+from collections.abc import Iterator
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+MAX_LINES = 400
+BANNED = frozenset(
+    {"asyncio", "multiprocessing", "subprocess", "mmap", "dataclasses"}
+)
+NAMES_MAY_BE_IMPORTED = frozenset({"typing", "collections.abc"})
+CODEC = "pygwire"
+CODEC_MODULE = "_wire.py"
+STANDINS = "ferry_standins"
+MAY_USE_STANDINS = frozenset({"ferry_ctl", "ferry_standins"})
+
+
+def is_test(path: pathlib.Path) -> bool:
+    """Whether a file is a test."""
+    return "tests" in path.parts
+
+
+def module_names() -> frozenset[str]:
+    """Returns the names of all modules of the workspace."""
+    return frozenset(p.stem for p in ROOT.glob("packages/*/src/*/*.py"))
+
+
+def import_findings(
+    path: pathlib.Path, tree: ast.Module, modules: frozenset[str]
+) -> Iterator[str]:
+    """Yields what is wrong with a file's imports."""
+    package = path.relative_to(ROOT / "packages").parts[2]
+    for node in ast.walk(tree):
+        found: list[str] = []
+        if isinstance(node, ast.Import):
+            found = [a.name for a in node.names]
+        elif isinstance(node, ast.ImportFrom):
+            found = [node.module or ""]
+            own = (node.module or "").startswith("ferry_")
+            allowed = node.module in NAMES_MAY_BE_IMPORTED
+            for alias in node.names:
+                is_module = alias.name in modules or alias.name == "tests"
+                capital = alias.name[:1].isupper()
+                if not allowed and ((own and not is_module) or capital):
+                    yield f"{path}:{node.lineno} imports the name {alias.name}"
+        for name in found:
+            top = name.split(".")[0]
+            if top in BANNED:
+                yield f"{path}: imports {top}"
+            if top == CODEC and path.name != CODEC_MODULE:
+                yield f"{path}: only {CODEC_MODULE} may use {CODEC}"
+            shipped = package not in MAY_USE_STANDINS and not is_test(path)
+            if top == STANDINS and shipped:
+                yield f"{path}: shipped code uses the stand-ins"
+
+
+def findings() -> Iterator[str]:
+    """Yields all findings of the workspace."""
+    modules = module_names()
+    for path in sorted(ROOT.glob("packages/*/src/**/*.py")):
+        text = path.read_text()
+        tree = ast.parse(text)
+        if len(text.splitlines()) > MAX_LINES and not is_test(path):
+            yield f"{path}: more than {MAX_LINES} lines"
+        if path.name == "__init__.py":
+            continue
+        if ast.get_docstring(tree) is None and not is_test(path):
+            yield f"{path}: no doc comment"
+        yield from import_findings(path, tree, modules)
+
+
+def main() -> int:
+    """Prints all findings."""
+    found = list(findings())
+    for line in found:
+        print(line)
+    print(f"{len(found)} findings of house style")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
