--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -1,27 +1,13 @@
 """Decisions of rosemaryferry: no sockets, no threads, no clock of its own."""
 
-from ferry_decisions._admission import ESTIMATE_WEIGHT
-from ferry_decisions._admission import FIRST_ESTIMATE_S
 from ferry_decisions._admission import ORDERS
 from ferry_decisions._admission import AdmissionQueue
-from ferry_decisions._admission import FairOrder
-from ferry_decisions._admission import FifoOrder
-from ferry_decisions._admission import Order
 from ferry_decisions._admission import Slot
-from ferry_decisions._admission import StaticOrder
-from ferry_decisions._admission import Waiter
 from ferry_decisions._blackboard import Blackboard
-from ferry_decisions._blackboard import Controller
 from ferry_decisions._blackboard import Key
-from ferry_decisions._blackboard import UndeclaredAccessError
 from ferry_decisions._blackboard import View
-from ferry_decisions._confirmations import PAUSE_AFTER_FAILURE_S
-from ferry_decisions._confirmations import WAIT_S
-from ferry_decisions._confirmations import Confirmations
 from ferry_decisions._confirmations import TermReplacedError
 from ferry_decisions._contracts import CONTRACT_PREFIX
-from ferry_decisions._contracts import MAX_SHARE
-from ferry_decisions._contracts import MAX_STALENESS_S
 from ferry_decisions._contracts import Contract
 from ferry_decisions._contracts import ContractBook
 from ferry_decisions._contracts import Login
@@ -34,9 +20,6 @@
 from ferry_decisions._databases import Record
 from ferry_decisions._databases import database_from_json
 from ferry_decisions._databases import record_from_json
-from ferry_decisions._detector import Detector
-from ferry_decisions._detector import DetectorSettings
-from ferry_decisions._directory import DIGEST_BYTES
 from ferry_decisions._directory import Directory
 from ferry_decisions._directory import content_digest
 from ferry_decisions._flows import Flow
@@ -45,6 +28,7 @@
 from ferry_decisions._flows import TimeoutExpiredError
 from ferry_decisions._flows import completed
 from ferry_decisions._flows import failed
+from ferry_decisions._flows import forward
 from ferry_decisions._flows import reject
 from ferry_decisions._flows import resolve
 from ferry_decisions._flows import settle_all
@@ -55,7 +39,6 @@
 from ferry_decisions._outcomes import ANSWER_LOST
 from ferry_decisions._outcomes import BEHIND
 from ferry_decisions._outcomes import BY_NAME
-from ferry_decisions._outcomes import CANCELED
 from ferry_decisions._outcomes import DEADLINE_IN_QUEUE
 from ferry_decisions._outcomes import DUPLICATE_KEY
 from ferry_decisions._outcomes import INVALID_SETTING
@@ -70,7 +53,6 @@
 from ferry_decisions._outcomes import READ_CUT
 from ferry_decisions._outcomes import STOPPING
 from ferry_decisions._outcomes import TERM_CHANGED
-from ferry_decisions._outcomes import TOO_MANY_CONNECTIONS
 from ferry_decisions._outcomes import TRANSACTION_LOST
 from ferry_decisions._outcomes import UNSUPPORTED
 from ferry_decisions._outcomes import Outcome
@@ -78,11 +60,9 @@
 from ferry_decisions._outcomes import RequestFailedError
 from ferry_decisions._placement import Node
 from ferry_decisions._placement import ranked
-from ferry_decisions._placement import score
 from ferry_decisions._placement import serving_node
 from ferry_decisions._placement import store_readers
 from ferry_decisions._ports import ClosableDriver
-from ferry_decisions._ports import EndpointDriver
 from ferry_decisions._ports import EndpointRefusedError
 from ferry_decisions._ports import EndpointUnreachableError
 from ferry_decisions._ports import PromoteOrder
@@ -94,7 +74,6 @@
 from ferry_decisions._positions import History
 from ferry_decisions._positions import InvalidPositionError
 from ferry_decisions._positions import Position
-from ferry_decisions._positions import raised
 from ferry_decisions._positions import satisfies
 from ferry_decisions._probing import Ack
 from ferry_decisions._probing import Health
@@ -102,37 +81,16 @@
 from ferry_decisions._probing import MembershipSettings
 from ferry_decisions._probing import Probe
 from ferry_decisions._probing import ProbeMessage
-from ferry_decisions._probing import ProbeTransport
 from ferry_decisions._probing import Update
-from ferry_decisions._promotion import FENCE_TIMEOUT_S
-from ferry_decisions._promotion import PROMOTE_TIMEOUT_S
-from ferry_decisions._promotion import READ_BACK_PAUSE_S
-from ferry_decisions._promotion import READ_BACK_TRIES
 from ferry_decisions._promotion import RECORD_PREFIX
-from ferry_decisions._promotion import STORE_TIMEOUT_S
-from ferry_decisions._promotion import ClaimLostError
-from ferry_decisions._promotion import NoMajorityError
-from ferry_decisions._promotion import PrimaryRecoveredError
-from ferry_decisions._promotion import Promotion
 from ferry_decisions._promotion import decode_record
-from ferry_decisions._promotion import encode_record
 from ferry_decisions._promotion import record_key
 from ferry_decisions._registry import Registry
-from ferry_decisions._registry import UnknownPolicyError
-from ferry_decisions._replicas import MAX_SAMPLES
 from ferry_decisions._replicas import Fitness
-from ferry_decisions._replicas import ReplicaTracker
 from ferry_decisions._retries import RetryBudget
 from ferry_decisions._retries import backoff
-from ferry_decisions._routing import PIN_S
 from ferry_decisions._routing import READ_POLICIES
-from ferry_decisions._routing import PinAfterWrite
-from ferry_decisions._routing import PrimaryOnly
-from ferry_decisions._routing import ReadPolicy
 from ferry_decisions._routing import ReadRequest
-from ferry_decisions._routing import ReplicaFirst
-from ferry_decisions._sessions import MAX_KEY_CHARS
-from ferry_decisions._sessions import MAX_TIMEOUT_MS
 from ferry_decisions._sessions import SessionState
 from ferry_decisions._sessions import staleness_of
 from ferry_decisions._statements import SETTING_PREFIX
@@ -140,18 +98,12 @@
 from ferry_decisions._statements import Statement
 from ferry_decisions._statements import classify
 from ferry_decisions._structuring import InvalidDocumentError
-from ferry_decisions._structuring import InvalidFieldError
 from ferry_decisions._structuring import structure
 from ferry_decisions._structuring import unstructure
 from ferry_decisions._timers import PeriodicTimer
 from ferry_decisions._timers import Timer
 from ferry_decisions._timers import TimerService
 from ferry_decisions._timers import VirtualTimers
-from ferry_decisions._watch import OPEN_CLAIM_S
-from ferry_decisions._watch import OPINION_TIMEOUT_S
-from ferry_decisions._watch import RANK_DELAY_S
-from ferry_decisions._watch import RETRY_S
-from ferry_decisions._watch import AskOpinions
 from ferry_decisions._watch import DatabaseWatch
 from ferry_decisions._watch import WatchContext
 from ferry_decisions._watch import WatchSettings
@@ -160,34 +112,20 @@
     "ANSWER_LOST",
     "Ack",
     "AdmissionQueue",
-    "AskOpinions",
     "BEHIND",
     "BY_NAME",
     "Blackboard",
-    "CANCELED",
     "CONTRACT_PREFIX",
-    "ClaimLostError",
     "ClosableDriver",
-    "Confirmations",
     "Contract",
     "ContractBook",
-    "Controller",
     "DEADLINE_IN_QUEUE",
-    "DIGEST_BYTES",
     "DUPLICATE_KEY",
     "Database",
     "DatabaseWatch",
-    "Detector",
-    "DetectorSettings",
     "Directory",
-    "ESTIMATE_WEIGHT",
-    "EndpointDriver",
     "EndpointRefusedError",
     "EndpointUnreachableError",
-    "FENCE_TIMEOUT_S",
-    "FIRST_ESTIMATE_S",
-    "FairOrder",
-    "FifoOrder",
     "Fitness",
     "Flow",
     "Future",
@@ -196,17 +134,11 @@
     "INVALID_SETTING",
     "IndirectProbe",
     "InvalidDocumentError",
-    "InvalidFieldError",
     "InvalidPositionError",
     "Key",
     "Kind",
     "LOGIN_REFUSED",
     "Login",
-    "MAX_KEY_CHARS",
-    "MAX_SAMPLES",
-    "MAX_SHARE",
-    "MAX_STALENESS_S",
-    "MAX_TIMEOUT_MS",
     "Member",
     "MemberStatus",
     "Membership",
@@ -216,58 +148,36 @@
     "NO_CONTRACT",
     "NO_PRIMARY",
     "NO_SERVING_NODE",
-    "NoMajorityError",
     "Node",
-    "OPEN_CLAIM_S",
-    "OPINION_TIMEOUT_S",
     "ORDERS",
     "OVERLOADED",
-    "Order",
     "Outcome",
-    "PAUSE_AFTER_FAILURE_S",
-    "PIN_S",
-    "PROMOTE_TIMEOUT_S",
     "PROTOCOL_VIOLATION",
     "PeriodicTimer",
-    "PinAfterWrite",
     "Position",
-    "PrimaryOnly",
-    "PrimaryRecoveredError",
     "Probe",
     "ProbeMessage",
-    "ProbeTransport",
     "PromoteOrder",
-    "Promotion",
-    "RANK_DELAY_S",
-    "READ_BACK_PAUSE_S",
-    "READ_BACK_TRIES",
     "READ_CUT",
     "READ_POLICIES",
     "RECORD_PREFIX",
-    "RETRY_S",
-    "ReadPolicy",
     "ReadRequest",
     "Reason",
     "Record",
     "Registry",
-    "ReplicaFirst",
-    "ReplicaTracker",
     "RequestFailedError",
     "RetryBudget",
     "SETTING_PREFIX",
     "STOPPING",
-    "STORE_TIMEOUT_S",
     "SessionState",
     "Settled",
     "Slot",
     "Statement",
-    "StaticOrder",
     "Store",
     "StoreEntry",
     "StoreUnavailableError",
     "StoreWatch",
     "TERM_CHANGED",
-    "TOO_MANY_CONNECTIONS",
     "TOPOLOGY_PREFIX",
     "TRANSACTION_LOST",
     "TermReplacedError",
@@ -275,14 +185,10 @@
     "Timer",
     "TimerService",
     "UNSUPPORTED",
-    "UndeclaredAccessError",
     "UnknownCustomerError",
-    "UnknownPolicyError",
     "Update",
     "View",
     "VirtualTimers",
-    "WAIT_S",
-    "Waiter",
     "WatchContext",
     "WatchSettings",
     "ZERO",
@@ -293,16 +199,14 @@
     "contract_from_json",
     "database_from_json",
     "decode_record",
-    "encode_record",
     "failed",
-    "raised",
+    "forward",
     "ranked",
     "record_from_json",
     "record_key",
     "reject",
     "resolve",
     "satisfies",
-    "score",
     "serving_node",
     "settle_all",
     "sleep",
--- a/packages/decisions/src/ferry_decisions/_flows.py
+++ b/packages/decisions/src/ferry_decisions/_flows.py
@@ -52,6 +52,19 @@
     return True
 
 
+def forward(fut: "Future[T]", out: "Future[T]") -> None:
+    """Completes `out` as `fut` completes, unless it is done by then."""
+
+    def finish(done: "Future[T]") -> None:
+        exc = done.exception()
+        if exc is not None:
+            reject(out, exc)
+        else:
+            resolve(out, done.result())
+
+    fut.add_done_callback(finish)
+
+
 def start(flow: "Flow[T]") -> "Future[T]":
     """Starts a flow; returns the future of its return value."""
     out: Future[T] = Future()
@@ -109,15 +122,8 @@
         seconds, lambda: reject(out, TimeoutExpiredError(f"{seconds:.3f} s"))
     )
 
-    def finish(done: "Future[T]") -> None:
-        timer.cancel()
-        exc = done.exception()
-        if exc is not None:
-            reject(out, exc)
-        else:
-            resolve(out, done.result())
-
-    fut.add_done_callback(finish)
+    forward(fut, out)
+    out.add_done_callback(lambda _: timer.cancel())
     return out
 
 
--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -25,7 +25,8 @@
 from ferry_decisions import _timers
 
 RECORD_PREFIX = "databases/"
-STORE_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 0.4
+WRITE_TIMEOUT_S = 1.0
 READ_BACK_TRIES = 5
 READ_BACK_PAUSE_S = 0.1
 FENCE_TIMEOUT_S = 0.5
@@ -129,14 +130,28 @@
             PROMOTE_TIMEOUT_S,
             self._driver.promote(order.primary, order),
         )
+        self._lead_others(order)
         record = attrs.evolve(claim, primary=successor.name, starts=starts)
         yield from self._write(record, revision)
         return record
 
+    def _lead_others(self, order: _ports.PromoteOrder) -> None:
+        """Makes the others follow, without waiting for them.
+
+        A member that misses it is repaired by those who watch it.
+        """
+        for member in self._database.members:
+            if member.name != order.primary.name:
+                self._driver.follow(member, order)
+
     def _claim(
         self, known: _databases.Record
     ) -> "_flows.Flow[tuple[_databases.Record, int]]":
-        entry = yield self._bounded(self._store.get(record_key(known.database)))
+        entry = yield _flows.within(
+            self._timers,
+            READ_TIMEOUT_S,
+            self._store.get(record_key(known.database)),
+        )
         current = known
         revision = 0
         if entry is not None:
@@ -160,8 +175,10 @@
         """Writes the record; returns its revision, reading back if needed."""
         key = record_key(record.database)
         try:
-            entry = yield self._bounded(
-                self._store.put_if(key, encode_record(record), revision)
+            entry = yield _flows.within(
+                self._timers,
+                WRITE_TIMEOUT_S,
+                self._store.put_if(key, encode_record(record), revision),
             )
         except (_ports.StoreUnavailableError, _flows.TimeoutExpiredError):
             entry = None
@@ -177,7 +194,9 @@
         failure: Exception = _ports.StoreUnavailableError(key)
         for _ in range(READ_BACK_TRIES):
             try:
-                entry = yield self._bounded(self._store.get(key))
+                entry = yield _flows.within(
+                    self._timers, READ_TIMEOUT_S, self._store.get(key)
+                )
             except (
                 _ports.StoreUnavailableError,
                 _flows.TimeoutExpiredError,
@@ -236,8 +255,3 @@
         self, statuses: list[_databases.MemberStatus]
     ) -> list[_databases.MemberStatus]:
         return [s for s in statuses if s.name not in self._avoid]
-
-    def _bounded(
-        self, fut: "_flows.Future[_flows.T]"
-    ) -> "_flows.Future[_flows.T]":
-        return _flows.within(self._timers, STORE_TIMEOUT_S, fut)
--- a/packages/decisions/src/ferry_decisions/_watch.py
+++ b/packages/decisions/src/ferry_decisions/_watch.py
@@ -18,10 +18,10 @@
 from ferry_decisions import _replicas
 from ferry_decisions import _timers
 
-OPINION_TIMEOUT_S = 0.3
 RETRY_S = 0.25
 RANK_DELAY_S = 0.15
 OPEN_CLAIM_S = 1.5
+TICK_S = 0.05
 
 AskOpinions = Callable[
     [_databases.Database, str, int, Callable[[set[str]], bool]],
@@ -101,13 +101,14 @@
             ),
         )
         self._probing: set[str] = set()
+        self._probed_at: dict[str, float] = {}
         self._deciding = False
         self._record_at = ctx.timers.now()
         self._closed = False
         if record is not None:
             self.note_record(record)
         self._timer = _timers.PeriodicTimer(
-            ctx.timers, ctx.cfg.probe_s, self._probe_all, first=0.0
+            ctx.timers, TICK_S, self._tick, first=0.0
         )
 
     def close(self) -> None:
@@ -124,6 +125,7 @@
             return
         self.record = record
         self._record_at = self._timers.now()
+        self._probed_at.clear()
         self.tracker.note_history(record.history)
         if self.confirmations is not None:
             self.confirmations.close()
@@ -175,10 +177,20 @@
             and record.term == term
         )
 
-    def _probe_all(self) -> None:
+    def _tick(self) -> None:
+        """Sends the probes that are due, and looks for a primary gone.
+
+        A member that is silent is probed all the time, so that the end of a
+        short pause is seen at once.
+        """
+        now = self._timers.now()
+        calm_s = self._ctx.cfg.probe_s
         for member in self.database.members:
-            if member.name not in self._probing:
+            silent = self._detector.silence(member.name) > 1.5 * calm_s
+            due = now - self._probed_at.get(member.name, -calm_s) >= calm_s
+            if (due or silent) and member.name not in self._probing:
                 self._probing.add(member.name)
+                self._probed_at[member.name] = now
                 _flows.start(self._probe(member))
         if not self._deciding and self._wants_change():
             self._deciding = True
--- a/packages/node/src/ferry_node/_controllers.py
+++ b/packages/node/src/ferry_node/_controllers.py
@@ -98,6 +98,25 @@
         board.write(_board.STORE_READER, not names or self._cfg.node in names)
 
 
+class RecordController:
+    """Tells the entry side of each record that has changed."""
+
+    reads: tuple[decisions.Key[typing.Any], ...] = (_board.RECORDS,)
+    writes: tuple[decisions.Key[typing.Any], ...] = ()
+
+    def __init__(self, notify: Callable[[str], object]) -> None:
+        self._notify = notify
+        self._known: dict[str, decisions.Record] = {}
+
+    def run(self, board: decisions.View) -> None:
+        """Reports the databases whose records are new."""
+        records = board.read(_board.RECORDS)
+        known, self._known = self._known, records
+        for name, record in records.items():
+            if known.get(name) != record:
+                self._notify(name)
+
+
 class ServiceController:
     """Starts, configures and ends the services of the members served."""
 
--- a/packages/node/src/ferry_node/_entry.py
+++ b/packages/node/src/ferry_node/_entry.py
@@ -23,6 +23,7 @@
 RETRY_SHARE = 0.1
 RETRY_BURST = 20.0
 FLOOR_TIMEOUT_S = 0.05
+GIVE_UP_S = 0.15
 
 TRY_ELSEWHERE = frozenset(
     {
@@ -123,7 +124,12 @@
             )
         )
         self._random = random.Random(ctx.cfg.node)
-        self._held = 0
+        self._held: dict[str, set[decisions.Future[None]]] = (
+            collections.defaultdict(set)
+        )
+        self._under_way: dict[
+            str, set[decisions.Future[_messages.ExecuteReply]]
+        ] = collections.defaultdict(set)
         self.reads_by_replicas = 0
         self.reads_by_primary = 0
 
@@ -187,6 +193,21 @@
             return None
         return decisions.Position.from_text(reply.position)
 
+    def note_record(self, database: str) -> None:
+        """Takes in that a database's record has changed.
+
+        What was held for the change goes on at once. What is still under way
+        at the former primary's serving node is given up after a short while:
+        a node that can be reached answers in that time by itself.
+        """
+        for held in list(self._held[database]):
+            decisions.resolve(held, None)
+        late = list(self._under_way[database])
+        lost = _peers.PeerLostError("the primary was replaced", handed=True)
+        self._ctx.timers.after(
+            GIVE_UP_S, lambda: [decisions.reject(f, lost) for f in late]
+        )
+
     def drop(self, target: Target, channel: int) -> None:
         """Rolls back a transaction whose caller is gone."""
         if target.node.name == self._ctx.cfg.node:
@@ -200,14 +221,19 @@
         req: _messages.ExecuteRequest,
         on_part: Callable[[bytes], object],
     ) -> "decisions.Flow[_messages.ExecuteReply]":
+        fut: decisions.Future[_messages.ExecuteReply] = decisions.Future()
+        decisions.forward(self._ctx.peers.call(node, req, on_part), fut)
+        if req.as_primary:
+            self._under_way[req.database].add(fut)
         try:
-            reply = yield self._ctx.peers.call(node, req, on_part)
+            reply = yield fut
         except _peers.PeerLostError as exc:
             return _messages.ExecuteReply(
                 reason=_reason_of_loss(req, exc).name, detail=str(exc)
             )
-        assert isinstance(reply, _messages.ExecuteReply)
-        return reply
+        finally:
+            self._under_way[req.database].discard(fut)
+        return typing.cast(_messages.ExecuteReply, reply)
 
     def _run(
         self,
@@ -244,33 +270,42 @@
             if done or reply.reason not in WAIT_FOR_CHANGE:
                 break
             tried += 1
-            if not (yield from self._pause(budget, tried, deadline)):
+            if not (
+                yield from self._pause(req.database, budget, tried, deadline)
+            ):
                 break
         self._count(req, target, reply)
         return reply, target
 
     def _pause(
-        self, budget: decisions.RetryBudget, tried: int, deadline: float
+        self,
+        database: str,
+        budget: decisions.RetryBudget,
+        tried: int,
+        deadline: float,
     ) -> "decisions.Flow[bool]":
         """Holds a batch before its next try; returns whether it may go on.
 
+        A new record ends the pause at once.
+
         Nothing of it was handed over, so trying again costs the endpoint
         nothing; the budget keeps the load between nodes in bounds.
         """
+        if len(self._held[database]) >= MAX_HELD:
+            return False
         pause = decisions.backoff(
             tried, FIRST_BACKOFF_S, LAST_BACKOFF_S, self._random
         )
-        if self._held >= MAX_HELD:
-            return False
         if not budget.take():
             pause = LAST_BACKOFF_S
         if self._ctx.timers.now() + pause >= deadline:
             return False
-        self._held += 1
-        try:
-            yield decisions.sleep(self._ctx.timers, pause)
-        finally:
-            self._held -= 1
+        changed: decisions.Future[None] = decisions.sleep(
+            self._ctx.timers, pause
+        )
+        self._held[database].add(changed)
+        yield changed
+        self._held[database].discard(changed)
         return True
 
     def _targets(
--- a/packages/node/src/ferry_node/_gates.py
+++ b/packages/node/src/ferry_node/_gates.py
@@ -72,15 +72,21 @@
                 yield decisions.sleep(self._timers, POLL_S)
 
     def until_responsive(self, work: Work) -> "decisions.Flow[None]":
-        """Holds work back from a member that has gone silent."""
+        """Holds work back from a member that should not be given any.
+
+        Raises:
+            RequestFailedError: A replica is silent, the primary has changed,
+                or the deadline came; nothing was handed over.
+        """
         while True:
-            record = self._watch.record
-            if work.req.as_primary and not self.leads:
-                reason = decisions.TERM_CHANGED
-                if record is not None and not record.primary:
-                    reason = decisions.NO_PRIMARY
-                raise decisions.RequestFailedError(reason)
-            if self._watch.silence(self._member.name) <= self._cfg.hold_s:
+            if work.req.as_primary:
+                self._check_leads(work)
+                ready = self._is_proved()
+            else:
+                ready = True
+            if ready and self._watch.silence(self._member.name) <= (
+                self._cfg.hold_s
+            ):
                 return
             if not work.req.as_primary:
                 raise decisions.RequestFailedError(
@@ -90,6 +96,29 @@
                 raise decisions.RequestFailedError(decisions.NO_PRIMARY)
             yield decisions.sleep(self._timers, POLL_S)
 
+    def _check_leads(self, work: Work) -> None:
+        """Refuses work for a primary that is known to be replaced."""
+        record = self._watch.record
+        if record is not None and not record.primary:
+            raise decisions.RequestFailedError(decisions.NO_PRIMARY)
+        if record is None or not self.leads:
+            raise decisions.RequestFailedError(decisions.TERM_CHANGED)
+        if floor_of(work.req).term > record.term:
+            raise decisions.RequestFailedError(
+                decisions.NO_PRIMARY, "the session has seen a later term"
+            )
+
+    def _is_proved(self) -> bool:
+        """Whether a majority knew the primary a short while ago.
+
+        A primary that is cut off would run a statement that nobody can
+        confirm; held back, it is told "not run" instead of "unknown".
+        """
+        confirmations = self._watch.confirmations
+        if confirmations is None:
+            return False
+        return self._timers.now() - confirmations.proved_at <= self._cfg.hold_s
+
     def confirm(
         self, work: Work, answer: _endpoint.Answer
     ) -> "decisions.Flow[None]":
--- a/packages/node/src/ferry_node/_loop.py
+++ b/packages/node/src/ferry_node/_loop.py
@@ -182,14 +182,9 @@
     """Returns a future that completes on the loop when `fut` does elsewhere."""
     out: decisions.Future[T] = decisions.Future()
 
-    def finish() -> None:
-        exc = fut.exception()
-        if exc is not None:
-            decisions.reject(out, exc)
-        else:
-            decisions.resolve(out, fut.result())
-
-    fut.add_done_callback(lambda _: loop.call_soon(finish))
+    fut.add_done_callback(
+        lambda done: loop.call_soon(lambda: decisions.forward(done, out))
+    )
     return out
 
 
@@ -199,16 +194,9 @@
     """Starts work on the loop from another thread; returns its future."""
     out: decisions.Future[T] = decisions.Future()
 
-    def chain(fut: "decisions.Future[T]") -> None:
-        exc = fut.exception()
-        if exc is not None:
-            decisions.reject(out, exc)
-        else:
-            decisions.resolve(out, fut.result())
-
     def begin() -> None:
         try:
-            work().add_done_callback(chain)
+            decisions.forward(work(), out)
         except Exception as exc:  # noqa: BLE001 - handed to the caller
             decisions.reject(out, exc)
 
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -207,6 +207,9 @@
         self.board.subscribe(_controllers.PlacementController(self.cfg.node))
         self.board.subscribe(_controllers.StoreReaderController(self.cfg))
         self.board.subscribe(self.controller)
+        self.board.subscribe(
+            _controllers.RecordController(self.dispatcher.note_record)
+        )
         self.board.subscribe(self.spreader)
 
     def _accept(self, stream: _streams.Stream) -> None:
@@ -236,6 +239,12 @@
         return list(found.values())
 
     def _rank(self, database: decisions.Database) -> int:
+        """Returns this node's turn; the primary's own node comes last."""
+        record = self.board.read(_board.RECORDS).get(database.name)
+        served = self.board.read(_board.SERVED)
+        primary = record.primary if record else ""
+        if (database.name, primary) in served:
+            return len(database.members) - 1
         ordered = decisions.ranked(database.name, self._observers(database))
         names = [n.name for n in ordered]
         return names.index(self.cfg.node) if self.cfg.node in names else 0
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -13,8 +13,8 @@
 from ferry_node import _streams
 
 USER_TIMEOUT_MS = 1_500
-PING_S = 0.5
-PING_TIMEOUT_S = 1.5
+PING_S = 0.3
+PING_TIMEOUT_S = 1.0
 IDLE_CLOSE_S = 120.0
 
 
--- /dev/null
+++ b/packages/standins/src/ferry_standins/_virtual_store.py
@@ -0,0 +1,150 @@
+"""A fake of the platform's store, in virtual time."""
+
+from collections.abc import Callable
+import typing
+
+import attrs
+import ferry_decisions as decisions
+
+T = typing.TypeVar("T")
+_List = list
+
+
+@attrs.define
+class StoreState:
+    """The contents of the virtual store, shared by all nodes' clients.
+
+    Attributes:
+        entries: Entries by key.
+        revision: The last revision.
+        down: Whether no call is answered or takes effect.
+        lose_answers: How many of the next writes take effect unanswered.
+        delay_s: Time that a call takes, in seconds.
+        calls: Calls so far.
+    """
+
+    entries: dict[str, decisions.StoreEntry] = attrs.field(factory=dict)
+    revision: int = 1
+    down: bool = False
+    lose_answers: int = 0
+    delay_s: float = 0.003
+    calls: int = 0
+    watchers: list[tuple[str, Callable[[decisions.StoreEntry], object]]] = (
+        attrs.field(factory=list)
+    )
+
+
+class VirtualStore:
+    """One node's client of the virtual store."""
+
+    def __init__(
+        self, timers: decisions.TimerService, state: StoreState
+    ) -> None:
+        self._timers = timers
+        self._state = state
+        self.cut = False
+
+    def get(self, key: str) -> "decisions.Future[decisions.StoreEntry | None]":
+        """Reads a key."""
+        return self._call(lambda: self._state.entries.get(key), writes=False)
+
+    def list(
+        self, prefix: str
+    ) -> "decisions.Future[_List[decisions.StoreEntry]]":
+        """Reads all keys that begin with `prefix`."""
+
+        def work() -> "list[decisions.StoreEntry]":
+            found = self._state.entries.items()
+            return [e for k, e in found if k.startswith(prefix)]
+
+        return self._call(work, writes=False)
+
+    def put_if(
+        self, key: str, value: bytes, revision: int
+    ) -> "decisions.Future[decisions.StoreEntry | None]":
+        """Writes a key if its revision is still `revision`."""
+
+        def work() -> decisions.StoreEntry | None:
+            state = self._state
+            known = state.entries.get(key)
+            if (known.revision if known else 0) != revision:
+                return None
+            state.revision += 1
+            entry = decisions.StoreEntry(key, value, state.revision)
+            state.entries[key] = entry
+            for prefix, notify in state.watchers:
+                if key.startswith(prefix):
+                    self._timers.after(
+                        state.delay_s,
+                        lambda n=notify: n(entry),  # type: ignore[misc]
+                    )
+            return entry
+
+        return self._call(work, writes=True)
+
+    def watch(
+        self, prefix: str, notify: Callable[[decisions.StoreEntry], None]
+    ) -> "VirtualWatch":
+        """Reports each change below a prefix from now on."""
+        self._state.calls += 1
+        watch = VirtualWatch(self._state, prefix, notify, self)
+        self._state.watchers.append((prefix, watch.notify))
+        return watch
+
+    @property
+    def reachable(self) -> bool:
+        """Whether calls get through."""
+        return not self._state.down and not self.cut
+
+    def _call(
+        self, work: "Callable[[], T]", writes: bool
+    ) -> "decisions.Future[T]":
+        state = self._state
+        state.calls += 1
+        fut: decisions.Future[T] = decisions.Future()
+
+        def fail() -> None:
+            decisions.reject(fut, decisions.StoreUnavailableError("virtual"))
+
+        def arrive() -> None:
+            if not self.reachable:
+                self._timers.after(1.0, fail)
+                return
+            result = work()
+            if writes and result is not None and state.lose_answers > 0:
+                state.lose_answers -= 1
+                self._timers.after(1.0, fail)
+                return
+            self._timers.after(
+                state.delay_s / 2, lambda: decisions.resolve(fut, result)
+            )
+
+        self._timers.after(state.delay_s / 2, arrive)
+        return fut
+
+
+class VirtualWatch:
+    """A watch on the virtual store."""
+
+    def __init__(
+        self,
+        state: StoreState,
+        prefix: str,
+        notify: Callable[[decisions.StoreEntry], None],
+        client: VirtualStore,
+    ) -> None:
+        self._state = state
+        self._prefix = prefix
+        self._notify = notify
+        self._client = client
+
+    def notify(self, entry: decisions.StoreEntry) -> None:
+        """Passes a change on, if it gets through."""
+        if self._client.reachable:
+            self._notify(entry)
+
+    def cancel(self) -> None:
+        """Ends the watch."""
+        pair = (self._prefix, self.notify)
+        if pair in self._state.watchers:
+            self._state.watchers.remove(pair)
--- a/tools/gen_exports.py
+++ b/tools/gen_exports.py
@@ -1,11 +1,13 @@
-"""Writes each package's `__init__.py`: the public names of its modules.
+"""Writes the `__init__.py` of the decisions package: its public names.
 
-Usage: gen_exports.py PACKAGE_DIR. A public name is a class, a function or a
-constant without a leading underscore. The docstring of the file is kept.
+Usage: gen_exports.py PACKAGE_DIR ALIAS. A name is exported when another
+package or a test uses it through the alias, so that the surface stays small.
+The docstring of the file is kept.
 """
 
 import ast
 import pathlib
+import re
 import sys
 
 
@@ -23,16 +25,28 @@
     return sorted(n for n in names if not n.startswith("_") and len(n) > 1)
 
 
+def used_names(package: pathlib.Path, alias: str) -> set[str]:
+    """Returns the names that others use through the alias."""
+    pattern = re.compile(rf"\b{alias}\.(\w+)")
+    used: set[str] = set()
+    for path in package.parents[2].glob("*/src/**/*.py"):
+        if path.parent != package:
+            used |= set(pattern.findall(path.read_text()))
+    return used
+
+
 def main() -> None:
     """Rewrites one `__init__.py`."""
-    package = pathlib.Path(sys.argv[1])
+    package = pathlib.Path(sys.argv[1]).resolve()
+    used = used_names(package, sys.argv[2])
     init = package / "__init__.py"
     doc = ast.get_docstring(ast.parse(init.read_text())) or ""
     owners: dict[str, str] = {}
     for path in sorted(package.glob("_*.py")):
         if path.name != "__init__.py":
             for name in public_names(path):
-                owners.setdefault(name, path.stem)
+                if name in used:
+                    owners.setdefault(name, path.stem)
     lines = [f'"""{doc}"""', ""]
     for name, module in sorted(owners.items(), key=lambda i: (i[1], i[0])):
         lines.append(f"from {package.name}.{module} import {name}")
