Replica reads: exclusive owners remember sessions' writes

A session without a token took the primary's head as its floor, so its first reads waited for everybody's writes; and what was known of a replica was as old as the last probe.

Change: a member takes statements from one owner only (a control order, like a fence), so all writes to a primary pass one node, which remembers each session's last write and gives it as the floor after proving that it still owns the member and that the member still leads. A replica is asked for its position once before a read is sent elsewhere. Ruled out: a floor kept at a hashed peer, which needs a synchronous note with each write and guesses after a change of the holder.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -91,6 +91,7 @@
 from ferry_decisions._retries import backoff
 from ferry_decisions._routing import READ_POLICIES
 from ferry_decisions._routing import ReadRequest
+from ferry_decisions._session_floors import SessionFloors
 from ferry_decisions._sessions import SessionState
 from ferry_decisions._sessions import staleness_of
 from ferry_decisions._statements import SETTING_PREFIX
@@ -169,6 +170,7 @@
     "RetryBudget",
     "SETTING_PREFIX",
     "STOPPING",
+    "SessionFloors",
     "SessionState",
     "Settled",
     "Slot",
--- a/packages/decisions/src/ferry_decisions/_databases.py
+++ b/packages/decisions/src/ferry_decisions/_databases.py
@@ -170,6 +170,8 @@
         applied: How much of it its reads show.
         term: The last term that it led or followed. Its log is a part of
             that term's history, from the beginning.
+        owner: The node that owns it, with the id of its ownership; statements
+            of other nodes are refused.
         upstream_silence_s: Seconds since it last heard of its primary; 0 for
             the primary itself.
     """
@@ -180,4 +182,5 @@
     received: _positions.Position
     applied: _positions.Position
     term: int
+    owner: str = ""
     upstream_silence_s: float = 0.0
--- a/packages/decisions/src/ferry_decisions/_ports.py
+++ b/packages/decisions/src/ferry_decisions/_ports.py
@@ -58,6 +58,14 @@
     ) -> "Future[_databases.MemberStatus]":
         """Asks a member for its status."""
 
+    def own(
+        self, member: _databases.Member, owner: str
+    ) -> "Future[_databases.MemberStatus]":
+        """Makes a member take statements from one owner only.
+
+        Connections of the former owner are ended before the answer.
+        """
+
     def fence(
         self, member: _databases.Member, term: int, claim_id: str
     ) -> "Future[_databases.MemberStatus]":
--- a/packages/decisions/src/ferry_decisions/_sessions.py
+++ b/packages/decisions/src/ferry_decisions/_sessions.py
@@ -15,6 +15,8 @@
 _AGE = re.compile(r"age\s+(?P<number>\d+(?:\.\d+)?)\s*(?P<unit>ms|s|min)")
 _UNIT_S = {"ms": 0.001, "s": 1.0, "min": 60.0}
 _TOKEN = re.compile(r"[a-z0-9-]+=\d+:\d+(?:,[a-z0-9-]+=\d+:\d+)*")
+_SESSION_ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
+SETTINGS = ("session", "read", "timeout_ms", "idempotency_key", "session_id")
 MAX_KEY_CHARS = 128
 MAX_TIMEOUT_MS = 3_600_000
 
@@ -30,12 +32,18 @@
         staleness_s: Greatest age that its reads accept, in seconds.
         timeout_s: Time that one statement may take, in seconds.
         idempotency_key: Set for the next write; empty when unset.
+        session_id: What the session is known by when it comes back without
+            a token; empty for its login.
+        carries_token: Whether the caller sent a token, and so keeps its
+            floors itself.
     """
 
     floors: tuple[tuple[str, _positions.Position], ...] = ()
     staleness_s: float = 0.0
     timeout_s: float = 10.0
     idempotency_key: str = ""
+    session_id: str = ""
+    carries_token: bool = False
 
     def floor(self, database: str) -> _positions.Position | None:
         """Returns the floor in a database; None where it is not known."""
@@ -54,6 +62,11 @@
         rest = tuple(pair for pair in self.floors if pair[0] != database)
         return attrs.evolve(self, floors=(*rest, (database, seen)))
 
+    def without_floor(self, database: str) -> "SessionState":
+        """Returns the state with no known floor in a database."""
+        rest = tuple(pair for pair in self.floors if pair[0] != database)
+        return attrs.evolve(self, floors=rest)
+
     @property
     def token(self) -> str:
         """The floors as a text that `with_token` takes."""
@@ -67,7 +80,7 @@
         """
         if not _TOKEN.fullmatch(text):
             raise _invalid("session", "database=term:index[,...]")
-        state = self
+        state = attrs.evolve(self, carries_token=True)
         for pair in text.split(","):
             name, _, position = pair.partition("=")
             state = state.with_seen(
@@ -108,6 +121,7 @@
             else "primary",
             "timeout_ms": f"{self.timeout_s * 1000:.0f}",
             "idempotency_key": self.idempotency_key,
+            "session_id": self.session_id,
         }
         if name not in values:
             raise _invalid(name, "one of " + ", ".join(values))
--- a/packages/node/src/ferry_node/_controllers.py
+++ b/packages/node/src/ferry_node/_controllers.py
@@ -213,7 +213,7 @@
         member = database.member(name)
         cfg = self._cfg.endpoints
 
-        def connect(term: int) -> _endpoint.EndpointConn:
+        def connect(term: int, owner: str) -> _endpoint.EndpointConn:
             return _endpoint.EndpointConn(
                 self._loop,
                 member.host,
@@ -222,6 +222,7 @@
                     "user": cfg.user,
                     "database": database.name,
                     _wire.TERM_PARAMETER: str(term),
+                    _wire.OWNER_PARAMETER: owner,
                 },
                 cfg.connect_timeout_s,
             )
--- a/packages/node/src/ferry_node/_conversation.py
+++ b/packages/node/src/ferry_node/_conversation.py
@@ -10,6 +10,7 @@
 from ferry_node import _batches
 from ferry_node import _entry
 from ferry_node import _messages
+from ferry_node import _targets
 from ferry_node import _tracing
 from ferry_node import _wire
 
@@ -44,7 +45,7 @@
         status: What the caller was told of it: T or E.
     """
 
-    target: _entry.Target
+    target: _targets.Target
     channel: int
     status: str = "T"
 
@@ -183,14 +184,28 @@
         self._answer(reply, filtered)
 
     def _look_up_floor(self) -> "decisions.Flow[None]":
-        """Finds a floor for a session that came back without a token."""
-        database = self._identity.database
-        if self._state.staleness_s <= 0 or self._state.floor(database):
+        """Finds the session's floor, unless the caller carries a token.
+
+        Other connections of the same login may have written since the last
+        read, so the floor is looked up for each read.
+        """
+        if self._state.staleness_s <= 0 or self._state.carries_token:
             return
-        found = yield self._ctx.dispatcher.find_floor(database)
-        if found is not None:
+        database = self._identity.database
+        found = yield self._ctx.dispatcher.find_floor(
+            database, self._session_key
+        )
+        if found is None:
+            self._state = self._state.without_floor(database)
+        else:
             self._state = self._state.with_seen(database, found)
 
+    @property
+    def _session_key(self) -> str:
+        """What a session is known by when it carries no token."""
+        name = self._state.session_id or self._identity.login
+        return f"{name}@{self._identity.customer}"
+
     def _request(
         self, batch: _batches.Batch, trace: str
     ) -> _messages.ExecuteRequest:
@@ -211,6 +226,7 @@
             staleness_s=self._state.staleness_s,
             budget_s=self._state.timeout_s,
             idempotency_key="" if read else self._state.idempotency_key,
+            session=self._session_key,
             payload=batch.payload,
             trace=trace,
         )
--- a/packages/node/src/ferry_node/_drivers.py
+++ b/packages/node/src/ferry_node/_drivers.py
@@ -27,9 +27,10 @@
     """A control statement of the stand-in's driver.
 
     Attributes:
-        op: One of status, fence, promote, follow and wait.
+        op: One of status, own, fence, promote, follow and wait.
         term: The term it is about.
         claim_id: For fence, the claim.
+        owner: For own, the new owner.
         index: For wait, the index.
         timeout_s: For wait, how long, in seconds.
         primary: For promote and follow, the member that leads.
@@ -43,6 +44,7 @@
     timeout_s: float = 0.0
     primary: str = ""
     starts: tuple[tuple[int, int], ...] = ()
+    owner: str = ""
 
 
 class DriverFactory(typing.Protocol):
@@ -164,6 +166,14 @@
         """Asks a member for its status."""
         return self._ask(member, ControlOrder("status"), self._probe_timeout_s)
 
+    def own(
+        self, member: decisions.Member, owner: str
+    ) -> "decisions.Future[decisions.MemberStatus]":
+        """Makes a member take statements from one owner only."""
+        return self._ask(
+            member, ControlOrder("own", owner=owner), FOLLOW_TIMEOUT_S
+        )
+
     def fence(
         self, member: decisions.Member, term: int, claim_id: str
     ) -> "decisions.Future[decisions.MemberStatus]":
--- a/packages/node/src/ferry_node/_entry.py
+++ b/packages/node/src/ferry_node/_entry.py
@@ -15,9 +15,9 @@
 from ferry_node import _messages
 from ferry_node import _peers
 from ferry_node import _settings
+from ferry_node import _targets
 
 MAX_HELD = 2_000
-BEHIND_S = 0.2
 FIRST_BACKOFF_S = 0.01
 LAST_BACKOFF_S = 0.25
 RETRY_SHARE = 0.1
@@ -51,6 +51,10 @@
 ]
 
 
+Routed = tuple[_messages.ExecuteReply, _targets.Target | None]
+"""A reply, and the member that gave it."""
+
+
 class PeerCalls(typing.Protocol):
     """Reaches other nodes."""
 
@@ -66,21 +70,6 @@
         """Sends a one-way message."""
 
 
-@attrs.frozen(slots=True)
-class Target:
-    """A member and the node that serves it.
-
-    Attributes:
-        member: The member's name.
-        node: The node.
-        primary: Whether the member is the primary.
-    """
-
-    member: str
-    node: decisions.Node
-    primary: bool
-
-
 @attrs.frozen(slots=True)
 class EntryContext:
     """What the entry side needs from its node.
@@ -116,8 +105,9 @@
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
-        self._policy = decisions.READ_POLICIES.get(ctx.cfg.policy.read_policy)()
-        self._behind: dict[tuple[str, str], float] = {}
+        self._targets = _targets.Targets(
+            ctx.timers, ctx.cfg, ctx.nodes, ctx.database, ctx.record
+        )
         self._budgets: dict[str, decisions.RetryBudget] = (
             collections.defaultdict(
                 lambda: decisions.RetryBudget(RETRY_SHARE, RETRY_BURST)
@@ -138,7 +128,7 @@
         req: _messages.ExecuteRequest,
         since_write_s: float,
         on_part: Callable[[bytes], object],
-    ) -> "decisions.Future[tuple[_messages.ExecuteReply, Target | None]]":
+    ) -> "decisions.Future[Routed]":
         """Runs a batch that belongs to no open transaction.
 
         Args:
@@ -161,22 +151,22 @@
         return decisions.start(self._send(node, req, on_part))
 
     def find_floor(
-        self, database: str
+        self, database: str, session: str
     ) -> "decisions.Future[decisions.Position | None]":
-        """Returns a floor that covers all that any session was told.
+        """Returns a floor that covers all writes of a session.
 
         None where the primary could not be asked within the bound.
         """
-        return decisions.start(self._find_floor(database))
+        return decisions.start(self._find_floor(database, session))
 
     def _find_floor(
-        self, database: str
+        self, database: str, session: str
     ) -> "decisions.Flow[decisions.Position | None]":
         record = self._ctx.record(database)
         if record is None or not record.primary:
             return None
-        request = _messages.PositionRequest(database, record.primary)
-        target = self._target(database, record, record.primary)
+        request = _messages.PositionRequest(database, record.primary, session)
+        target = self._targets.one(database, record, record.primary)
         if target is None:
             return None
         if target.node.name == self._ctx.cfg.node:
@@ -208,7 +198,7 @@
             GIVE_UP_S, lambda: [decisions.reject(f, lost) for f in late]
         )
 
-    def drop(self, target: Target, channel: int) -> None:
+    def drop(self, target: _targets.Target, channel: int) -> None:
         """Rolls back a transaction whose caller is gone."""
         if target.node.name == self._ctx.cfg.node:
             self._ctx.drop(channel)
@@ -240,7 +230,7 @@
         req: _messages.ExecuteRequest,
         since_write_s: float,
         on_part: Callable[[bytes], object],
-    ) -> "decisions.Flow[tuple[_messages.ExecuteReply, Target | None]]":
+    ) -> "decisions.Flow[Routed]":
         timers = self._ctx.timers
         deadline = timers.now() + req.budget_s
         budget = self._budgets[req.database]
@@ -254,9 +244,9 @@
 
         tried = 0
         reply = _messages.ExecuteReply(reason=decisions.NO_SERVING_NODE.name)
-        target: Target | None = None
+        target: _targets.Target | None = None
         while True:
-            for target in self._targets(req, since_write_s, tried):
+            for target in self._targets.order(req, since_write_s, tried):
                 left = deadline - timers.now()
                 if left <= 0:
                     break
@@ -265,7 +255,7 @@
                 )
                 if reply.reason not in TRY_ELSEWHERE or streamed:
                     break
-                self._note_behind(req.database, target, reply)
+                self._targets.note_behind(req.database, target, reply)
             done = not reply.reason or streamed
             if done or reply.reason not in WAIT_FOR_CHANGE:
                 break
@@ -308,73 +298,10 @@
         self._held[database].discard(changed)
         return True
 
-    def _targets(
-        self,
-        req: _messages.ExecuteRequest,
-        since_write_s: float,
-        tried: int,
-    ) -> list[Target]:
-        database = self._ctx.database(req.database)
-        record = self._ctx.record(req.database)
-        if database is None or record is None:
-            return []
-        if req.as_primary or tried:
-            names = [record.primary]
-        else:
-            names = self._policy.order(
-                database,
-                self._read_request(req, database, record, since_write_s),
-            )
-        found = [self._target(req.database, record, n) for n in names if n]
-        return [t for t in found if t is not None]
-
-    def _target(
-        self, name: str, record: decisions.Record, member: str
-    ) -> Target | None:
-        database = self._ctx.database(name)
-        if database is None:
-            return None
-        node = decisions.serving_node(
-            database, database.member(member), self._ctx.nodes()
-        )
-        if node is None:
-            return None
-        return Target(member, node, member == record.primary)
-
-    def _read_request(
-        self,
-        req: _messages.ExecuteRequest,
-        database: decisions.Database,
-        record: decisions.Record,
-        since_write_s: float,
-    ) -> decisions.ReadRequest:
-        now = self._ctx.timers.now()
-        behind = frozenset(
-            m.name
-            for m in database.members
-            if self._behind.get((database.name, m.name), 0.0) > now
-        )
-        return decisions.ReadRequest(
-            data_centre=self._ctx.cfg.data_centre,
-            primary=record.primary,
-            floor_known=bool(req.floor),
-            staleness_s=req.staleness_s,
-            since_write_s=since_write_s,
-            behind=behind,
-        )
-
-    def _note_behind(
-        self, database: str, target: Target, reply: _messages.ExecuteReply
-    ) -> None:
-        """Avoids for a while a replica that was out of reach or too old."""
-        if not target.primary and reply.detail != "below_floor":
-            until = self._ctx.timers.now() + BEHIND_S
-            self._behind[(database, target.member)] = until
-
     def _count(
         self,
         req: _messages.ExecuteRequest,
-        target: Target | None,
+        target: _targets.Target | None,
         reply: _messages.ExecuteReply,
     ) -> None:
         if not req.read or reply.reason or target is None:
@@ -386,7 +313,7 @@
 
 
 def _addressed(
-    req: _messages.ExecuteRequest, target: Target, left: float
+    req: _messages.ExecuteRequest, target: _targets.Target, left: float
 ) -> _messages.ExecuteRequest:
     return attrs.evolve(
         req, member=target.member, as_primary=target.primary, budget_s=left
--- /dev/null
+++ b/packages/node/src/ferry_node/_execution.py
@@ -0,0 +1,148 @@
+"""Handing a batch to an endpoint, under a slot and on one connection."""
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_node import _endpoint
+from ferry_node import _gates
+from ferry_node import _idempotency
+from ferry_node import _pools
+
+READ_ONLY_SQLSTATE = "25006"
+STALE_TERM_SQLSTATE = "57P04"
+
+
+@attrs.define(eq=False, slots=True)
+class Channel:
+    """An open transaction.
+
+    Attributes:
+        number: Its number at this node.
+        customer: Whose it is.
+        conn: The endpoint connection that is its own.
+        seat: Its right to hold a connection at the primary, if it has one.
+        used: When it last ran a statement, in seconds.
+        busy: Whether a statement of it is under way.
+    """
+
+    number: int
+    customer: str
+    conn: _endpoint.EndpointConn
+    seat: decisions.Slot | None
+    used: float
+    busy: bool = False
+
+
+class Executor:
+    """Hands batches to one member.
+
+    Attributes:
+        in_flight: Connections that owe an answer.
+    """
+
+    def __init__(
+        self,
+        timers: decisions.TimerService,
+        watch: decisions.DatabaseWatch,
+        member: decisions.Member,
+        queue: decisions.AdmissionQueue,
+        pool: _pools.Pool,
+    ) -> None:
+        self.in_flight: set[_endpoint.EndpointConn] = set()
+        self._timers = timers
+        self._watch = watch
+        self._member = member
+        self._queue = queue
+        self._pool = pool
+
+    def run(
+        self, work: _gates.Work, channel: Channel | None
+    ) -> "decisions.Flow[tuple[_endpoint.EndpointConn, _endpoint.Answer]]":
+        """Runs a batch under a slot; returns its connection and answer."""
+        slot = yield self._queue.acquire(work.contract, work.deadline)
+        try:
+            if channel is not None:
+                conn = channel.conn
+            else:
+                conn = yield from self._pool.acquire(
+                    work.req.customer, work.deadline
+                )
+            answer = yield from self._hand_over(work, conn, channel is not None)
+            return conn, answer
+        finally:
+            self._queue.release(slot)
+
+    def _hand_over(
+        self,
+        work: _gates.Work,
+        conn: _endpoint.EndpointConn,
+        in_transaction: bool,
+    ) -> "decisions.Flow[_endpoint.Answer]":
+        left = work.deadline - self._timers.now()
+        if left <= 0:
+            self._pool.release(conn, clean=not in_transaction)
+            raise decisions.RequestFailedError(decisions.DEADLINE_IN_QUEUE)
+        if in_transaction and conn.closed:
+            raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
+        asked_at = self._timers.now()
+        work.handed = True
+        self.in_flight.add(conn)
+        try:
+            answer: _endpoint.Answer = yield decisions.within(
+                self._timers, left, self._started(work, conn)
+            )
+        except (decisions.TimeoutExpiredError, _endpoint.EndpointLostError):
+            conn.close(cancel=True)
+            raise
+        finally:
+            self.in_flight.discard(conn)
+        self._watch.note_answer(self._member.name, answer.position, asked_at)
+        self._check(work, conn, answer, in_transaction)
+        return answer
+
+    def _started(
+        self, work: _gates.Work, conn: _endpoint.EndpointConn
+    ) -> "decisions.Future[_endpoint.Answer]":
+        if work.req.idempotency_key:
+            flow = _idempotency.run_once(
+                conn,
+                work.req.customer,
+                work.req.idempotency_key,
+                work.req.payload,
+            )
+            return decisions.start(flow)
+        sink = work.sink
+
+        def pass_on(data: bytes) -> None:
+            work.streamed = True
+            if sink is not None:
+                sink(data)
+
+        return conn.execute(
+            work.req.payload, pass_on if sink is not None else None
+        )
+
+    def _check(
+        self,
+        work: _gates.Work,
+        conn: _endpoint.EndpointConn,
+        answer: _endpoint.Answer,
+        in_transaction: bool,
+    ) -> None:
+        """Refuses an answer that shows less than was asked for."""
+        if answer.sqlstate == STALE_TERM_SQLSTATE:
+            work.handed = False
+            conn.close()
+            raise decisions.RequestFailedError(decisions.TERM_CHANGED)
+        if work.req.as_primary or in_transaction or answer.streamed:
+            return
+        refused = answer.sqlstate == READ_ONLY_SQLSTATE
+        floor = _gates.floor_of(work.req)
+        shown = answer.position or decisions.ZERO
+        if refused or not decisions.satisfies(
+            shown, floor, self._watch.tracker.history
+        ):
+            self._pool.release(conn, clean=answer.status == "I")
+            raise decisions.RequestFailedError(
+                decisions.BEHIND, "write" if refused else "floor"
+            )
--- a/packages/node/src/ferry_node/_gates.py
+++ b/packages/node/src/ferry_node/_gates.py
@@ -1,7 +1,5 @@
 """The conditions that a request meets before and after it is run."""
 
-import typing
-
 import attrs
 import ferry_decisions as decisions
 
@@ -48,28 +46,36 @@
         return record is not None and record.primary == self._member.name
 
     def until_fit(self, work: Work) -> "decisions.Flow[None]":
-        """Waits a little for a replica to show what the read needs."""
+        """Waits a little for a replica to show what the read needs.
+
+        What is known of the replica may be as old as the last probe, so it
+        is asked once in any case. It is asked again only while its usual lag
+        lets it catch up within the bound.
+
+        Raises:
+            RequestFailedError: It does not show it in time.
+            EndpointUnreachableError: It cannot be asked.
+        """
         floor = floor_of(work.req)
         tracker = self._watch.tracker
         name = self._member.name
         end = min(work.deadline, self._timers.now() + self._cfg.catch_up_s)
+        asked = False
         while True:
             fitness = tracker.fitness(name, floor, work.req.staleness_s)
             if fitness is decisions.Fitness.FIT:
                 return
-            too_old = fitness is decisions.Fitness.AGE
-            hopeless = tracker.age(name) > self._cfg.catch_up_s + FAR_BEHIND_S
-            if too_old or hopeless or self._timers.now() >= end:
+            far = tracker.age(name) > self._cfg.catch_up_s + FAR_BEHIND_S
+            hopeless = fitness is decisions.Fitness.AGE or far
+            if asked and (hopeless or self._timers.now() >= end):
                 raise decisions.RequestFailedError(
                     decisions.BEHIND, fitness.value
                 )
+            if asked:
+                yield decisions.sleep(self._timers, POLL_S)
             status = yield self._watch.driver.status(self._member)
             tracker.note_applied(name, status.applied)
-            if (
-                tracker.fitness(name, floor, work.req.staleness_s)
-                is not decisions.Fitness.FIT
-            ):
-                yield decisions.sleep(self._timers, POLL_S)
+            asked = True
 
     def until_responsive(self, work: Work) -> "decisions.Flow[None]":
         """Holds work back from a member that should not be given any.
@@ -150,31 +156,29 @@
                 decisions.NOT_CONFIRMED, f"at {answer.position}"
             ) from exc
 
-    def position(self) -> "decisions.Future[decisions.Position | None]":
-        """Returns a position that shows all that was acknowledged so far.
+    def prove(self, owner: str) -> "decisions.Flow[bool]":
+        """Proves that the member leads and is owned, as of now.
 
-        None where the member is not proved to be the primary.
+        Returns whether that could be proved. The two proofs run at once.
         """
-        return decisions.start(self._position())
-
-    def _position(self) -> "decisions.Flow[decisions.Position | None]":
-        asked_at = self._timers.now()
         watch = self._watch
+        record = watch.record
         confirmations = watch.confirmations
-        if confirmations is None or not self.leads:
-            return None
+        if confirmations is None or record is None or not self.leads:
+            return False
+        led = confirmations.confirm(0, self._timers.now())
+        asked = watch.driver.status(self._member)
         try:
-            status = yield watch.driver.status(self._member)
-            if not status.is_primary or status.term != watch.record.term:  # type: ignore[union-attr]
-                return None
-            yield confirmations.confirm(status.received.index, asked_at)
+            status = yield asked
+            yield led
         except (
             decisions.EndpointUnreachableError,
             decisions.EndpointRefusedError,
             decisions.TermReplacedError,
         ):
-            return None
-        return typing.cast(decisions.Position, status.received)
+            return False
+        owned = status.owner == owner
+        return bool(owned and status.is_primary and status.term == record.term)
 
 
 def floor_of(req: _messages.ExecuteRequest) -> decisions.Position:
--- a/packages/node/src/ferry_node/_messages.py
+++ b/packages/node/src/ferry_node/_messages.py
@@ -67,6 +67,7 @@
         staleness_s: Greatest age that a read accepts, in seconds.
         budget_s: Time left until the caller's deadline, in seconds.
         idempotency_key: The key of a write; empty for none.
+        session: The key under which the session's writes are remembered.
         payload: What is sent to the endpoint.
         trace: The trace context; empty when tracing is off.
     """
@@ -83,6 +84,7 @@
     staleness_s: float
     budget_s: float
     idempotency_key: str
+    session: str
     payload: bytes
     trace: str = ""
 
@@ -236,15 +238,17 @@
 @_message(14)
 @attrs.frozen(slots=True)
 class PositionRequest:
-    """Asks for a position that shows all that was acknowledged so far.
+    """Asks for a position that shows all writes of a session so far.
 
     Attributes:
         database: The database.
         member: Its primary.
+        session: The key under which the session's writes are remembered.
     """
 
     database: str
     member: str
+    session: str
 
 
 @_message(15)
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -134,7 +134,7 @@
         service = self.controller.services.get((req.database, req.member))
         found = None
         if service is not None:
-            found = yield service.gates.position()
+            found = yield service.position(req.session)
         return _messages.PositionReply(str(found) if found else "")
 
     def publish(self, record: decisions.Record) -> None:
--- a/packages/node/src/ferry_node/_pools.py
+++ b/packages/node/src/ferry_node/_pools.py
@@ -15,8 +15,8 @@
 VALIDATE_TIMEOUT_S = 0.25
 SWEEP_S = 5.0
 
-Connect = Callable[[int], _endpoint.EndpointConn]
-"""Begins a connection under a term."""
+Connect = Callable[[int, str], _endpoint.EndpointConn]
+"""Begins a connection under a term and an ownership."""
 
 
 class Pool:
@@ -32,7 +32,9 @@
         connect: Connect,
         cfg: _settings.EndpointSettings,
         limit: int,
+        owner: str,
     ) -> None:
+        self._owner = owner
         self._timers = timers
         self._make = connect
         self._cfg = cfg
@@ -132,7 +134,7 @@
     def _connect(
         self, customer: str
     ) -> "decisions.Flow[_endpoint.EndpointConn]":
-        conn = self._make(self._term)
+        conn = self._make(self._term, self._owner)
         self._open.add(conn)
         conn.on_closed = self._forget
         conn.customer = customer
--- a/packages/node/src/ferry_node/_serving.py
+++ b/packages/node/src/ferry_node/_serving.py
@@ -5,42 +5,20 @@
 """
 
 import itertools
+import secrets
 
 from absl import logging
-import attrs
 import ferry_decisions as decisions
 
 from ferry_node import _endpoint
+from ferry_node import _execution
 from ferry_node import _gates
-from ferry_node import _idempotency
 from ferry_node import _messages
+from ferry_node import _ownership
 from ferry_node import _pools
 from ferry_node import _settings
 
-READ_ONLY_SQLSTATE = "25006"
-STALE_TERM_SQLSTATE = "57P04"
-ROLLBACK = _pools.RESET
-
-
-@attrs.define(eq=False, slots=True)
-class Channel:
-    """An open transaction.
-
-    Attributes:
-        number: Its number at this node.
-        customer: Whose it is.
-        conn: The endpoint connection that is its own.
-        seat: Its right to hold a connection at the primary, if it has one.
-        used: When it last ran a statement, in seconds.
-        busy: Whether a statement of it is under way.
-    """
-
-    number: int
-    customer: str
-    conn: _endpoint.EndpointConn
-    seat: decisions.Slot | None
-    used: float
-    busy: bool = False
+NOT_OWNER_SQLSTATE = "57P05"
 
 
 class MemberService:
@@ -58,10 +36,11 @@
     ) -> None:
         self.member = member
         self.watch = watch
-        self.channels: dict[int, Channel] = {}
+        self.channels: dict[int, _execution.Channel] = {}
         self._timers = timers
         self._contracts = contracts
         self._cfg = cfg.policy
+        self.owner = f"{cfg.node}/{secrets.token_hex(4)}"
         self.gates = _gates.Gates(timers, watch, member, cfg.policy)
         self._numbers = channel_numbers
         database = watch.database
@@ -75,15 +54,19 @@
             connect,
             cfg.endpoints,
             database.replica_connections,
+            self.owner,
+        )
+        self.ownership = _ownership.Ownership(timers, watch, member, self.owner)
+        self._executor = _execution.Executor(
+            timers, watch, member, self.queue, self.pool
         )
-        self._in_flight: set[_endpoint.EndpointConn] = set()
         self.configure()
         self._sweeper = decisions.PeriodicTimer(timers, 1.0, self._sweep)
 
     @property
     def busy(self) -> int:
         """Statements under way and transactions open."""
-        return len(self._in_flight) + len(self.channels)
+        return len(self._executor.in_flight) + len(self.channels)
 
     @property
     def leads(self) -> bool:
@@ -102,7 +85,7 @@
         self.pool.configure(record.term if record else 0, limit)
         if record is None:
             return
-        for conn in list(self._in_flight):
+        for conn in list(self._executor.in_flight):
             if conn.term != record.term:
                 conn.close(cancel=True)
         for channel in list(self.channels.values()):
@@ -117,6 +100,25 @@
         """Runs a batch; the future's reply tells what became of it."""
         return decisions.start(self._execute(req, sink))
 
+    def position(
+        self, session: str
+    ) -> "decisions.Future[decisions.Position | None]":
+        """Returns a position that covers all writes of a session.
+
+        None where this node is not proved to own the primary.
+        """
+        return decisions.start(self._position(session))
+
+    def _position(
+        self, session: str
+    ) -> "decisions.Flow[decisions.Position | None]":
+        if not self.ownership.owned:
+            return None
+        proved = yield from self.gates.prove(self.owner)
+        if not proved or not self.ownership.owned:
+            return None
+        return self.ownership.floors.floor(session)
+
     def drop(self, number: int) -> None:
         """Rolls a transaction back by ending its connection."""
         channel = self.channels.pop(number, None)
@@ -129,6 +131,7 @@
     def close(self) -> None:
         """Ends everything that is under way."""
         self._sweeper.stop()
+        self.ownership.close()
         for number in list(self.channels):
             self.drop(number)
         self.pool.close()
@@ -149,6 +152,7 @@
             if not req.as_primary:
                 yield from self.gates.until_fit(work)
             yield from self.gates.until_responsive(work)
+            yield from self.ownership.hold_until_owned(work.deadline)
             if req.begin:
                 return (yield from self._begin(work))
             return (yield from self._run_alone(work))
@@ -162,6 +166,9 @@
             decisions.TimeoutExpiredError,
         ) as exc:
             return _failure(self._reason(work, exc), repr(exc))
+        except Exception as exc:  # noqa: BLE001 - a defect; the caller is told
+            logging.exception("event=defect_in_serving")
+            return _failure(decisions.ANSWER_LOST, type(exc).__name__)
 
     def _reason(
         self, work: _gates.Work | None, exc: Exception
@@ -176,7 +183,10 @@
                 return decisions.READ_CUT
             return decisions.ANSWER_LOST
         login = isinstance(exc, _endpoint.EndpointLoginError)
-        if login and exc.sqlstate == STALE_TERM_SQLSTATE:  # type: ignore[attr-defined]
+        if login and exc.sqlstate == NOT_OWNER_SQLSTATE:  # type: ignore[attr-defined]
+            self.ownership.lose()
+            return decisions.NO_SERVING_NODE
+        if login and exc.sqlstate == _execution.STALE_TERM_SQLSTATE:  # type: ignore[attr-defined]
             return decisions.TERM_CHANGED
         return decisions.NO_CONNECTION
 
@@ -195,12 +205,12 @@
         self, work: _gates.Work
     ) -> "decisions.Flow[_messages.ExecuteReply]":
         """Runs a batch outside a transaction."""
-        conn, answer = yield from self._with_slot(work, None)
+        conn, answer = yield from self._executor.run(work, None)
         if answer.status != "I":
             channel = self._open_channel(work, conn, None)
             return _reply(answer, channel.number)
         self.pool.release(conn, clean=True)
-        yield from self.gates.confirm(work, answer)
+        yield from self._acknowledge(work, answer)
         return _reply(answer, 0)
 
     def _begin(
@@ -211,7 +221,7 @@
         if self.leads:
             seat = yield self.seats.acquire(work.contract, work.deadline)
         try:
-            conn, answer = yield from self._with_slot(work, None)
+            conn, answer = yield from self._executor.run(work, None)
         except BaseException:
             if seat is not None:
                 self.seats.release(seat)
@@ -220,7 +230,7 @@
             if seat is not None:
                 self.seats.release(seat)
             self.pool.release(conn, clean=True)
-            yield from self.gates.confirm(work, answer)
+            yield from self._acknowledge(work, answer)
             return _reply(answer, 0)
         channel = self._open_channel(work, conn, seat)
         return _reply(answer, channel.number)
@@ -234,7 +244,7 @@
             raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
         channel.busy = True
         try:
-            _, answer = yield from self._with_slot(work, channel)
+            _, answer = yield from self._executor.run(work, channel)
         except BaseException:
             self.drop(channel.number)
             raise
@@ -246,108 +256,24 @@
         if channel.seat is not None:
             self.seats.release(channel.seat)
         self.pool.release(channel.conn, clean=True)
-        yield from self.gates.confirm(work, answer)
+        yield from self._acknowledge(work, answer)
         return _reply(answer, 0)
 
-    def _with_slot(
-        self, work: _gates.Work, channel: Channel | None
-    ) -> "decisions.Flow[tuple[_endpoint.EndpointConn, _endpoint.Answer]]":
-        """Runs a batch under a slot; returns its connection and answer."""
-        slot = yield self.queue.acquire(work.contract, work.deadline)
-        try:
-            if channel is not None:
-                conn = channel.conn
-            else:
-                conn = yield from self.pool.acquire(
-                    work.req.customer, work.deadline
-                )
-            answer = yield from self._hand_over(work, conn, channel is not None)
-            return conn, answer
-        finally:
-            self.queue.release(slot)
-
-    def _hand_over(
-        self,
-        work: _gates.Work,
-        conn: _endpoint.EndpointConn,
-        in_transaction: bool,
-    ) -> "decisions.Flow[_endpoint.Answer]":
-        left = work.deadline - self._timers.now()
-        if left <= 0:
-            self.pool.release(conn, clean=not in_transaction)
-            raise decisions.RequestFailedError(decisions.DEADLINE_IN_QUEUE)
-        if in_transaction and conn.closed:
-            raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
-        asked_at = self._timers.now()
-        work.handed = True
-        self._in_flight.add(conn)
-        try:
-            answer: _endpoint.Answer = yield decisions.within(
-                self._timers, left, self._started(work, conn)
-            )
-        except (decisions.TimeoutExpiredError, _endpoint.EndpointLostError):
-            conn.close(cancel=True)
-            raise
-        finally:
-            self._in_flight.discard(conn)
-        self.watch.note_answer(self.member.name, answer.position, asked_at)
-        self._check(work, conn, answer, in_transaction)
-        return answer
-
-    def _started(
-        self, work: _gates.Work, conn: _endpoint.EndpointConn
-    ) -> "decisions.Future[_endpoint.Answer]":
-        if work.req.idempotency_key:
-            flow = _idempotency.run_once(
-                conn,
-                work.req.customer,
-                work.req.idempotency_key,
-                work.req.payload,
-            )
-            return decisions.start(flow)
-        sink = work.sink
-
-        def pass_on(data: bytes) -> None:
-            work.streamed = True
-            if sink is not None:
-                sink(data)
-
-        return conn.execute(
-            work.req.payload, pass_on if sink is not None else None
-        )
-
-    def _check(
-        self,
-        work: _gates.Work,
-        conn: _endpoint.EndpointConn,
-        answer: _endpoint.Answer,
-        in_transaction: bool,
-    ) -> None:
-        """Refuses an answer that shows less than was asked for."""
-        if answer.sqlstate == STALE_TERM_SQLSTATE:
-            work.handed = False
-            conn.close()
-            raise decisions.RequestFailedError(decisions.TERM_CHANGED)
-        if work.req.as_primary or in_transaction or answer.streamed:
-            return
-        refused = answer.sqlstate == READ_ONLY_SQLSTATE
-        floor = _gates.floor_of(work.req)
-        shown = answer.position or decisions.ZERO
-        if refused or not decisions.satisfies(
-            shown, floor, self.watch.tracker.history
-        ):
-            self.pool.release(conn, clean=answer.status == "I")
-            raise decisions.RequestFailedError(
-                decisions.BEHIND, "write" if refused else "floor"
-            )
+    def _acknowledge(
+        self, work: _gates.Work, answer: _endpoint.Answer
+    ) -> "decisions.Flow[None]":
+        """Confirms an answer and remembers the session's write."""
+        yield from self.gates.confirm(work, answer)
+        if not work.req.read and answer.position is not None:
+            self.ownership.floors.note(work.req.session, answer.position)
 
     def _open_channel(
         self,
         work: _gates.Work,
         conn: _endpoint.EndpointConn,
         seat: decisions.Slot | None,
-    ) -> Channel:
-        channel = Channel(
+    ) -> _execution.Channel:
+        channel = _execution.Channel(
             next(self._numbers),
             work.req.customer,
             conn,
--- a/packages/node/src/ferry_node/_wire.py
+++ b/packages/node/src/ferry_node/_wire.py
@@ -50,6 +50,7 @@
 POSITION_PARAMETER = "rosemaryferry.position"
 SESSION_PARAMETER = "rosemaryferry.session"
 TERM_PARAMETER = "rosemaryferry.term"
+OWNER_PARAMETER = "rosemaryferry.owner"
 
 
 class MalformedMessageError(Exception):
--- a/packages/standins/src/ferry_standins/_control.py
+++ b/packages/standins/src/ferry_standins/_control.py
@@ -33,6 +33,10 @@
 def _change(member: "_member.Member", order: node.ControlOrder) -> None:
     replica = member.replica
     match order.op:
+        case "own":
+            if order.owner != member.owner_id:
+                member.owner_id = order.owner
+                member.drop_callers()
         case "fence":
             led = replica.leads
             replica.fence(order.term, order.claim_id)
--- a/packages/standins/src/ferry_standins/_lab_node.py
+++ b/packages/standins/src/ferry_standins/_lab_node.py
@@ -99,7 +99,7 @@
         service = self.services.get(req.member)
         found = None
         if service is not None:
-            found = yield service.gates.position()
+            found = yield service.position(req.session)
         return _messages.PositionReply(str(found) if found else "")
 
     def _service(
@@ -108,8 +108,8 @@
         cfg: _settings.Settings,
         links: dict[str, _virtual.Link],
     ) -> _serving.MemberService:
-        def connect(term: int) -> typing.Any:
-            return _virtual_conn.VirtualConn(links[member.name], term)
+        def connect(term: int, owner: str) -> typing.Any:
+            return _virtual_conn.VirtualConn(links[member.name], term, owner)
 
         return _serving.MemberService(
             self.timers,
--- a/packages/standins/src/ferry_standins/_lab_session.py
+++ b/packages/standins/src/ferry_standins/_lab_session.py
@@ -21,11 +21,14 @@
         name: str,
         customer: str = _lab.CUSTOMER,
         timeout_s: float = 10.0,
+        keeps_floors: bool = True,
     ) -> None:
         self._lab = lab
         self.name = name
         self._customer = customer
         self._timeout_s = timeout_s
+        self._keeps_floors = keeps_floors
+        self._has_token = False
         staleness = lab.contracts.get(customer).staleness_s
         self.state = decisions.SessionState(staleness_s=staleness)
         self._wrote_at = float("-inf")
@@ -35,6 +38,7 @@
     def forget(self) -> None:
         """Comes back as a new session that carries no token."""
         self.state = attrs.evolve(self.state, floors=())
+        self._has_token = False
 
     def write(
         self, node: _lab_node.LabNode
@@ -59,10 +63,15 @@
         lab = self._lab
         begun = lab.timers.now()
         is_read = value is None
-        if is_read and not self.state.floors and self.state.staleness_s > 0:
-            found = yield node.dispatcher.find_floor(_lab.DATABASE)
+        if not self._keeps_floors:
+            self.state = attrs.evolve(
+                self.state, floors=((_lab.DATABASE, decisions.ZERO),)
+            )
+        elif is_read and self.state.staleness_s > 0 and not self._has_token:
+            found = yield node.dispatcher.find_floor(_lab.DATABASE, self.name)
             if found is not None:
                 self.state = self.state.with_seen(_lab.DATABASE, found)
+                self._has_token = True
         floor = self.state.floor(_lab.DATABASE)
         req = _messages.ExecuteRequest(
             customer=self._customer,
@@ -77,6 +86,7 @@
             staleness_s=self.state.staleness_s,
             budget_s=self._timeout_s,
             idempotency_key="",
+            session=self.name,
             payload=msgpack.packb(request),
         )
         since = begun - self._wrote_at
--- a/packages/standins/src/ferry_standins/_member.py
+++ b/packages/standins/src/ferry_standins/_member.py
@@ -47,6 +47,7 @@
         self.max_connections = max_connections
         self.sessions: set[_session.Session] = set()
         self.most_connections = 0
+        self.owner_id = ""
         self.waits: list[tuple[int, _session.Session]] = []
         self._db = self._open()
         self._owner: _session.Session | None = None
@@ -88,6 +89,7 @@
             received=replica.received,
             applied=replica.shown,
             term=replica.term,
+            owner=self.owner_id,
             upstream_silence_s=silence,
         )
 
--- a/packages/standins/src/ferry_standins/_session.py
+++ b/packages/standins/src/ferry_standins/_session.py
@@ -20,6 +20,7 @@
 
 READ_ONLY = "25006"
 STALE_TERM = "57P04"
+NOT_OWNER = "57P05"
 REFUSED = "55000"
 TOO_MANY = "53300"
 LOCK_TIMEOUT = "55P03"
@@ -102,6 +103,10 @@
         if not self.is_control and self._is_stale():
             self._refuse(STALE_TERM, "stale term")
             return
+        owner = msg.params.get(_wire.OWNER_PARAMETER, "")
+        if owner and owner != member.owner_id:
+            self._refuse(NOT_OWNER, "owned by another node")
+            return
         member.sessions.add(self)
         member.most_connections = max(
             member.most_connections, len(member.sessions)
--- a/packages/standins/src/ferry_standins/_virtual.py
+++ b/packages/standins/src/ferry_standins/_virtual.py
@@ -95,6 +95,7 @@
         self.silent = False
         self.slow_s = 0.0
         self.paused_until = 0.0
+        self.owner_id = ""
         self.statement_s = 0.0
         self.conns: set[_virtual_conn.VirtualConn] = set()
         self.most_conns = 0
@@ -115,6 +116,7 @@
             received=replica.received,
             applied=replica.shown,
             term=replica.term,
+            owner=self.owner_id,
             upstream_silence_s=0.0 if replica.leads else silence,
         )
 
@@ -143,6 +145,12 @@
         self._show(self.replica.log[-1])
         self.group.committed(self.name)
 
+    def own(self, owner: str) -> None:
+        """Takes statements from one owner only."""
+        if owner != self.owner_id:
+            self.owner_id = owner
+            self.drop_conns()
+
     def fence(self, term: int, claim_id: str) -> None:
         """Promises a term; a primary that is fenced ends its connections."""
         led = self.replica.leads
@@ -251,6 +259,12 @@
         """Asks a member for its status."""
         return self._ask(member, PROBE_TIMEOUT_S, lambda _: None)
 
+    def own(
+        self, member: decisions.Member, owner: str
+    ) -> "decisions.Future[decisions.MemberStatus]":
+        """Makes a member take statements from one owner only."""
+        return self._ask(member, FENCE_TIMEOUT_S, lambda m: m.own(owner))
+
     def fence(
         self, member: decisions.Member, term: int, claim_id: str
     ) -> "decisions.Future[decisions.MemberStatus]":
--- a/packages/standins/src/ferry_standins/_virtual_conn.py
+++ b/packages/standins/src/ferry_standins/_virtual_conn.py
@@ -22,12 +22,13 @@
     A request is a msgpack array: `["w", key, value]` or `["r", key]`.
     """
 
-    def __init__(self, link: _virtual.Link, term: int) -> None:
+    def __init__(self, link: _virtual.Link, term: int, owner: str = "") -> None:
         self._link = link
         self._pending: collections.deque[decisions.Future[_endpoint.Answer]] = (
             collections.deque()
         )
         self.term = term
+        self._owner = owner
         self.closed = False
         self.customer = ""
         self.idle_since = link.timers.now()
@@ -83,6 +84,11 @@
             decisions.reject(self.ready, exc)
             self.end()
             return
+        if self._owner and self._owner != member.owner_id:
+            exc = _endpoint.EndpointLoginError("57P05", "another owner")
+            decisions.reject(self.ready, exc)
+            self.end()
+            return
         if member.silent or self.closed:
             return
         member.conns.add(self)
