--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -27,11 +27,13 @@
 from ferry_decisions._flows import Settled
 from ferry_decisions._flows import TimeoutExpiredError
 from ferry_decisions._flows import completed
+from ferry_decisions._flows import either
 from ferry_decisions._flows import failed
 from ferry_decisions._flows import forward
 from ferry_decisions._flows import reject
 from ferry_decisions._flows import resolve
 from ferry_decisions._flows import settle_all
+from ferry_decisions._flows import settled
 from ferry_decisions._flows import sleep
 from ferry_decisions._flows import start
 from ferry_decisions._flows import within
@@ -201,6 +203,7 @@
     "contract_from_json",
     "database_from_json",
     "decode_record",
+    "either",
     "failed",
     "forward",
     "ranked",
@@ -211,6 +214,7 @@
     "satisfies",
     "serving_node",
     "settle_all",
+    "settled",
     "sleep",
     "staleness_of",
     "start",
--- a/packages/decisions/src/ferry_decisions/_databases.py
+++ b/packages/decisions/src/ferry_decisions/_databases.py
@@ -172,6 +172,7 @@
             that term's history, from the beginning.
         owner: The node that owns it, with the id of its ownership; statements
             of other nodes are refused.
+        guests: Connections for statements that another owner has left.
         upstream_silence_s: Seconds since it last heard of its primary; 0 for
             the primary itself.
     """
@@ -183,4 +184,5 @@
     applied: _positions.Position
     term: int
     owner: str = ""
+    guests: int = 0
     upstream_silence_s: float = 0.0
--- a/packages/decisions/src/ferry_decisions/_flows.py
+++ b/packages/decisions/src/ferry_decisions/_flows.py
@@ -111,6 +111,21 @@
     return fut
 
 
+def settled(fut: "Future[typing.Any]") -> "Future[None]":
+    """Returns a future that is done when `fut` is, whatever came of it."""
+    out: Future[None] = Future()
+    fut.add_done_callback(lambda _: resolve(out, None))
+    return out
+
+
+def either(one: "Future[None]", other: "Future[None]") -> "Future[None]":
+    """Returns a future that is done when one of two is."""
+    out: Future[None] = Future()
+    forward(one, out)
+    forward(other, out)
+    return out
+
+
 def within(
     timers: _timers.TimerService, seconds: float, fut: "Future[T]"
 ) -> "Future[T]":
--- a/packages/decisions/src/ferry_decisions/_ports.py
+++ b/packages/decisions/src/ferry_decisions/_ports.py
@@ -61,9 +61,20 @@
     def own(
         self, member: _databases.Member, owner: str
     ) -> "Future[_databases.MemberStatus]":
-        """Makes a member take statements from one owner only.
+        """Makes a member take new connections from one owner only.
 
-        Connections of the former owner are ended before the answer.
+        An empty owner releases the member: the connections that exist go on,
+        as guests of the next owner. Without a release, the connections of the
+        former owner are ended before the answer.
+        """
+
+    def is_running(
+        self, member: _databases.Member, process_id: int
+    ) -> "Future[bool]":
+        """Whether the connection with that process id runs a statement.
+
+        The answer comes over another connection, so it tells a statement
+        that takes long from a connection that is lost.
         """
 
     def fence(
--- a/packages/node/src/ferry_node/_batches.py
+++ b/packages/node/src/ferry_node/_batches.py
@@ -32,6 +32,7 @@
         hidden: Ordinals, from 0, of the ParseComplete frames in the answer
             that the caller did not ask for.
         messages: The caller's messages, for those answered by this node.
+        flushed: Whether a Flush ended it: its caller gets no ReadyForQuery.
     """
 
     payload: bytes
@@ -39,6 +40,12 @@
     simple: bool
     hidden: frozenset[int] = frozenset()
     messages: tuple[_wire.Message, ...] = ()
+    flushed: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it is a Sync and no more."""
+        return not self.simple and len(self.messages) == 1
 
     @property
     def is_read(self) -> bool:
@@ -129,7 +136,10 @@
             case _wire.Close():
                 self._take_close(msg)
             case _wire.Sync():
-                return self._complete()
+                return self._complete(flushed=False)
+            case _wire.Flush():
+                has_parts = bool(self._parts)
+                return self._complete(flushed=True) if has_parts else None
             case _:
                 raise UnsupportedMessageError(type(msg).__name__)
         return None
@@ -197,7 +207,7 @@
             msg = _wire.Close(kind="S", name="rosemaryferry-none")
         self._parts.append(msg.to_wire())
 
-    def _complete(self) -> Batch:
+    def _complete(self, flushed: bool) -> Batch:
         self._parts.append(_wire.SYNC_BYTES)
         batch = Batch(
             payload=b"".join(self._parts),
@@ -205,6 +215,7 @@
             simple=False,
             hidden=frozenset(self._hidden),
             messages=tuple(self._messages),
+            flushed=flushed,
         )
         self._clear()
         return batch
--- a/packages/node/src/ferry_node/_controllers.py
+++ b/packages/node/src/ferry_node/_controllers.py
@@ -17,6 +17,8 @@
 from ferry_node import _settings
 from ferry_node import _wire
 
+RETIRE_POLL_S = 0.1
+
 
 class DirectoryReader:
     """Turns entries of the directory into databases, records, contracts."""
@@ -136,6 +138,7 @@
         on_record: Callable[[decisions.Record], object],
     ) -> None:
         self.services: dict[tuple[str, str], _serving.MemberService] = {}
+        self.retired: set[_serving.MemberService] = set()
         self.watches: dict[str, decisions.DatabaseWatch] = {}
         self._loop = loop
         self._cfg = cfg
@@ -150,8 +153,9 @@
         databases = board.read(_board.DATABASES)
         records = board.read(_board.RECORDS)
         for key in [k for k in self.services if k not in served]:
-            self.services.pop(key).close()
+            self._retire(key)
         wanted = {name for name, _ in served}
+        wanted |= {s.watch.database.name for s in self.retired}
         for name in [n for n in self.watches if n not in wanted]:
             self.watches.pop(name).close()
         for name, member in served:
@@ -161,14 +165,37 @@
                 watch.note_record(record)
             self._service_of(watch, member).configure()
 
+    def _retire(self, key: tuple[str, str]) -> None:
+        """Gives a member up; what is under way on it goes on for a while."""
+        service = self.services.pop(key)
+        self.retired.add(service)
+        service.ownership.release()
+        deadline = self._loop.now() + self._cfg.policy.stop_s
+
+        def end() -> None:
+            if service.busy and self._loop.now() < deadline:
+                self._loop.after(RETIRE_POLL_S, end)
+                return
+            self.retired.discard(service)
+            service.close()
+
+        self._loop.after(RETIRE_POLL_S, end)
+
     def drop_channel(self, number: int) -> None:
         """Rolls back an open transaction, wherever it is."""
-        for service in self.services.values():
+        for service in [*self.services.values(), *self.retired]:
             service.drop(number)
 
+    def holder(self, channel: int) -> _serving.MemberService | None:
+        """Returns the service that holds an open transaction."""
+        for service in [*self.services.values(), *self.retired]:
+            if channel in service.channels:
+                return service
+        return None
+
     def close(self) -> None:
         """Ends all services and watches."""
-        for service in self.services.values():
+        for service in [*self.services.values(), *self.retired]:
             service.close()
         for watch in self.watches.values():
             watch.close()
--- a/packages/node/src/ferry_node/_conversation.py
+++ b/packages/node/src/ferry_node/_conversation.py
@@ -61,6 +61,7 @@
         "_transaction",
         "_token_sent",
         "_wrote_at",
+        "_skipping",
     )
 
     def __init__(
@@ -85,6 +86,7 @@
         self._transaction: _Transaction | None = None
         self._token_sent = ""
         self._wrote_at = float("-inf")
+        self._skipping = False
 
     @property
     def in_transaction(self) -> bool:
@@ -95,10 +97,19 @@
         """Runs a batch and sends its whole answer."""
         return decisions.start(self._run(batch))
 
-    def fail(self, reason: decisions.Reason, detail: str) -> None:
+    def _fail(
+        self, batch: _batches.Batch, reason: decisions.Reason, detail: str
+    ) -> None:
         """Sends an error that ends a batch."""
         self._send(_wire.encode_error(reason, detail))
-        self.send_ready()
+        self._end(batch, failed=True)
+
+    def _end(self, batch: _batches.Batch, failed: bool) -> None:
+        """Ends a batch; after a failure, all up to the Sync is skipped."""
+        if not batch.flushed:
+            self.send_ready()
+        elif failed:
+            self._skipping = True
 
     def send_ready(self) -> None:
         """Sends a ReadyForQuery."""
@@ -115,18 +126,38 @@
 
     def _run(self, batch: _batches.Batch) -> "decisions.Flow[None]":
         transaction = self._transaction
-        if transaction is not None and not transaction.channel:
+        if self._skipping:
+            self._skipping = batch.flushed
+            self._end(batch, failed=False)
+        elif batch.is_empty:
+            self.send_ready()
+        elif transaction is not None and not transaction.channel:
             self._answer_lost(batch)
+        elif batch.flushed and not self._may_flush(batch):
+            self._fail(
+                batch,
+                decisions.UNSUPPORTED,
+                "a Flush between writes outside of a transaction",
+            )
         elif batch.is_local:
             self._run_local(batch)
         elif batch.changes_session:
-            self.fail(
+            self._fail(
+                batch,
                 decisions.UNSUPPORTED,
                 "endpoint connections are shared; session state is not kept",
             )
         else:
             yield from self._run_remote(batch)
 
+    def _may_flush(self, batch: _batches.Batch) -> bool:
+        """Whether a batch may be run before the rest up to the Sync.
+
+        All up to a Sync is one transaction, which a Flush must not cut.
+        """
+        begins = batch.first_kind is decisions.Kind.BEGIN
+        return batch.is_read or batch.is_local or begins or self.in_transaction
+
     def _answer_lost(self, batch: _batches.Batch) -> None:
         """Answers inside a transaction that is already rolled back."""
         ends = batch.first_kind is decisions.Kind.END
@@ -140,7 +171,7 @@
                     "the transaction was rolled back; end it",
                 )
             )
-        self.send_ready()
+        self._end(batch, failed=not ends)
 
     def _run_local(self, batch: _batches.Batch) -> None:
         values = []
@@ -154,10 +185,10 @@
                 else:
                     values.append(self._state.setting(statement.name))
         except decisions.RequestFailedError as exc:
-            self.fail(exc.reason, exc.detail)
+            self._fail(batch, exc.reason, exc.detail)
             return
         self._send(_batches.local_answer(batch, values))
-        self.send_ready()
+        self._end(batch, failed=False)
 
     def _run_remote(self, batch: _batches.Batch) -> "decisions.Flow[None]":
         begun = self._ctx.timers.now()
@@ -171,8 +202,10 @@
 
         req = self._request(batch, span.context)
         if req.idempotency_key and (req.begin or self._transaction):
-            self.fail(
-                decisions.UNSUPPORTED, "an idempotency key in a transaction"
+            self._fail(
+                batch,
+                decisions.UNSUPPORTED,
+                "an idempotency key in a transaction",
             )
             return
         reply = yield from self._dispatch(req, begun, on_part)
@@ -181,7 +214,7 @@
         self._ctx.metrics(self._identity.customer, elapsed, outcome)
         span.end(outcome)
         self._note_reply(batch, reply)
-        self._answer(reply, filtered)
+        self._answer(batch, reply, filtered)
 
     def _look_up_floor(self) -> "decisions.Flow[None]":
         """Finds the session's floor, unless the caller carries a token.
@@ -287,15 +320,20 @@
 
     def _answer(
         self,
+        batch: _batches.Batch,
         reply: _messages.ExecuteReply,
         filtered: _batches.AnswerFilter,
     ) -> None:
         if reply.reason:
             reason = decisions.BY_NAME.get(reply.reason, decisions.ANSWER_LOST)
-            self.fail(reason, reply.detail)
+            self._fail(batch, reason, reply.detail)
             return
         data = filtered.feed(reply.data)
         token = self._state.token
+        if batch.flushed:
+            self._send(data[:-_READY_SIZE])
+            self._end(batch, failed=bool(reply.sqlstate))
+            return
         if token == self._token_sent:
             self._send(data)
             return
--- a/packages/node/src/ferry_node/_drivers.py
+++ b/packages/node/src/ferry_node/_drivers.py
@@ -27,10 +27,11 @@
     """A control statement of the stand-in's driver.
 
     Attributes:
-        op: One of status, own, fence, promote, follow and wait.
+        op: One of status, own, running, fence, promote, follow and wait.
         term: The term it is about.
         claim_id: For fence, the claim.
         owner: For own, the new owner.
+        process_id: For running, the connection that is asked about.
         index: For wait, the index.
         timeout_s: For wait, how long, in seconds.
         primary: For promote and follow, the member that leads.
@@ -45,6 +46,7 @@
     primary: str = ""
     starts: tuple[tuple[int, int], ...] = ()
     owner: str = ""
+    process_id: int = 0
 
 
 class DriverFactory(typing.Protocol):
@@ -85,6 +87,13 @@
         self, order: ControlOrder, timeout_s: float
     ) -> "decisions.Flow[decisions.MemberStatus]":
         """Sends one order; returns the status that the member answers."""
+        found = yield from self.ask_raw(order, timeout_s)
+        return decisions.structure(found, decisions.MemberStatus, "status")
+
+    def ask_raw(
+        self, order: ControlOrder, timeout_s: float
+    ) -> "decisions.Flow[typing.Any]":
+        """Sends one order; returns the JSON value that the member answers."""
         conn = yield from self._connected()
         text = json.dumps(decisions.unstructure(order)).replace("'", "''")
         payload = _wire.encode_query(f"SELECT {CONTROL_FUNCTION}('{text}')")
@@ -98,7 +107,7 @@
         ) as exc:
             conn.close()
             raise decisions.EndpointUnreachableError(str(exc)) from exc
-        return _status_in(answer)
+        return _value_in(answer)
 
     def close(self) -> None:
         """Closes the connection."""
@@ -129,14 +138,13 @@
         return conn
 
 
-def _status_in(answer: _endpoint.Answer) -> decisions.MemberStatus:
+def _value_in(answer: _endpoint.Answer) -> typing.Any:
     if answer.sqlstate == REFUSED_SQLSTATE:
         raise decisions.EndpointRefusedError()
     for frame in answer.frames:
         if frame.kind == _wire.ROW:
             column = _wire.data_row(frame)[0]
-            raw = json.loads(column or b"{}")
-            return decisions.structure(raw, decisions.MemberStatus, "status")
+            return json.loads(column or b"{}")
     raise decisions.EndpointUnreachableError(f"no status: {answer.sqlstate}")
 
 
@@ -174,6 +182,14 @@
             member, ControlOrder("own", owner=owner), FOLLOW_TIMEOUT_S
         )
 
+    def is_running(
+        self, member: decisions.Member, process_id: int
+    ) -> "decisions.Future[bool]":
+        """Whether the connection with that process id runs a statement."""
+        order = ControlOrder("running", process_id=process_id)
+        link = self._links[member.name]
+        return decisions.start(link.ask_raw(order, self._probe_timeout_s))
+
     def fence(
         self, member: decisions.Member, term: int, claim_id: str
     ) -> "decisions.Future[decisions.MemberStatus]":
--- a/packages/node/src/ferry_node/_endpoint.py
+++ b/packages/node/src/ferry_node/_endpoint.py
@@ -106,6 +106,11 @@
         self._stream.on_data = self._receive
         self._stream.on_closed = self._lost
 
+    @property
+    def process_id(self) -> int:
+        """The endpoint's number of this connection."""
+        return self._key[0]
+
     @property
     def position(self) -> decisions.Position | None:
         """The last position that the member told."""
--- a/packages/node/src/ferry_node/_execution.py
+++ b/packages/node/src/ferry_node/_execution.py
@@ -10,6 +10,9 @@
 
 READ_ONLY_SQLSTATE = "25006"
 STALE_TERM_SQLSTATE = "57P04"
+FIRST_CHECK_S = 0.5
+LAST_CHECK_S = 5.0
+RECHECK_S = 0.05
 
 
 @attrs.define(eq=False, slots=True)
@@ -88,9 +91,7 @@
         work.handed = True
         self.in_flight.add(conn)
         try:
-            answer: _endpoint.Answer = yield decisions.within(
-                self._timers, left, self._started(work, conn)
-            )
+            answer = yield from self._awaited(work, conn, left)
         except (decisions.TimeoutExpiredError, _endpoint.EndpointLostError):
             conn.close(cancel=True)
             raise
@@ -100,6 +101,54 @@
         self._check(work, conn, answer, in_transaction)
         return answer
 
+    def _awaited(
+        self, work: _gates.Work, conn: _endpoint.EndpointConn, left: float
+    ) -> "decisions.Flow[_endpoint.Answer]":
+        """Waits for an answer, and finds a connection that is lost.
+
+        Raises:
+            TimeoutExpiredError: The deadline came first.
+            EndpointLostError: The connection ended, or it is silent and the
+                endpoint runs nothing on it.
+        """
+        fut = self._started(work, conn)
+        end = self._timers.now() + left
+        check_s = FIRST_CHECK_S
+        while not fut.done():
+            wait_s = min(check_s, end - self._timers.now())
+            done = decisions.settled(fut)
+            pause = decisions.sleep(self._timers, max(0.0, wait_s))
+            yield decisions.either(done, pause)
+            if fut.done():
+                break
+            if self._timers.now() >= end:
+                raise decisions.TimeoutExpiredError("deadline")
+            if (yield from self._is_lost(conn, fut)):
+                raise _endpoint.EndpointLostError("silent, and runs nothing")
+            check_s = min(2 * check_s, LAST_CHECK_S)
+        return fut.result()
+
+    def _is_lost(
+        self,
+        conn: _endpoint.EndpointConn,
+        fut: "decisions.Future[_endpoint.Answer]",
+    ) -> "decisions.Flow[bool]":
+        """Whether the endpoint runs nothing for a connection that waits.
+
+        It is asked twice, so that an answer on its way can arrive.
+        """
+        for _ in range(2):
+            try:
+                running = yield self._watch.driver.is_running(
+                    self._member, conn.process_id
+                )
+            except decisions.EndpointUnreachableError:
+                return False
+            if running or fut.done():
+                return False
+            yield decisions.sleep(self._timers, RECHECK_S)
+        return not fut.done()
+
     def _started(
         self, work: _gates.Work, conn: _endpoint.EndpointConn
     ) -> "decisions.Future[_endpoint.Answer]":
--- a/packages/node/src/ferry_node/_gates.py
+++ b/packages/node/src/ferry_node/_gates.py
@@ -1,5 +1,7 @@
 """The conditions that a request meets before and after it is run."""
 
+import typing
+
 import attrs
 import ferry_decisions as decisions
 
@@ -156,16 +158,19 @@
                 decisions.NOT_CONFIRMED, f"at {answer.position}"
             ) from exc
 
-    def prove(self, owner: str) -> "decisions.Flow[bool]":
+    def prove(
+        self, owner: str
+    ) -> "decisions.Flow[decisions.MemberStatus | None]":
         """Proves that the member leads and is owned, as of now.
 
-        Returns whether that could be proved. The two proofs run at once.
+        Returns its status, or None where that could not be proved. The two
+        proofs run at once.
         """
         watch = self._watch
         record = watch.record
         confirmations = watch.confirmations
         if confirmations is None or record is None or not self.leads:
-            return False
+            return None
         led = confirmations.confirm(0, self._timers.now())
         asked = watch.driver.status(self._member)
         try:
@@ -176,9 +181,11 @@
             decisions.EndpointRefusedError,
             decisions.TermReplacedError,
         ):
-            return False
+            return None
         owned = status.owner == owner
-        return bool(owned and status.is_primary and status.term == record.term)
+        if owned and status.is_primary and status.term == record.term:
+            return typing.cast(decisions.MemberStatus, status)
+        return None
 
 
 def floor_of(req: _messages.ExecuteRequest) -> decisions.Position:
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -113,6 +113,12 @@
     ) -> "decisions.Future[_messages.ExecuteReply]":
         """Runs a request for a member that this node serves."""
         service = self.controller.services.get((req.database, req.member))
+        if req.channel:
+            service = self.controller.holder(req.channel)
+        if service is None and req.channel:
+            return decisions.completed(
+                _messages.ExecuteReply(reason=decisions.TRANSACTION_LOST.name)
+            )
         if service is None:
             return decisions.completed(
                 _messages.ExecuteReply(reason=decisions.NO_SERVING_NODE.name)
@@ -151,7 +157,6 @@
         """Begins a graceful shutdown; the future counts what was cut off."""
         self.stopping = True
         self._listener.close()
-        self.membership.leave()
         for conn in list(self._callers.values()):
             conn.stop()
         return decisions.start(self._drain())
@@ -169,7 +174,11 @@
         self.store.close()
 
     def _drain(self) -> "decisions.Flow[int]":
+        """Hands members on, then waits for what is under way."""
         end = self.loop.now() + self.cfg.policy.stop_s
+        for service in list(self.controller.services.values()):
+            yield service.ownership.release()
+        self.membership.leave()
         while self.busy and self.loop.now() < end:
             yield decisions.sleep(self.loop, 0.02)
         return self.busy
@@ -178,7 +187,11 @@
     def busy(self) -> int:
         """Batches and transactions under way."""
         callers = sum(c.busy for c in self._callers.values())
-        return callers + sum(s.busy for s in self.controller.services.values())
+        services = [
+            *self.controller.services.values(),
+            *self.controller.retired,
+        ]
+        return callers + sum(s.busy for s in services)
 
     def _controller(self) -> _controllers.ServiceController:
         ctx = decisions.WatchContext(
--- a/packages/node/src/ferry_node/_ownership.py
+++ b/packages/node/src/ferry_node/_ownership.py
@@ -38,6 +38,7 @@
         self._member = member
         self._owner = owner
         self._closed = False
+        self._had_guests = False
         self._lost_at = float("-inf")
         decisions.start(self._keep())
 
@@ -47,6 +48,27 @@
             self.owned = False
             self._lost_at = self._timers.now()
 
+    def release(self) -> "decisions.Future[None]":
+        """Gives the member up; what is under way on it goes on."""
+        was_owned = self.owned
+        self.close()
+        if not was_owned:
+            return decisions.completed(None)
+        return decisions.start(self._release())
+
+    def _release(self) -> "decisions.Flow[None]":
+        try:
+            yield self._watch.driver.own(self._member, "")
+        except (
+            decisions.EndpointUnreachableError,
+            decisions.EndpointRefusedError,
+        ) as exc:
+            logging.info(
+                "event=not_released member=%s detail=%s",
+                self._member.name,
+                exc,
+            )
+
     def close(self) -> None:
         """Stops claiming the member; the next owner takes it."""
         self._closed = True
@@ -59,7 +81,9 @@
             RequestFailedError: The deadline came; nothing was handed over.
         """
         while not self.owned:
-            if self._closed or self._timers.now() >= deadline:
+            if self._closed:
+                raise decisions.RequestFailedError(decisions.STOPPING)
+            if self._timers.now() >= deadline:
                 raise decisions.RequestFailedError(decisions.NO_SERVING_NODE)
             yield decisions.sleep(self._timers, POLL_S)
 
@@ -98,4 +122,25 @@
             decisions.MemberStatus, status
         )
         self.floors.restart(status.received)
+        self._had_guests = status.guests > 0
         self.owned = True
+
+    def floor(
+        self, session: str, status: decisions.MemberStatus
+    ) -> decisions.Position:
+        """Returns a position that covers all writes of a session.
+
+        While guests are left, they may write too, and only the primary's last
+        position covers everything.
+
+        Args:
+            session: The session's key.
+            status: The primary's status, asked for after the session's.
+        """
+        if status.guests:
+            self._had_guests = True
+            return status.received
+        if self._had_guests:
+            self._had_guests = False
+            self.floors.restart(status.received)
+        return self.floors.floor(session)
--- a/packages/node/src/ferry_node/_serving.py
+++ b/packages/node/src/ferry_node/_serving.py
@@ -114,10 +114,10 @@
     ) -> "decisions.Flow[decisions.Position | None]":
         if not self.ownership.owned:
             return None
-        proved = yield from self.gates.prove(self.owner)
-        if not proved or not self.ownership.owned:
+        status = yield from self.gates.prove(self.owner)
+        if status is None or not self.ownership.owned:
             return None
-        return self.ownership.floors.floor(session)
+        return self.ownership.floor(session, status)
 
     def drop(self, number: int) -> None:
         """Rolls a transaction back by ending its connection."""
--- a/packages/standins/src/ferry_standins/_control.py
+++ b/packages/standins/src/ferry_standins/_control.py
@@ -19,6 +19,9 @@
     """Carries out an order and answers with the member's status."""
     raw = json.loads(text)
     order = decisions.structure(raw, node.ControlOrder, "order")
+    if order.op == "running":
+        session.answer_value(member.is_running(order.process_id))
+        return
     if order.op == "wait":
         _wait(member, session, order)
         return
@@ -34,9 +37,7 @@
     replica = member.replica
     match order.op:
         case "own":
-            if order.owner != member.owner_id:
-                member.owner_id = order.owner
-                member.drop_callers()
+            member.own(order.owner)
         case "fence":
             led = replica.leads
             replica.fence(order.term, order.claim_id)
--- a/packages/standins/src/ferry_standins/_fleet.py
+++ b/packages/standins/src/ferry_standins/_fleet.py
@@ -4,6 +4,8 @@
 processes of their own; they meet over sockets only.
 """
 
+from collections.abc import Callable
+import functools
 import json
 import secrets
 
@@ -43,6 +45,9 @@
     policy: node.PolicySettings = node.PolicySettings()
 
 
+CALL_TIMEOUT_S = 5.0
+
+
 class FleetNotReadyError(Exception):
     """The fleet did not come up in time."""
 
@@ -60,7 +65,7 @@
         self.members: dict[str, dict[str, _member.Member]] = {}
         self.nodes: dict[str, node.Node] = {}
         for name in plan.databases:
-            self._on_loop(lambda n=name: self._add_database(n))
+            self.on_loop(functools.partial(self._add_database, name))
         for centre in plan.data_centres:
             for index in range(plan.nodes_per_centre):
                 self.add_node(f"{centre}-{index + 1}", centre)
@@ -100,6 +105,11 @@
         found.loop.call_soon(found.close)
         found.loop.stop()
 
+    def stop_node(self, name: str) -> "decisions.Future[int]":
+        """Begins a planned stop; the future counts what was cut off."""
+        found = self.nodes[name]
+        return node.call_on(found.loop, found.stop)
+
     def put(self, key: str, value: object) -> None:
         """Writes a document to the store, over whatever is there."""
         raw = json.dumps(decisions.unstructure(value)).encode()
@@ -208,7 +218,7 @@
         )
         self.put(decisions.TOPOLOGY_PREFIX + name, database)
 
-    def _on_loop(self, work: "object") -> None:
-        assert callable(work)
+    def on_loop(self, work: Callable[[], object]) -> None:
+        """Runs work on the stand-ins' loop and waits for it."""
         fut = node.call_on(self.loop, lambda: decisions.completed(work()))
-        fut.result(5.0)
+        fut.result(CALL_TIMEOUT_S)
--- a/packages/standins/src/ferry_standins/_member.py
+++ b/packages/standins/src/ferry_standins/_member.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import itertools
 import sqlite3
 import typing
 
@@ -48,9 +49,10 @@
         self.sessions: set[_session.Session] = set()
         self.most_connections = 0
         self.owner_id = ""
+        self.process_ids = itertools.count(1)
         self.waits: list[tuple[int, _session.Session]] = []
         self._db = self._open()
-        self._owner: _session.Session | None = None
+        self._lock_holder: _session.Session | None = None
         self._lock_queue: collections.deque[
             tuple[_session.Session, Callable[[], None]]
         ] = collections.deque()
@@ -90,13 +92,14 @@
             applied=replica.shown,
             term=replica.term,
             owner=self.owner_id,
+            guests=self.guests(),
             upstream_silence_s=silence,
         )
 
     def apply_to(self, index: int) -> None:
         """Shows entries up to an index."""
         replica = self.replica
-        if replica.leads or self._owner is not None:
+        if replica.leads or self._lock_holder is not None:
             return
         while replica.applied < min(index, len(replica.log)):
             for statement in replica.log[replica.applied].statements:
@@ -111,6 +114,25 @@
         self.replica.applied = 0
         self.apply_to(count)
 
+    def own(self, owner: str) -> None:
+        """Takes an owner, or is released by its former one."""
+        taken = bool(self.owner_id) and bool(owner)
+        if taken and owner != self.owner_id:
+            self.drop_callers()
+        self.owner_id = owner
+
+    def is_running(self, process_id: int) -> bool:
+        """Whether a connection runs a statement."""
+        return any(
+            s.process_id == process_id and s.is_running for s in self.sessions
+        )
+
+    def guests(self) -> int:
+        """Returns how many connections another owner has left."""
+        return sum(
+            not s.is_control and s.owner != self.owner_id for s in self.sessions
+        )
+
     def drop_callers(self) -> None:
         """Ends the connections of callers, as a change of role does."""
         for session in list(self.sessions):
@@ -121,7 +143,7 @@
         self, session: "_session.Session", work: Callable[[], None]
     ) -> None:
         """Runs work once no other session has a transaction open."""
-        if self._owner is None or self._owner is session:
+        if self._lock_holder is None or self._lock_holder is session:
             work()
             return
         self._lock_queue.append((session, work))
@@ -134,18 +156,18 @@
             self._lock_queue.remove((session, work))
             session.fail_locked()
 
-    def own(self, session: "_session.Session | None") -> None:
+    def lock_for(self, session: "_session.Session | None") -> None:
         """Sets the session that has a transaction open."""
-        self._owner = session
+        self._lock_holder = session
         if session is None:
             self.apply_to(len(self.replica.log))
-        while self._owner is None and self._lock_queue:
+        while self._lock_holder is None and self._lock_queue:
             _, work = self._lock_queue.popleft()
             work()
 
-    def owner(self) -> "_session.Session | None":
+    def lock_holder(self) -> "_session.Session | None":
         """Returns the session that has a transaction open."""
-        return self._owner
+        return self._lock_holder
 
     def run(self, sql: str, values: tuple[typing.Any, ...]) -> _sql.Result:
         """Runs one statement on the tables.
--- a/packages/standins/src/ferry_standins/_session.py
+++ b/packages/standins/src/ferry_standins/_session.py
@@ -58,10 +58,21 @@
         self._skipping = False
         self._position = ""
         self._term = 0
+        self.process_id = next(member.process_ids)
         self.is_control = False
+        self.owner = ""
         stream.on_data = self._receive
         stream.on_closed = lambda _: self._gone()
 
+    @property
+    def is_running(self) -> bool:
+        """Whether a statement is under way."""
+        return self._working
+
+    def mute(self) -> None:
+        """Takes and gives nothing from now on, as if the way were lost."""
+        self._stream.pause()
+
     def close(self) -> None:
         """Ends the connection."""
         self._stream.close()
@@ -69,7 +80,7 @@
 
     def _gone(self) -> None:
         self._member.sessions.discard(self)
-        if self._member.owner() is self:
+        if self._member.lock_holder() is self:
             self._roll_back()
 
     def _receive(self, data: bytes) -> None:
@@ -103,8 +114,8 @@
         if not self.is_control and self._is_stale():
             self._refuse(STALE_TERM, "stale term")
             return
-        owner = msg.params.get(_wire.OWNER_PARAMETER, "")
-        if owner and owner != member.owner_id:
+        self.owner = msg.params.get(_wire.OWNER_PARAMETER, "")
+        if self.owner and self.owner != member.owner_id:
             self._refuse(NOT_OWNER, "owned by another node")
             return
         member.sessions.add(self)
@@ -114,7 +125,9 @@
         self._started = True
         self._decoder.expect_statements()
         self._stream.send(
-            _wire.encode_login_ok({"server_version": "15.0"}, 1, b"\0\0\0\0")
+            _wire.encode_login_ok(
+                {"server_version": "15.0"}, self.process_id, b"\0\0\0\0"
+            )
         )
 
     def _refuse(self, sqlstate: str, message: str) -> None:
@@ -285,7 +298,7 @@
             self._status = "T"
             self._read_only = "READ ONLY" in sql.upper()
             self._member.run("BEGIN", ())
-            self._member.own(self)
+            self._member.lock_for(self)
         return _sql.Result([], [], "BEGIN")
 
     def _finish(self, word: str) -> _sql.Result:
@@ -300,7 +313,7 @@
         self._status = "I"
         if entry:
             self._commit(entry)
-        self._member.own(None)
+        self._member.lock_for(None)
         return _sql.Result([], [], "COMMIT")
 
     def _write(self, sql: str, values: tuple[typing.Any, ...]) -> _sql.Result:
@@ -324,8 +337,8 @@
             self._member.run("ROLLBACK", ())
         self._status = "I"
         self._read_only = False
-        if self._member.owner() is self:
-            self._member.own(None)
+        if self._member.lock_holder() is self:
+            self._member.lock_for(None)
 
     def _send_rows(self, result: _sql.Result) -> None:
         oids = [_sql.type_oid(v) for v in result.rows[0]] if result.rows else []
@@ -364,9 +377,12 @@
         """Answers a control statement with the member's status."""
         if self._stream.closed or self._member.faults.silent:
             return
-        shown = decisions.unstructure(self._member.status())
+        self.answer_value(decisions.unstructure(self._member.status()))
+
+    def answer_value(self, value: object) -> None:
+        """Answers a control statement with a JSON value."""
         self._send_rows(
-            _sql.Result(["status"], [(json.dumps(shown),)], "SELECT 1")
+            _sql.Result(["value"], [(json.dumps(value),)], "SELECT 1")
         )
         self._stream.send(_wire.encode_command_complete("SELECT 1"))
         self._ready()
--- a/packages/standins/src/ferry_standins/_virtual.py
+++ b/packages/standins/src/ferry_standins/_virtual.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import itertools
 import typing
 
 import attrs
@@ -96,6 +97,8 @@
         self.slow_s = 0.0
         self.paused_until = 0.0
         self.owner_id = ""
+        self.running: set[int] = set()
+        self.process_ids = itertools.count(1)
         self.statement_s = 0.0
         self.conns: set[_virtual_conn.VirtualConn] = set()
         self.most_conns = 0
@@ -117,6 +120,7 @@
             applied=replica.shown,
             term=replica.term,
             owner=self.owner_id,
+            guests=sum(c.owner != self.owner_id for c in self.conns),
             upstream_silence_s=0.0 if replica.leads else silence,
         )
 
@@ -147,9 +151,9 @@
 
     def own(self, owner: str) -> None:
         """Takes statements from one owner only."""
-        if owner != self.owner_id:
-            self.owner_id = owner
+        if self.owner_id and owner and owner != self.owner_id:
             self.drop_conns()
+        self.owner_id = owner
 
     def fence(self, term: int, claim_id: str) -> None:
         """Promises a term; a primary that is fenced ends its connections."""
@@ -265,6 +269,24 @@
         """Makes a member take statements from one owner only."""
         return self._ask(member, FENCE_TIMEOUT_S, lambda m: m.own(owner))
 
+    def is_running(
+        self, member: decisions.Member, process_id: int
+    ) -> "decisions.Future[bool]":
+        """Whether the connection with that number runs a statement."""
+        fut: decisions.Future[bool] = decisions.Future()
+        asked = self._ask(member, PROBE_TIMEOUT_S, lambda _: None)
+        target = self._links[member.name].member
+
+        def answer(done: "decisions.Future[decisions.MemberStatus]") -> None:
+            exc = done.exception()
+            if exc is not None:
+                decisions.reject(fut, exc)
+            else:
+                decisions.resolve(fut, process_id in target.running)
+
+        asked.add_done_callback(answer)
+        return fut
+
     def fence(
         self, member: decisions.Member, term: int, claim_id: str
     ) -> "decisions.Future[decisions.MemberStatus]":
--- a/packages/standins/src/ferry_standins/_virtual_conn.py
+++ b/packages/standins/src/ferry_standins/_virtual_conn.py
@@ -28,7 +28,8 @@
             collections.deque()
         )
         self.term = term
-        self._owner = owner
+        self.process_id = next(link.member.process_ids)
+        self.owner = owner
         self.closed = False
         self.customer = ""
         self.idle_since = link.timers.now()
@@ -84,7 +85,7 @@
             decisions.reject(self.ready, exc)
             self.end()
             return
-        if self._owner and self._owner != member.owner_id:
+        if self.owner and self.owner != member.owner_id:
             exc = _endpoint.EndpointLoginError("57P05", "another owner")
             decisions.reject(self.ready, exc)
             self.end()
@@ -110,6 +111,7 @@
             return
         if member.silent or self.closed:
             return
+        member.running.add(self.process_id)
         self._link.timers.after(
             member.delay_s + member.statement_s,
             lambda: self._run(payload, fut),
@@ -118,9 +120,10 @@
     def _run(
         self, payload: bytes, fut: "decisions.Future[_endpoint.Answer]"
     ) -> None:
+        member = self._link.member
+        member.running.discard(self.process_id)
         if self.closed:
             return
-        member = self._link.member
         request = _decoded(payload)
         answer = _endpoint.Answer(status="I")
         try:
--- /dev/null
+++ b/packages/standins/src/ferry_standins/tests/test_failover.py
@@ -0,0 +1,132 @@
+"""Changes of primary, lost nodes and lost connections, over real sockets."""
+
+import psycopg
+import pytest
+
+from ferry_standins.tests import helpers
+
+
+def insert(fleet, node, serial):
+    with helpers.connect(fleet, node) as conn:
+        conn.execute("INSERT INTO orders VALUES (%s, 'f')", (serial,))
+    return True
+
+
+def stored(fleet, node):
+    with helpers.connect(fleet, node) as conn:
+        conn.execute("SET rosemaryferry.read = 'primary'")
+        rows = conn.execute("SELECT serial FROM orders").fetchall()
+    return sorted(r[0] for r in rows)
+
+
+def on_loop(fleet, work):
+    fleet.on_loop(work)
+
+
+@pytest.mark.parametrize("fault", ["isolate", "crash"])
+def test_orders_go_on_and_none_is_lost(own_fleet, fault):
+    fleet = own_fleet
+    for serial in range(1, 6):
+        insert(fleet, serial % 3, serial)
+    old = fleet.primary("plates")
+    if fault == "isolate":
+        fleet.isolate("plates", old.name)
+    else:
+        on_loop(fleet, old.stop)
+    serials = iter(range(100, 1000))
+    helpers.eventually(lambda: insert(fleet, 1, next(serials)))
+    assert fleet.primary("plates").name != old.name
+    if fault == "isolate":
+        fleet.heal("plates", old.name)
+    else:
+        on_loop(fleet, old.restart)
+    helpers.eventually(
+        lambda: old.replica.term == fleet.primary("plates").replica.term
+    )
+    assert not old.replica.leads
+    assert set(range(1, 6)) <= set(stored(fleet, 2))
+
+
+def test_transaction_of_a_dead_node_is_rolled_back(own_fleet):
+    fleet = own_fleet
+    primary = fleet.primary("plates")
+    away = next(
+        i
+        for i, n in enumerate(fleet.nodes.values())
+        if n.cfg.data_centre not in primary.name
+    )
+    conn = helpers.connect(fleet, away, autocommit=False)
+    conn.execute("INSERT INTO orders VALUES (7, 'open')")
+    fleet.kill_node(list(fleet.nodes)[away])
+    with pytest.raises(psycopg.OperationalError):
+        conn.commit()
+    helpers.eventually(lambda: insert(fleet, 0, 8))
+    assert 7 not in stored(fleet, 0)
+
+
+def test_lost_transaction_stays_failed_until_it_is_ended(own_fleet):
+    fleet = own_fleet
+    conn = helpers.connect(fleet, 0)
+    conn.execute("BEGIN")
+    conn.execute("INSERT INTO orders VALUES (20, 'half')")
+    old = fleet.primary("plates")
+    fleet.isolate("plates", old.name)
+    serials = iter(range(100, 1000))
+    helpers.eventually(lambda: insert(fleet, 1, next(serials)))
+    with pytest.raises(psycopg.Error) as found:
+        conn.execute("INSERT INTO orders VALUES (21, 'half')")
+    assert found.value.sqlstate == "RF010"
+    with pytest.raises(psycopg.Error) as found:
+        conn.execute("INSERT INTO orders VALUES (22, 'half')")
+    assert found.value.sqlstate == "25P02"
+    assert conn.execute("COMMIT").statusmessage == "ROLLBACK"
+    conn.close()
+    assert not {20, 21, 22} & set(stored(fleet, 1))
+
+
+def test_leaving_endpoint_is_no_longer_primary(own_fleet):
+    fleet = own_fleet
+    insert(fleet, 0, 1)
+    old = fleet.primary("plates")
+    fleet.vms.leave(old.name)
+    helpers.eventually(lambda: fleet.primary("plates").name != old.name)
+    serials = iter(range(100, 1000))
+    helpers.eventually(lambda: insert(fleet, 2, next(serials)))
+    assert 1 in stored(fleet, 1)
+
+
+def test_node_that_starts_while_the_store_is_down_learns_from_peers(own_fleet):
+    fleet = own_fleet
+    fleet.kv.faults.down = True
+    fleet.add_node("hall-b-2", "hall-b")
+    helpers.eventually(lambda: insert(fleet, 3, 50))
+    assert 50 in stored(fleet, 0)
+
+
+def test_planned_stop_finishes_what_is_open(own_fleet):
+    fleet = own_fleet
+    name = list(fleet.nodes)[0]
+    node = fleet.nodes[name]
+    busy = helpers.connect(fleet, 0, autocommit=False)
+    idle = helpers.connect(fleet, 0)
+    busy.execute("INSERT INTO orders VALUES (60, 'last')")
+    stopped = fleet.stop_node(name)
+    with pytest.raises(psycopg.errors.AdminShutdown):
+        while True:
+            idle.execute("SELECT 1")
+    busy.commit()
+    busy.close()
+    assert stopped.result(20) == 0
+    assert node.caller_count == 0
+    assert 60 in stored(fleet, 1)
+
+
+def test_silent_idle_connection_is_replaced_before_a_write(own_fleet):
+    """Old connections are dead without a word, while new ones work."""
+    fleet = own_fleet
+    insert(fleet, 0, 1)
+    primary = fleet.primary("plates")
+    on_loop(fleet, lambda: [s.mute() for s in primary.sessions])
+    helpers.eventually(lambda: insert(fleet, 0, 70))
+    assert fleet.primary("plates").name == primary.name
+    assert primary.replica.term == 1
--- a/tools/check_style.py
+++ b/tools/check_style.py
@@ -27,7 +27,7 @@
 
 def module_names() -> frozenset[str]:
     """Returns the names of all modules of the workspace."""
-    return frozenset(p.stem for p in ROOT.glob("packages/*/src/*/*.py"))
+    return frozenset(p.stem for p in ROOT.glob("packages/*/src/**/*.py"))
 
 
 def import_findings(
