Membership, contract spread and fairness measured; nodes and stand-ins as processes

Cause: the figures of what acts between many nodes were not known, and the path had only run in one process.

Change: benches membership, contract-spread, fairness and path; the command stand-ins writes settings for nodes that run as processes. Found and mended: news of a death took 13 s to reach 410 nodes (now pushed on, 3 at a time); a suspected node did not hear of it in time and was called dead (now told directly); every node with an empty directory read the store (now only its data centre's readers); a customer below its share waited behind its own small bursts (now may run 0.2 slot seconds ahead).

--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 	$(BIN)/ruff check --fix packages tools
 
 bench-path: install
-	$(BIN)/rosemaryferryctl bench path --json
+	tools/bench_path.sh --json
--- a/packages/ctl/src/ferry_ctl/_bench.py
+++ b/packages/ctl/src/ferry_ctl/_bench.py
@@ -3,8 +3,13 @@
 import click
 
 from ferry_ctl import _bench_failover
+from ferry_ctl import _bench_fairness
+from ferry_ctl import _bench_membership
+from ferry_ctl import _bench_path
 from ferry_ctl import _bench_replicas
+from ferry_ctl import _bench_spread
 from ferry_ctl import _report
+from ferry_ctl import _standins
 
 
 @click.group()
@@ -31,3 +36,40 @@
 def replica_share(as_json: bool, seed: int) -> None:
     """Both users' workloads: the share of reads that replicas serve."""
     _report.show(_bench_replicas.run(seed), as_json)
+
+
+@bench.command("fairness")
+@_json
+@_seed
+def fairness(as_json: bool, seed: int) -> None:
+    """Floods at one member: shares, waits and utilisation."""
+    _report.show(_bench_fairness.run(seed), as_json)
+
+
+@bench.command("membership")
+@_json
+@_seed
+def membership(as_json: bool, seed: int) -> None:
+    """Dead nodes, loss and pauses at 7, 50 and 410 nodes."""
+    _report.show(_bench_membership.run(seed), as_json)
+
+
+@bench.command("contract-spread")
+@_json
+@_seed
+def contract_spread(as_json: bool, seed: int) -> None:
+    """Changes of contracts at 7 and 410 nodes, with a store outage."""
+    _report.show(_bench_spread.run(seed), as_json)
+
+
+@bench.command("path")
+@_json
+@click.option("--direct", required=True, help="Connection string, no proxy.")
+@click.option("--through", required=True, help="The same, through a node.")
+def path(as_json: bool, direct: str, through: str) -> None:
+    """Cost of the path against processes that already run."""
+    report = _bench_path.run(
+        _bench_path.Place(direct),
+        _bench_path.Place(through, _standins.PASSWORD),
+    )
+    _report.show(report, as_json)
--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_bench_spread.py
@@ -0,0 +1,130 @@
+"""How fast a change is in force on every node, and what the store is asked."""
+
+import json
+
+import ferry_decisions as decisions
+import ferry_standins as standins
+
+from ferry_ctl import _report
+
+CALM_S = 7.0
+CHANGES = 6
+CHANGE_EVERY_S = 2.0
+OUTAGE_S = 20.0
+STEP_S = 0.02
+KEY = decisions.CONTRACT_PREFIX + "lone-star"
+
+
+def _value(version: int) -> bytes:
+    contract = decisions.Contract(
+        customer="lone-star",
+        databases=("plates",),
+        share=version,
+        connections=10,
+        version=version,
+    )
+    return json.dumps(decisions.unstructure(contract)).encode()
+
+
+class _Watcher:
+    """Sees when each node takes a version, and whether one goes back."""
+
+    def __init__(self, swarm: standins.Swarm) -> None:
+        self.swarm = swarm
+        self.versions = dict.fromkeys(swarm.nodes, 0)
+        self.reverts = 0
+        self.times: list[float] = []
+        self.made_at: dict[int, float] = {}
+        for name, node in swarm.nodes.items():
+            node.directory.subscribe(
+                lambda entry, n=name: self._take(n, entry)  # type: ignore[misc]
+            )
+
+    def _take(self, name: str, entry: decisions.StoreEntry) -> None:
+        if entry.key != KEY:
+            return
+        version = int(json.loads(entry.value)["version"])
+        if version < self.versions[name]:
+            self.reverts += 1
+        self.versions[name] = version
+        if version in self.made_at:
+            self.times.append(self.swarm.timers.now() - self.made_at[version])
+
+    def change(self, version: int) -> None:
+        """Writes a version as an operator does, through some node."""
+        nodes = list(self.swarm.nodes.values())
+        node = self.swarm.random.choice(nodes)
+        self.made_at[version] = self.swarm.timers.now()
+        known = self.swarm.store.entries.get(KEY)
+        revision = known.revision if known else 0
+        node.store.put_if(KEY, _value(version), revision)
+
+
+def _run(size: int, seed: int) -> _report.Figures:
+    plan = standins.SwarmPlan(nodes=size, spreads=True)
+    swarm = standins.Swarm(plan, seed)
+    watcher = _Watcher(swarm)
+    swarm.timers.advance(CALM_S)
+    watcher.change(1)
+    swarm.timers.advance(CALM_S)
+    calls = swarm.store.calls
+    swarm.timers.advance(CALM_S)
+    calm = (swarm.store.calls - calls) / CALM_S
+    streams = sum(n.stream_bytes for n in swarm.nodes.values())
+    watcher.times.clear()
+    for version in range(2, CHANGES + 2):
+        watcher.change(version)
+        swarm.timers.advance(CHANGE_EVERY_S)
+    more = sum(n.stream_bytes for n in swarm.nodes.values()) - streams
+    seconds = CHANGES * CHANGE_EVERY_S
+    times = list(watcher.times)
+    missing = size * CHANGES - len(times)
+    figures = {
+        f"spread_median_s_{size}": _report.median(times),
+        f"spread_p99_s_{size}": _report.percentile(times, 0.99),
+        f"spread_worst_s_{size}": max(times, default=0.0),
+        f"missed_{size}": missing,
+        f"reverts_{size}": watcher.reverts,
+        f"store_calls_per_s_{size}": calm,
+        f"stream_bytes_per_s_per_node_{size}": more / size / seconds,
+    }
+    figures.update(_outage(swarm, watcher, size))
+    return figures
+
+
+def _outage(
+    swarm: standins.Swarm, watcher: _Watcher, size: int
+) -> _report.Figures:
+    """The store goes away and comes back; a change waits for it."""
+    swarm.store.down = True
+    calls = swarm.store.calls
+    swarm.timers.advance(OUTAGE_S)
+    during = (swarm.store.calls - calls) / OUTAGE_S
+    swarm.store.down = False
+    last = CHANGES + 2
+    watcher.change(last)
+    begun = swarm.timers.now()
+    busiest = 0
+    done_after = 0.0
+    while swarm.timers.now() - begun < 60.0:
+        calls = swarm.store.calls
+        swarm.timers.advance(1.0)
+        busiest = max(busiest, swarm.store.calls - calls)
+        if all(v == last for v in watcher.versions.values()):
+            done_after = swarm.timers.now() - begun
+            break
+    return {
+        f"store_calls_per_s_in_outage_{size}": during,
+        f"store_calls_busiest_s_after_{size}": busiest,
+        f"in_force_after_outage_s_{size}": done_after,
+    }
+
+
+def run(seed: int) -> _report.Report:
+    """Returns the figures at 7 and at 410 nodes."""
+    figures: _report.Figures = {}
+    for size in (7, 410):
+        figures.update(_run(size, seed))
+    figures["spread_p99_s"] = figures["spread_p99_s_410"]
+    figures["reverts"] = figures["reverts_7"] + figures["reverts_410"]
+    return _report.Report("contract-spread", seed, figures)
--- a/packages/ctl/src/ferry_ctl/_demo.py
+++ b/packages/ctl/src/ferry_ctl/_demo.py
@@ -12,9 +12,9 @@
 import ferry_standins as standins
 import psycopg
 
-PASSWORD = "demo-password"  # noqa: S105 - of a stand-in on loopback
-CUSTOMERS = {"lone-star": 20, "blue-mountain": 5}
-CLERKS = {"lone-star": 5, "blue-mountain": 3}
+from ferry_ctl import _standins
+
+CLERKS = {"lone-star": 20, "blue-mountain": 5}
 RUN_S = 9.0
 FAULT_AT_S = 4.0
 STARTUP_S = 10.0
@@ -92,7 +92,9 @@
         conn = self._conns.get(node)
         if conn is None or conn.closed:
             dsn = self._fleet.dsn(node, self._customer, "clerk")
-            conn = psycopg.connect(dsn, password=PASSWORD, autocommit=True)
+            conn = psycopg.connect(
+                dsn, password=_standins.PASSWORD, autocommit=True
+            )
             self._conns[node] = conn
         if self._token:
             conn.execute(f"SET rosemaryferry.session = '{self._token}'")
@@ -156,15 +158,15 @@
     """Returns a fleet that serves, with both customers' contracts."""
     logging.set_verbosity(logging.ERROR)
     fleet = standins.Fleet(standins.FleetPlan())
-    for customer, share in CUSTOMERS.items():
-        fleet.add_contract(customer, {"clerk": PASSWORD}, share)
+    for customer, share in _standins.CUSTOMERS.items():
+        fleet.add_contract(customer, {"clerk": _standins.PASSWORD}, share)
     end = time.monotonic() + STARTUP_S
     while True:
         try:
             node = next(iter(fleet.nodes))
             dsn = fleet.dsn(node, "lone-star", "clerk")
             with psycopg.connect(
-                dsn, password=PASSWORD, autocommit=True
+                dsn, password=_standins.PASSWORD, autocommit=True
             ) as conn:
                 conn.execute(
                     "CREATE TABLE IF NOT EXISTS orders "
@@ -195,7 +197,7 @@
 def _serve(fleet: standins.Fleet) -> None:
     for name, node in fleet.nodes.items():
         dsn = fleet.dsn(name, "lone-star", "clerk")
-        click.echo(f"{name}: {dsn} password={PASSWORD}")
+        click.echo(f"{name}: {dsn} password={_standins.PASSWORD}")
         click.echo(f"  administration: http://127.0.0.1:{node.admin.port}")
     click.echo(f"  operators' token: {standins.ADMIN_TOKEN}")
     click.echo("Ctrl-C ends it.")
@@ -233,7 +235,9 @@
 def _stored(fleet: standins.Fleet) -> list[int]:
     node = list(fleet.nodes)[-1]
     dsn = fleet.dsn(node, "lone-star", "clerk")
-    with psycopg.connect(dsn, password=PASSWORD, autocommit=True) as conn:
+    with psycopg.connect(
+        dsn, password=_standins.PASSWORD, autocommit=True
+    ) as conn:
         conn.execute("SET rosemaryferry.read = 'primary'")
         rows = conn.execute("SELECT serial FROM orders").fetchall()
     return [row[0] for row in rows]
--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_standins.py
@@ -0,0 +1,99 @@
+"""`rosemaryferryctl stand-ins`: a platform and databases to run nodes on.
+
+The stand-ins run in this process; the nodes are processes of their own, which
+you start with the settings files that this command writes.
+"""
+
+import json
+import pathlib
+import signal
+import socket
+import threading
+
+from absl import logging
+import click
+import ferry_node as node
+import ferry_standins as standins
+
+CUSTOMERS = {"lone-star": 20, "blue-mountain": 5}
+PASSWORD = "demo-password"  # noqa: S105 - of a stand-in on loopback
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that are free now."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def _settings_text(
+    fleet: standins.Fleet, name: str, centre: str, ports: list[int]
+) -> str:
+    callers, peers, probes, admin = ports
+    shown = {
+        "node": name,
+        "data_centre": centre,
+        "host": "127.0.0.1",
+        "peer_port": peers,
+        "probe_port": probes,
+        "admin_port": admin,
+        "admin_token": standins.ADMIN_TOKEN,
+        "store_url": fleet.kv.url,
+        "vm_list_url": fleet.vms.url,
+        "callers": {"host": "127.0.0.1", "port": callers},
+    }
+    return f"// Settings of {name}, on stand-ins.\n" + json.dumps(
+        shown, indent=2
+    )
+
+
+@click.command("stand-ins")
+@click.option(
+    "--dir",
+    "directory",
+    required=True,
+    type=click.Path(file_okay=False),
+    help="Where the nodes' settings files go.",
+)
+@click.option("--nodes", default=1, show_default=True, help="Per data centre.")
+def stand_ins(directory: str, nodes: int) -> None:
+    """Runs the stand-ins until Ctrl-C or SIGTERM."""
+    logging.set_verbosity(logging.ERROR)
+    fleet = standins.Fleet(standins.FleetPlan(nodes_per_centre=0))
+    for customer, share in CUSTOMERS.items():
+        fleet.add_contract(customer, {"clerk": PASSWORD}, share)
+    folder = pathlib.Path(directory)
+    folder.mkdir(parents=True, exist_ok=True)
+    for centre in fleet.plan.data_centres:
+        for index in range(nodes):
+            _describe_node(fleet, folder, f"{centre}-{index + 1}", centre)
+    for member in fleet.members["plates"].values():
+        click.echo(f"{member.name}: 127.0.0.1:{member.port}")
+    (folder / "ready").write_text("ready\n")
+    stopped = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
+    signal.signal(signal.SIGINT, lambda *_: stopped.set())
+    stopped.wait()
+    fleet.close()
+
+
+def _describe_node(
+    fleet: standins.Fleet, folder: pathlib.Path, name: str, centre: str
+) -> None:
+    """Writes a node's settings and lists its VM."""
+    ports = _free_ports(4)
+    text = _settings_text(fleet, name, centre, ports)
+    (folder / f"{name}.jsonc").write_text(text)
+    fleet.vms.put(
+        node.Vm(
+            name=name,
+            kind="entry",
+            state="live",
+            data_centre=centre,
+            host="127.0.0.1",
+            port=ports[1],
+            probe_port=ports[2],
+        )
+    )
--- a/packages/decisions/src/ferry_decisions/_admission.py
+++ b/packages/decisions/src/ferry_decisions/_admission.py
@@ -22,6 +22,7 @@
 
 FIRST_ESTIMATE_S = 0.005
 ESTIMATE_WEIGHT = 0.1
+BURST_S = 0.2
 
 
 @attrs.define(eq=False, slots=True)
@@ -31,10 +32,12 @@
     Attributes:
         customer: Whose statement it is.
         granted_at: When the slot was given, in seconds.
+        charged_s: Slot seconds that its customer was charged beforehand.
     """
 
     customer: str
     granted_at: float
+    charged_s: float
 
 
 @attrs.define(eq=False, slots=True)
@@ -44,12 +47,16 @@
     Attributes:
         customer: Whose statement it is.
         deadline: When its caller stops waiting, in seconds.
+        since: When it began to wait, in seconds.
         fut: Done with the slot.
+        timer: Ends the wait at the deadline.
     """
 
     customer: str
     deadline: float
+    since: float
     fut: "_flows.Future[Slot]"
+    timer: _timers.Timer | None = None
 
 
 @attrs.define(slots=True)
@@ -93,6 +100,25 @@
 
     def pick(self, accounts: dict[str, _Account], slots: int) -> str | None:
         """Returns the customer whose first waiter came first."""
+        heads = [
+            (a.waiters[0].since, name)
+            for name, a in accounts.items()
+            if a.waiters
+        ]
+        return min(heads)[1] if heads else None
+
+
+@ORDERS.register("slack")
+class SlackOrder:
+    """The waiter with the least time left: a baseline.
+
+    Ordering by slack to the deadline is the request arbitration of Prism
+    (section 6.2). It is kept for the measurements only: see the decision
+    record on fair shares.
+    """
+
+    def pick(self, accounts: dict[str, _Account], slots: int) -> str | None:
+        """Returns the customer whose first waiter has the least time left."""
         heads = [
             (a.waiters[0].deadline, name)
             for name, a in accounts.items()
@@ -123,7 +149,9 @@
         timers: _timers.TimerService,
         slots: int,
         order: Order,
+        burst_s: float = BURST_S,
     ) -> None:
+        self._burst_s = burst_s
         self._timers = timers
         self._slots = slots
         self._order = order
@@ -165,12 +193,13 @@
             return _flows.failed(
                 _outcomes.RequestFailedError(_outcomes.OVERLOADED)
             )
-        waiter = Waiter(contract.customer, deadline, _flows.Future())
-        if not account.waiters and not account.running:
-            account.virtual = max(account.virtual, self._clock)
+        waiter = Waiter(contract.customer, deadline, now, _flows.Future())
+        self._wake(account)
         account.waiters.append(waiter)
         self._waiting += 1
-        self._timers.after(deadline - now, lambda: self._expire(waiter))
+        waiter.timer = self._timers.after(
+            deadline - now, lambda: self._expire(waiter)
+        )
         self._dispatch()
         return waiter.fut
 
@@ -180,7 +209,7 @@
         used = now - slot.granted_at
         account = self._accounts[slot.customer]
         account.running -= 1
-        account.virtual += (used - self._estimate_s) / account.share
+        account.virtual += (used - slot.charged_s) / account.share
         self._estimate_s += ESTIMATE_WEIGHT * (used - self._estimate_s)
         self._running -= 1
         self._dispatch()
@@ -204,13 +233,23 @@
         return len(account.waiters) * self._estimate_s / part
 
     def _grant(self, customer: str, account: _Account, now: float) -> Slot:
-        if not account.running and not account.waiters:
-            account.virtual = max(account.virtual, self._clock)
+        self._wake(account)
         self._clock = max(self._clock, account.virtual)
         account.virtual += self._estimate_s / account.share
         account.running += 1
         self._running += 1
-        return Slot(customer, now)
+        return Slot(customer, now, self._estimate_s)
+
+    def _wake(self, account: _Account) -> None:
+        """Limits what a customer that was idle may catch up on.
+
+        One that used less than its share may run ahead of the others for
+        `BURST_S` slot seconds, so that a short burst does not wait although
+        its customer keeps to its share; nobody saves up more than that.
+        """
+        if not account.running and not account.waiters:
+            floor = self._clock - self._burst_s / account.share
+            account.virtual = max(account.virtual, floor)
 
     def _dispatch(self) -> None:
         while self._running < self._slots and self._waiting:
@@ -220,6 +259,8 @@
             account = self._accounts[customer]
             waiter = account.waiters.popleft()
             self._waiting -= 1
+            if waiter.timer is not None:
+                waiter.timer.cancel()
             if waiter.fut.done():
                 continue
             slot = self._grant(customer, account, self._timers.now())
--- a/packages/decisions/src/ferry_decisions/_membership.py
+++ b/packages/decisions/src/ferry_decisions/_membership.py
@@ -65,6 +65,7 @@
         self._rounds = 0
         self.incarnation = 1
         self._left = False
+        self._pushing = False
         self.suspicions = 0
         self._announce(_probing.Update(node, 1, _probing.Health.ALIVE))
         self._timer = _timers.PeriodicTimer(
@@ -226,8 +227,22 @@
         peer = self._peers.get(waiting.target)
         if peer is None or peer.health is not _probing.Health.ALIVE:
             return
+        self._suspect(peer, self._cfg.suspicion_s)
+
+    def note_refused(self, name: str) -> None:
+        """Takes in that a node's machine refused a connection.
+
+        Its process is gone, so it has less time to refute the suspicion.
+        """
+        peer = self._peers.get(name)
+        if peer is not None and peer.health is _probing.Health.ALIVE:
+            self._suspect(peer, self._cfg.refused_s)
+
+    def _suspect(self, peer: _Peer, time_s: float) -> None:
+        """Suspects a node, and tells it so, that it can refute."""
         self.suspicions += 1
-        self._set(peer, peer.incarnation, _probing.Health.SUSPECT)
+        self._set(peer, peer.incarnation, _probing.Health.SUSPECT, time_s)
+        self._send_probe(peer.node)
 
     def _next_target(self) -> _Peer | None:
         if self._rounds % self._cfg.dead_every == 0:
@@ -293,7 +308,11 @@
             )
 
     def _set(
-        self, peer: _Peer, incarnation: int, health: _probing.Health
+        self,
+        peer: _Peer,
+        incarnation: int,
+        health: _probing.Health,
+        suspicion_s: float = 0.0,
     ) -> None:
         before = peer.health
         peer.incarnation = incarnation
@@ -301,11 +320,12 @@
         self._announce(_probing.Update(peer.node, incarnation, health))
         if health is _probing.Health.SUSPECT:
             self._timers.after(
-                self._cfg.suspicion_s,
+                suspicion_s or self._cfg.suspicion_s,
                 lambda: self._confirm(peer, incarnation),
             )
         in_use = health <= _probing.Health.SUSPECT
-        if (before <= _probing.Health.SUSPECT) != in_use or before == health:
+        was_in_use = before <= _probing.Health.SUSPECT
+        if was_in_use != in_use or before == health:
             self._on_change()
 
     def _confirm(self, peer: _Peer, incarnation: int) -> None:
@@ -319,6 +339,20 @@
         count = max(2, len(self._peers) + 1)
         copies = 3 * math.ceil(math.log2(count))
         self._news[update.node.name] = (update, copies)
+        if not self._pushing:
+            self._pushing = True
+            self._timers.after(self._cfg.push_s, self._push)
+
+    def _push(self) -> None:
+        """Passes news on at once; it reaches all nodes in a few rounds."""
+        self._pushing = False
+        alive = [
+            p.node
+            for p in self._peers.values()
+            if p.health is _probing.Health.ALIVE
+        ]
+        for node in self._rng.sample(alive, min(self._cfg.fanout, len(alive))):
+            self._send_probe(node)
 
     def _gossip(self) -> tuple[_probing.Update, ...]:
         """Returns the news that was passed on least often."""
--- a/packages/decisions/src/ferry_decisions/_probing.py
+++ b/packages/decisions/src/ferry_decisions/_probing.py
@@ -101,6 +101,9 @@
         helpers: Nodes that are asked for an indirect probe.
         suspicion_s: Time to refute a suspicion, in seconds; longer than any
             pause that must not count as a death.
+        refused_s: The same for a node whose machine refuses connections.
+        push_s: How long news is gathered before it is pushed, in seconds.
+        fanout: Nodes to which it is pushed.
         near_share: Share of the probes that stay in the own data centre.
         dead_every: Each so-many-th probe goes to a node held to be dead.
         max_updates: Most pieces of news in one message.
@@ -111,6 +114,9 @@
     timeout_s: float = 0.3
     helpers: int = 3
     suspicion_s: float = 3.0
+    refused_s: float = 0.6
+    push_s: float = 0.05
+    fanout: int = 3
     near_share: float = 0.75
     dead_every: int = 5
     max_updates: int = 8
--- a/packages/node/src/ferry_node/_membership.py
+++ b/packages/node/src/ferry_node/_membership.py
@@ -57,6 +57,10 @@
         """Bytes of probes sent so far."""
         return self._socket.bytes_sent
 
+    def note_refused(self, name: str) -> None:
+        """Takes in that a node's machine refused a connection."""
+        self._view.note_refused(name)
+
     def leave(self) -> None:
         """Tells the others that this node leaves."""
         self._view.leave()
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -341,6 +341,8 @@
 
     def _peer_closed(self, stream: _peers.PeerStream) -> None:
         """Rolls back the transactions of a node that is gone."""
+        if stream.refused:
+            self.membership.note_refused(stream.node)
         for number in self._channels.pop(stream, set()):
             self.controller.drop_channel(number)
 
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -60,9 +60,10 @@
         self.node = ""
         self.used = loop.now()
         self.closed = False
+        self.refused = False
         self.on_closed: list[Callable[[PeerStream], object]] = []
         stream.on_data = self._receive
-        stream.on_closed = lambda exc: self._fail(str(exc))
+        stream.on_closed = self._stream_closed
         stream.on_open = self._opened
         stream.keep_alive(USER_TIMEOUT_MS)
         self._pinger = decisions.PeriodicTimer(loop, PING_S, self._ping)
@@ -103,6 +104,10 @@
         """Closes the stream; what waits for an answer fails."""
         self._fail("closed by this node")
 
+    def _stream_closed(self, exc: _streams.StreamClosedError) -> None:
+        self.refused = exc.refused
+        self._fail(str(exc))
+
     def _opened(self) -> None:
         self._open = True
         self._heard = self._loop.now()
--- a/packages/node/src/ferry_node/_spread.py
+++ b/packages/node/src/ferry_node/_spread.py
@@ -14,9 +14,8 @@
 import ferry_decisions as decisions
 
 from ferry_node import _board
-from ferry_node import _loop
+from ferry_node import _entry
 from ferry_node import _messages
-from ferry_node import _peers
 from ferry_node import _settings
 
 COMPARE_S = 2.0
@@ -38,14 +37,14 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        timers: decisions.TimerService,
         cfg: _settings.Settings,
         board: decisions.Blackboard,
         directory: decisions.Directory,
         store: decisions.Store,
-        peers: _peers.Peers,
+        peers: _entry.PeerCalls,
     ) -> None:
-        self._loop = loop
+        self._timers = timers
         self._cfg = cfg
         self._board = board
         self._directory = directory
@@ -58,9 +57,9 @@
         self._next_read = 0.0
         self.store_reachable = False
         self._timer = decisions.PeriodicTimer(
-            loop, COMPARE_S * self._random.uniform(0.8, 1.2), self._compare
+            timers, COMPARE_S * self._random.uniform(0.8, 1.2), self._compare
         )
-        self._read_timer = decisions.PeriodicTimer(loop, 0.5, self._reread)
+        self._read_timer = decisions.PeriodicTimer(timers, 0.5, self._reread)
 
     def run(self, _: decisions.View) -> None:
         """Starts or ends the watches when the reader's part changes."""
@@ -123,10 +122,10 @@
 
     def _reread(self) -> None:
         """Reads the store now and then, with a pause that grows in outages."""
-        now = self._loop.now()
+        now = self._timers.now()
         if self._reading or now < self._next_read:
             return
-        if not self._board.read(_board.STORE_READER) and len(self._directory):
+        if not self._board.read(_board.STORE_READER):
             return
         self._reading = True
         decisions.start(self._read()).add_done_callback(self._read_done)
@@ -141,7 +140,7 @@
         )
         if not len(self._directory):
             pause = 0.5
-        self._next_read = self._loop.now() + pause * self._random.uniform(
+        self._next_read = self._timers.now() + pause * self._random.uniform(
             0.5, 1.5
         )
         if exc is not None:
@@ -183,7 +182,7 @@
         self, node: decisions.Node, req: _messages.SyncRequest
     ) -> "decisions.Future[_messages.SyncReply]":
         return decisions.within(
-            self._loop, COMPARE_TIMEOUT_S, self._peers.call(node, req)
+            self._timers, COMPARE_TIMEOUT_S, self._peers.call(node, req)
         )
 
 
--- a/packages/standins/src/ferry_standins/__init__.py
+++ b/packages/standins/src/ferry_standins/__init__.py
@@ -20,6 +20,9 @@
 from ferry_standins._log import RefusedError
 from ferry_standins._log import Replica
 from ferry_standins._member import Member
+from ferry_standins._swarm import Swarm
+from ferry_standins._swarm import SwarmNode
+from ferry_standins._swarm import SwarmPlan
 from ferry_standins._virtual import Link
 from ferry_standins._virtual import PausableTimers
 from ferry_standins._virtual import VirtualDriver
@@ -51,6 +54,9 @@
     "RefusedError",
     "Replica",
     "StoreState",
+    "Swarm",
+    "SwarmNode",
+    "SwarmPlan",
     "Verdict",
     "VirtualDriver",
     "VirtualMember",
