Path: lean futures, one sweeper for waits, floor looked up beside the read

Change: a future for use on one thread (same class family, no condition), one timer that ends waits of all statements under way, the lookup beside the read with a check of both afterwards, rounds of proof that lookups share.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -25,15 +25,14 @@
 from ferry_decisions._flows import Flow
 from ferry_decisions._flows import Future
 from ferry_decisions._flows import Settled
+from ferry_decisions._flows import SharedRounds
 from ferry_decisions._flows import TimeoutExpiredError
 from ferry_decisions._flows import completed
-from ferry_decisions._flows import either
 from ferry_decisions._flows import failed
 from ferry_decisions._flows import forward
 from ferry_decisions._flows import reject
 from ferry_decisions._flows import resolve
 from ferry_decisions._flows import settle_all
-from ferry_decisions._flows import settled
 from ferry_decisions._flows import sleep
 from ferry_decisions._flows import start
 from ferry_decisions._flows import within
@@ -175,6 +174,7 @@
     "SessionFloors",
     "SessionState",
     "Settled",
+    "SharedRounds",
     "Slot",
     "Statement",
     "Store",
@@ -203,7 +203,6 @@
     "contract_from_json",
     "database_from_json",
     "decode_record",
-    "either",
     "failed",
     "forward",
     "ranked",
@@ -214,7 +213,6 @@
     "satisfies",
     "serving_node",
     "settle_all",
-    "settled",
     "sleep",
     "staleness_of",
     "start",
--- a/packages/decisions/src/ferry_decisions/_flows.py
+++ b/packages/decisions/src/ferry_decisions/_flows.py
@@ -8,13 +8,13 @@
 
 from collections.abc import Callable
 from collections.abc import Generator
-import concurrent.futures
 import typing
 
+from ferry_decisions import _futures
 from ferry_decisions import _timers
 
 T = typing.TypeVar("T")
-Future = concurrent.futures.Future
+Future = _futures.Future
 Flow = Generator["Future[typing.Any]", typing.Any, T]
 
 
@@ -142,6 +142,42 @@
     return out
 
 
+class SharedRounds(typing.Generic[T]):
+    """Lets requests share rounds of one kind of work.
+
+    A request joins the next round to begin, never one under way, so whatever
+    a round finds out is newer than the request.
+    """
+
+    def __init__(self, work: Callable[[], "Flow[T]"]) -> None:
+        self._work = work
+        self._busy = False
+        self._next: Future[T] | None = None
+
+    def join(self) -> "Future[T]":
+        """Returns the future of a round that begins from now on."""
+        if self._next is None:
+            self._next = Future()
+        joined = self._next
+        if not self._busy:
+            self._begin()
+        return joined
+
+    def _begin(self) -> None:
+        out, self._next = self._next, None
+        if out is None:
+            return
+        self._busy = True
+        done = start(self._work())
+        done.add_done_callback(lambda fut: self._end(fut, out))
+
+    def _end(self, fut: "Future[T]", out: "Future[T]") -> None:
+        self._busy = False
+        forward(fut, out)
+        if not self._busy:
+            self._begin()
+
+
 @typing.final
 class Settled(typing.Generic[T]):
     """What a future came to: a result, or a failure."""
--- a/packages/decisions/src/ferry_decisions/_ports.py
+++ b/packages/decisions/src/ferry_decisions/_ports.py
@@ -5,14 +5,14 @@
 """
 
 from collections.abc import Callable
-import concurrent.futures
 import typing
 
 import attrs
 
 from ferry_decisions import _databases
+from ferry_decisions import _futures
 
-Future = concurrent.futures.Future
+Future = _futures.Future
 
 
 class EndpointRefusedError(Exception):
--- a/packages/decisions/src/ferry_decisions/_positions.py
+++ b/packages/decisions/src/ferry_decisions/_positions.py
@@ -36,6 +36,7 @@
         return f"{self.term}:{self.index}"
 
     @classmethod
+    @functools.lru_cache(maxsize=4096)  # noqa: B019 - a class method
     def from_text(cls, text: str) -> "Position":
         """Reads `term:index`.
 
--- a/packages/node/src/ferry_node/_conversation.py
+++ b/packages/node/src/ferry_node/_conversation.py
@@ -6,6 +6,7 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_node import _answers
 from ferry_node import _auth
 from ferry_node import _batches
 from ferry_node import _entry
@@ -163,7 +164,7 @@
         ends = batch.first_kind is decisions.Kind.END
         if ends and len(batch.statements) == 1:
             self._transaction = None
-            self._send(_batches.ended_answer(batch))
+            self._send(_answers.ended_answer(batch))
         else:
             self._send(
                 _wire.encode_sqlstate(
@@ -187,19 +188,19 @@
         except decisions.RequestFailedError as exc:
             self._fail(batch, exc.reason, exc.detail)
             return
-        self._send(_batches.local_answer(batch, values))
+        self._send(_answers.local_answer(batch, values))
         self._end(batch, failed=False)
 
     def _run_remote(self, batch: _batches.Batch) -> "decisions.Flow[None]":
         begun = self._ctx.timers.now()
         span = self._ctx.tracer.begin("caller")
-        if batch.is_read and self._transaction is None:
-            yield from self._look_up_floor()
-        filtered = _batches.AnswerFilter(batch.hidden)
-
-        def on_part(data: bytes) -> None:
-            self._send(filtered.feed(data))
-
+        lookup = self._floor_lookup(batch)
+        filtered = _answers.AnswerFilter(batch.hidden)
+        parts = _answers.Parts(lambda data: self._send(filtered.feed(data)))
+        if lookup is not None:
+            parts.hold()
+            if self._state.floor(self._identity.database) is None:
+                yield from self._take_floor(lookup)
         req = self._request(batch, span.context)
         if req.idempotency_key and (req.begin or self._transaction):
             self._fail(
@@ -208,7 +209,14 @@
                 "an idempotency key in a transaction",
             )
             return
-        reply = yield from self._dispatch(req, begun, on_part)
+        reply = yield from self._dispatch(req, begun, parts.take)
+        if lookup is not None:
+            yield from self._take_floor(lookup)
+            if not self._shows_floor(reply):
+                parts.drop()
+                req = self._request(batch, span.context)
+                reply = yield from self._dispatch(req, begun, parts.take)
+            parts.release()
         outcome = reply.reason or "ran"
         elapsed = self._ctx.timers.now() - begun
         self._ctx.metrics(self._identity.customer, elapsed, outcome)
@@ -216,23 +224,47 @@
         self._note_reply(batch, reply)
         self._answer(batch, reply, filtered)
 
-    def _look_up_floor(self) -> "decisions.Flow[None]":
-        """Finds the session's floor, unless the caller carries a token.
+    def _floor_lookup(
+        self, batch: _batches.Batch
+    ) -> "decisions.Future[decisions.Position | None] | None":
+        """Begins to look the session's floor up, if it carries no token.
 
         Other connections of the same login may have written since the last
-        read, so the floor is looked up for each read.
+        read. The read itself goes on meanwhile, with the floor that is
+        known, and its position is checked when both are there.
         """
-        if self._state.staleness_s <= 0 or self._state.carries_token:
-            return
-        database = self._identity.database
-        found = yield self._ctx.dispatcher.find_floor(
-            database, self._session_key
+        reads = batch.is_read and self._transaction is None
+        if not reads or self._state.carries_token:
+            return None
+        if self._state.staleness_s <= 0:
+            return None
+        return self._ctx.dispatcher.find_floor(
+            self._identity.database, self._session_key
         )
+
+    def _take_floor(
+        self, lookup: "decisions.Future[decisions.Position | None]"
+    ) -> "decisions.Flow[None]":
+        """Waits for the floor; without one, the primary has to answer."""
+        found = yield lookup
+        database = self._identity.database
         if found is None:
             self._state = self._state.without_floor(database)
         else:
             self._state = self._state.with_seen(database, found)
 
+    def _shows_floor(self, reply: _messages.ExecuteReply) -> bool:
+        """Whether an answer shows the floor that has been looked up."""
+        if reply.reason:
+            return True
+        floor = self._state.floor(self._identity.database)
+        if floor is None or not reply.position:
+            return False
+        shown = decisions.Position.from_text(reply.position)
+        return self._ctx.dispatcher.satisfies(
+            self._identity.database, shown, floor
+        )
+
     @property
     def _session_key(self) -> str:
         """What a session is known by when it carries no token."""
@@ -322,7 +354,7 @@
         self,
         batch: _batches.Batch,
         reply: _messages.ExecuteReply,
-        filtered: _batches.AnswerFilter,
+        filtered: _answers.AnswerFilter,
     ) -> None:
         if reply.reason:
             reason = decisions.BY_NAME.get(reply.reason, decisions.ANSWER_LOST)
--- a/packages/node/src/ferry_node/_entry.py
+++ b/packages/node/src/ferry_node/_entry.py
@@ -183,6 +183,17 @@
             return None
         return decisions.Position.from_text(reply.position)
 
+    def satisfies(
+        self,
+        database: str,
+        shown: decisions.Position,
+        floor: decisions.Position,
+    ) -> bool:
+        """Whether a position shows all below a floor, as far as is known."""
+        record = self._ctx.record(database)
+        history = record.history if record else decisions.History()
+        return decisions.satisfies(shown, floor, history)
+
     def note_record(self, database: str) -> None:
         """Takes in that a database's record has changed.
 
--- a/packages/node/src/ferry_node/_execution.py
+++ b/packages/node/src/ferry_node/_execution.py
@@ -1,5 +1,7 @@
 """Handing a batch to an endpoint, under a slot and on one connection."""
 
+import typing
+
 import attrs
 import ferry_decisions as decisions
 
@@ -13,6 +15,7 @@
 FIRST_CHECK_S = 0.5
 LAST_CHECK_S = 5.0
 RECHECK_S = 0.05
+SWEEP_S = 0.05
 
 
 @attrs.define(eq=False, slots=True)
@@ -36,6 +39,18 @@
     busy: bool = False
 
 
+@attrs.define(eq=False, slots=True)
+class _Wait:
+    """A statement under way."""
+
+    conn: _endpoint.EndpointConn
+    fut: "decisions.Future[_endpoint.Answer]"
+    deadline: float
+    check_at: float
+    check_s: float = FIRST_CHECK_S
+    checking: bool = False
+
+
 class Executor:
     """Hands batches to one member.
 
@@ -57,6 +72,12 @@
         self._member = member
         self._queue = queue
         self._pool = pool
+        self._waits: set[_Wait] = set()
+        self._sweeper = decisions.PeriodicTimer(timers, SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        """Stops looking after what is under way."""
+        self._sweeper.stop()
 
     def run(
         self, work: _gates.Work, channel: Channel | None
@@ -91,7 +112,7 @@
         work.handed = True
         self.in_flight.add(conn)
         try:
-            answer = yield from self._awaited(work, conn, left)
+            answer = yield from self._awaited(work, conn)
         except (decisions.TimeoutExpiredError, _endpoint.EndpointLostError):
             conn.close(cancel=True)
             raise
@@ -102,52 +123,64 @@
         return answer
 
     def _awaited(
-        self, work: _gates.Work, conn: _endpoint.EndpointConn, left: float
+        self, work: _gates.Work, conn: _endpoint.EndpointConn
     ) -> "decisions.Flow[_endpoint.Answer]":
-        """Waits for an answer, and finds a connection that is lost.
+        """Waits for an answer.
 
         Raises:
             TimeoutExpiredError: The deadline came first.
             EndpointLostError: The connection ended, or it is silent and the
                 endpoint runs nothing on it.
         """
-        fut = self._started(work, conn)
-        end = self._timers.now() + left
-        check_s = FIRST_CHECK_S
-        while not fut.done():
-            wait_s = min(check_s, end - self._timers.now())
-            done = decisions.settled(fut)
-            pause = decisions.sleep(self._timers, max(0.0, wait_s))
-            yield decisions.either(done, pause)
-            if fut.done():
-                break
-            if self._timers.now() >= end:
-                raise decisions.TimeoutExpiredError("deadline")
-            if (yield from self._is_lost(conn, fut)):
-                raise _endpoint.EndpointLostError("silent, and runs nothing")
-            check_s = min(2 * check_s, LAST_CHECK_S)
-        return fut.result()
-
-    def _is_lost(
-        self,
-        conn: _endpoint.EndpointConn,
-        fut: "decisions.Future[_endpoint.Answer]",
-    ) -> "decisions.Flow[bool]":
-        """Whether the endpoint runs nothing for a connection that waits.
+        now = self._timers.now()
+        fut: decisions.Future[_endpoint.Answer] = decisions.Future()
+        wait = _Wait(conn, fut, work.deadline, now + FIRST_CHECK_S)
+        self._waits.add(wait)
+        decisions.forward(self._started(work, conn), fut)
+        try:
+            answer = yield fut
+        finally:
+            self._waits.discard(wait)
+        return typing.cast(_endpoint.Answer, answer)
+
+    def _sweep(self) -> None:
+        """Ends waits at their deadline, and finds connections that are lost.
+
+        One timer for all statements under way costs less than one for each.
+        """
+        now = self._timers.now()
+        for wait in list(self._waits):
+            if now >= wait.deadline:
+                decisions.reject(
+                    wait.fut, decisions.TimeoutExpiredError("deadline")
+                )
+            elif now >= wait.check_at and not wait.checking:
+                wait.checking = True
+                decisions.start(self._check_lost(wait))
+
+    def _check_lost(self, wait: "_Wait") -> "decisions.Flow[None]":
+        """Ends a wait if the endpoint runs nothing for its connection.
 
         It is asked twice, so that an answer on its way can arrive.
         """
+        lost = True
         for _ in range(2):
             try:
                 running = yield self._watch.driver.is_running(
-                    self._member, conn.process_id
+                    self._member, wait.conn.process_id
                 )
             except decisions.EndpointUnreachableError:
-                return False
-            if running or fut.done():
-                return False
+                running = True
+            if running or wait.fut.done():
+                lost = False
+                break
             yield decisions.sleep(self._timers, RECHECK_S)
-        return not fut.done()
+        if lost:
+            exc = _endpoint.EndpointLostError("silent, and runs nothing")
+            decisions.reject(wait.fut, exc)
+        wait.checking = False
+        wait.check_at = self._timers.now() + wait.check_s
+        wait.check_s = min(2 * wait.check_s, LAST_CHECK_S)
 
     def _started(
         self, work: _gates.Work, conn: _endpoint.EndpointConn
--- a/packages/node/src/ferry_node/_loop.py
+++ b/packages/node/src/ferry_node/_loop.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+import concurrent.futures
 import heapq
 import itertools
 import selectors
@@ -177,28 +178,35 @@
 
 
 def on_loop(
-    loop: EventLoop, fut: "decisions.Future[T]"
+    loop: EventLoop, fut: "concurrent.futures.Future[T]"
 ) -> "decisions.Future[T]":
     """Returns a future that completes on the loop when `fut` does elsewhere."""
     out: decisions.Future[T] = decisions.Future()
-
-    fut.add_done_callback(
-        lambda done: loop.call_soon(lambda: decisions.forward(done, out))
-    )
+    fut.add_done_callback(lambda done: loop.call_soon(lambda: _copy(done, out)))
     return out
 
 
 def call_on(
     loop: EventLoop, work: Callable[[], "decisions.Future[T]"]
-) -> "decisions.Future[T]":
+) -> "concurrent.futures.Future[T]":
     """Starts work on the loop from another thread; returns its future."""
-    out: decisions.Future[T] = decisions.Future()
+    out: concurrent.futures.Future[T] = concurrent.futures.Future()
 
     def begin() -> None:
         try:
-            decisions.forward(work(), out)
+            work().add_done_callback(lambda done: _copy(done, out))
         except Exception as exc:  # noqa: BLE001 - handed to the caller
-            decisions.reject(out, exc)
+            out.set_exception(exc)
 
     loop.call_soon(begin)
     return out
+
+
+def _copy(
+    done: "concurrent.futures.Future[T]", out: "concurrent.futures.Future[T]"
+) -> None:
+    exc = done.exception()
+    if exc is not None:
+        out.set_exception(exc)
+    else:
+        out.set_result(done.result())
--- a/packages/node/src/ferry_node/_serving.py
+++ b/packages/node/src/ferry_node/_serving.py
@@ -57,6 +57,7 @@
             self.owner,
         )
         self.ownership = _ownership.Ownership(timers, watch, member, self.owner)
+        self._proofs = decisions.SharedRounds(self._prove)
         self._executor = _execution.Executor(
             timers, watch, member, self.queue, self.pool
         )
@@ -109,12 +110,15 @@
         """
         return decisions.start(self._position(session))
 
+    def _prove(self) -> "decisions.Flow[decisions.MemberStatus | None]":
+        return (yield from self.gates.prove(self.owner))
+
     def _position(
         self, session: str
     ) -> "decisions.Flow[decisions.Position | None]":
         if not self.ownership.owned:
             return None
-        status = yield from self.gates.prove(self.owner)
+        status = yield self._proofs.join()
         if status is None or not self.ownership.owned:
             return None
         return self.ownership.floor(session, status)
@@ -131,6 +135,7 @@
     def close(self) -> None:
         """Ends everything that is under way."""
         self._sweeper.stop()
+        self._executor.close()
         self.ownership.close()
         for number in list(self.channels):
             self.drop(number)
--- a/packages/standins/src/ferry_standins/_fleet.py
+++ b/packages/standins/src/ferry_standins/_fleet.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import concurrent.futures
 import functools
 import json
 import secrets
@@ -105,7 +106,7 @@
         found.loop.call_soon(found.close)
         found.loop.stop()
 
-    def stop_node(self, name: str) -> "decisions.Future[int]":
+    def stop_node(self, name: str) -> "concurrent.futures.Future[int]":
         """Begins a planned stop; the future counts what was cut off."""
         found = self.nodes[name]
         return node.call_on(found.loop, found.stop)
