List of VMs read by few and passed on; capacity, idle and path benches

Cause: at 410 nodes each node read a list of 2,630 VMs every second, some 300 KB/s, far above the 20 KB/s for control.

Change: the readers of each data centre read it, conditionally, and push what changed to their data centre; others read it only when nobody did for 75 s. Benches capacity (slopes with fits), idle and path (processes of their own).

--- a/packages/ctl/src/ferry_ctl/_bench.py
+++ b/packages/ctl/src/ferry_ctl/_bench.py
@@ -2,8 +2,10 @@
 
 import click
 
+from ferry_ctl import _bench_capacity
 from ferry_ctl import _bench_failover
 from ferry_ctl import _bench_fairness
+from ferry_ctl import _bench_idle
 from ferry_ctl import _bench_membership
 from ferry_ctl import _bench_path
 from ferry_ctl import _bench_replicas
@@ -66,10 +68,30 @@
 @_json
 @click.option("--direct", required=True, help="Connection string, no proxy.")
 @click.option("--through", required=True, help="The same, through a node.")
-def path(as_json: bool, direct: str, through: str) -> None:
+@click.option("--pid", type=int, required=True, help="That node's process.")
+def path(as_json: bool, direct: str, through: str, pid: int) -> None:
     """Cost of the path against processes that already run."""
     report = _bench_path.run(
         _bench_path.Place(direct),
         _bench_path.Place(through, _standins.PASSWORD),
+        pid,
     )
     _report.show(report, as_json)
+
+
+@bench.command("capacity")
+@_json
+@_seed
+def capacity(as_json: bool, seed: int) -> None:
+    """Slopes of what grows with the fleet, and the design size."""
+    _report.show(_bench_capacity.run(seed), as_json)
+
+
+@bench.command("idle")
+@_json
+@click.option("--through", required=True, help="Connection string of a node.")
+@click.option("--pid", type=int, required=True, help="That node's process.")
+def idle(as_json: bool, through: str, pid: int) -> None:
+    """A node's memory for each idle caller."""
+    place = _bench_path.Place(through, _standins.PASSWORD)
+    _report.show(_bench_idle.run(place, pid), as_json)
--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_bench_idle.py
@@ -0,0 +1,45 @@
+"""Memory of a node's process for each idle caller."""
+
+import time
+
+import psycopg
+
+from ferry_ctl import _bench_capacity
+from ferry_ctl import _bench_path
+from ferry_ctl import _processes
+from ferry_ctl import _report
+
+SIZES = (0, 400, 800, 1600)
+WARM_UP = 50
+SETTLE_S = 1.0
+
+
+def run(place: _bench_path.Place, pid: int) -> _report.Report:
+    """Returns the process's memory at several numbers of callers."""
+    _bench_path.wait_for(place)
+    warm = [place.connect() for _ in range(WARM_UP)]
+    figures: _report.Figures = {}
+    points: list[tuple[float, float]] = []
+    conns: list[psycopg.Connection[tuple[int]]] = []
+    for size in SIZES:
+        while len(conns) < size:
+            conn = place.connect()
+            conn.execute("SELECT 1")
+            conns.append(conn)
+        time.sleep(SETTLE_S)
+        used = _processes.resident_bytes(pid)
+        figures[f"resident_mb_at_{size}"] = used / 1e6
+        points.append((float(size), float(used)))
+    cpu = _processes.processor_seconds(pid)
+    time.sleep(5 * SETTLE_S)
+    idle = (_processes.processor_seconds(pid) - cpu) / (5 * SETTLE_S)
+    line = _bench_capacity.fit(points)
+    figures["bytes_per_idle_caller"] = line.slope
+    figures["r2"] = line.r2
+    figures["base_mb"] = line.base / 1e6
+    figures["core_share_idle"] = idle
+    per_node = _bench_capacity.CALLERS / _bench_capacity.NODES
+    figures["mb_at_design_size"] = line.at(per_node) / 1e6
+    for each in [*warm, *conns]:
+        each.close()
+    return _report.Report("idle", 0, figures)
--- a/packages/ctl/src/ferry_ctl/_bench_path.py
+++ b/packages/ctl/src/ferry_ctl/_bench_path.py
@@ -10,6 +10,7 @@
 import click
 import psycopg
 
+from ferry_ctl import _processes
 from ferry_ctl import _report
 
 LATENCY_STATEMENTS = 3_000
@@ -39,10 +40,12 @@
         )
 
 
-def _latency(place: Place) -> float:
+def _latency(place: Place, token: bool) -> float:
     """Returns the median seconds of a statement at one connection."""
     times = []
     with place.connect() as conn:
+        if token:
+            _carry_token(conn)
         for _ in range(LATENCY_STATEMENTS):
             begun = time.perf_counter()
             conn.execute(SQL).fetchone()
@@ -50,28 +53,43 @@
     return _report.median(times)
 
 
-def _client(place: Place, end: float) -> int:
+def _client(place: Place, end: float, pipeline: int) -> int:
     done = 0
     with place.connect() as conn:
+        _carry_token(conn)
         while time.perf_counter() < end:
-            with conn.pipeline():
-                for _ in range(PIPELINE):
-                    conn.execute(SQL)
-            done += PIPELINE
+            if pipeline == 1:
+                conn.execute(SQL)
+            else:
+                with conn.pipeline():
+                    for _ in range(pipeline):
+                        conn.execute(SQL)
+            done += pipeline
     return done
 
 
-def _throughput(place: Place) -> float:
-    """Returns statements a second with several pipelining clients."""
+def _carry_token(conn: "psycopg.Connection[tuple[int]]") -> None:
+    """Makes a connection keep its floors itself, where it can."""
+    conn.execute(SQL)
+    token = conn.pgconn.parameter_status(b"rosemaryferry.session")
+    if token:
+        conn.execute(f"SET rosemaryferry.session = '{token.decode()}'")
+
+
+def _throughput(place: Place, pipeline: int) -> float:
+    """Returns statements a second with several clients."""
     begun = time.perf_counter()
     end = begun + THROUGHPUT_S
     with concurrent.futures.ThreadPoolExecutor(CLIENTS) as pool:
-        futs = [pool.submit(_client, place, end) for _ in range(CLIENTS)]
+        futs = [
+            pool.submit(_client, place, end, pipeline) for _ in range(CLIENTS)
+        ]
         done = sum(f.result() for f in futs)
     return done / (time.perf_counter() - begun)
 
 
-def _wait_for(place: Place) -> None:
+def wait_for(place: Place) -> None:
+    """Waits until a place answers."""
     end = time.monotonic() + WAIT_S
     while True:
         try:
@@ -84,22 +102,41 @@
             time.sleep(0.1)
 
 
-def run(direct: Place, through: Place) -> _report.Report:
+def run(direct: Place, through: Place, pid: int) -> _report.Report:
     """Returns the cost through a node beside the cost without it."""
     for place in (direct, through):
-        _wait_for(place)
-    latency = [_latency(direct), _latency(through), _latency(direct)]
-    rates = [_throughput(direct), _throughput(through)]
-    near = min(latency[0], latency[2])
+        wait_for(place)
+    before = _latency(direct, token=False)
+    with_token = _latency(through, token=True)
+    without = _latency(through, token=False)
+    after = _latency(direct, token=False)
+    near = min(before, after)
+    cpu = _processes.processor_seconds(pid)
+    rate = _throughput(through, 1)
+    cpu = _processes.processor_seconds(pid) - cpu
+    pipelined = _throughput(through, PIPELINE)
+    direct_rate = _throughput(direct, 1)
+    direct_pipelined = _throughput(direct, PIPELINE)
     return _report.Report(
         "path",
         0,
         {
-            "latency_median_s": latency[1],
-            "statements_per_s": rates[1],
-            "latency_ratio": latency[1] / near,
-            "throughput_ratio": rates[1] / rates[0],
-            "noise_ratio": max(latency[0], latency[2]) / near,
+            "latency_median_s": with_token,
+            "latency_no_token_median_s": without,
+            "latency_ratio": with_token / near,
+            "latency_no_token_ratio": without / near,
+            "noise_ratio": max(before, after) / near,
+            "statements_per_s": rate,
+            "statements_per_s_pipelined": pipelined,
+            "throughput_ratio": rate / direct_rate,
+            "throughput_pipelined_ratio": pipelined / direct_pipelined,
+            "node_cpu_s_per_statement": cpu / (rate * THROUGHPUT_S),
+        },
+        {
+            "direct": {
+                "latency_median_s": near,
+                "statements_per_s": direct_rate,
+                "statements_per_s_pipelined": direct_pipelined,
+            }
         },
-        {"direct": {"latency_median_s": near, "statements_per_s": rates[0]}},
     )
--- a/packages/ctl/src/ferry_ctl/_report.py
+++ b/packages/ctl/src/ferry_ctl/_report.py
@@ -6,7 +6,7 @@
 import click
 
 Figures = dict[str, float]
-DIGITS = 5
+DIGITS = 6
 
 
 @attrs.frozen
@@ -36,7 +36,7 @@
 
 
 def _rounded(figures: Figures) -> Figures:
-    return {name: round(value, DIGITS) for name, value in figures.items()}
+    return {n: float(f"{v:.{DIGITS}g}") for n, v in figures.items()}
 
 
 def show(report: Report, as_json: bool) -> None:
@@ -50,7 +50,7 @@
     click.echo(f"{'':34}" + "".join(f"{c:>18}" for c in columns))
     for name in names:
         cells = [
-            f"{f[name]:18.4f}" if name in f else f"{'':18}"
+            f"{f[name]:18.5g}" if name in f else f"{'':18}"
             for f in columns.values()
         ]
         click.echo(f"{name:34}" + "".join(cells))
--- a/packages/node/src/ferry_node/__init__.py
+++ b/packages/node/src/ferry_node/__init__.py
@@ -3,6 +3,7 @@
 from ferry_node._auth import make_login
 from ferry_node._drivers import CONTROL_FUNCTION
 from ferry_node._drivers import ControlOrder
+from ferry_node._drivers import encode_order
 from ferry_node._endpoint import EndpointConn
 from ferry_node._loop import EventLoop
 from ferry_node._loop import call_on
@@ -40,6 +41,7 @@
     "VmList",
     "call_on",
     "connect",
+    "encode_order",
     "make_login",
     "on_loop",
     "settings_from_file",
--- a/packages/node/src/ferry_node/_drivers.py
+++ b/packages/node/src/ferry_node/_drivers.py
@@ -95,8 +95,7 @@
     ) -> "decisions.Flow[typing.Any]":
         """Sends one order; returns the JSON value that the member answers."""
         conn = yield from self._connected()
-        text = json.dumps(decisions.unstructure(order)).replace("'", "''")
-        payload = _wire.encode_query(f"SELECT {CONTROL_FUNCTION}('{text}')")
+        payload = encode_order(order)
         try:
             answer = yield decisions.within(
                 self._loop, timeout_s, conn.execute(payload)
@@ -138,6 +137,15 @@
         return conn
 
 
+def encode_order(order: ControlOrder) -> bytes:
+    """Returns the statement of an order, without what is at its default."""
+    raw = decisions.unstructure(order)
+    plain = decisions.unstructure(ControlOrder(order.op))
+    raw = {n: v for n, v in raw.items() if n == "op" or v != plain[n]}
+    text = json.dumps(raw, separators=(",", ":")).replace("'", "''")
+    return _wire.encode_query(f"SELECT {CONTROL_FUNCTION}('{text}')")
+
+
 def _value_in(answer: _endpoint.Answer) -> typing.Any:
     if answer.sqlstate == REFUSED_SQLSTATE:
         raise decisions.EndpointRefusedError()
--- a/packages/node/src/ferry_node/_membership.py
+++ b/packages/node/src/ferry_node/_membership.py
@@ -7,10 +7,15 @@
 
 from ferry_node import _board
 from ferry_node import _loop
+from ferry_node import _messages
+from ferry_node import _peers
 from ferry_node import _probes
 from ferry_node import _settings
 from ferry_node import _vms
 
+REFRESH_S = 30.0
+OTHERS_SILENT_S = 75.0
+
 
 class MembershipService:
     """Keeps the blackboard's live nodes and leaving VMs."""
@@ -21,8 +26,13 @@
         cfg: _settings.Settings,
         board: decisions.Blackboard,
         lists: _vms.VmLists,
-        peer_port: int,
+        peers: _peers.Peers,
     ) -> None:
+        self._timers = loop
+        self._peers = peers
+        self._heard_at = float("-inf")
+        self._pushed: object = None
+        self._pushed_at = float("-inf")
         self._board = board
         self._lists = lists
         self._fetching = False
@@ -31,7 +41,7 @@
             loop, cfg.host, cfg.probe_port, self._receive
         )
         self.node = decisions.Node(
-            cfg.node, cfg.data_centre, cfg.host, peer_port, self._socket.port
+            cfg.node, cfg.data_centre, cfg.host, peers.port, self._socket.port
         )
         self._view = decisions.Membership(
             loop,
@@ -78,8 +88,22 @@
     def _changed(self) -> None:
         self._board.write(_board.NODES, self._view.alive())
 
+    def take(self, push: _messages.VmsPush) -> None:
+        """Takes the list in from a node that reads it.
+
+        Raises:
+            MalformedProbeError: An entry has another form.
+        """
+        self._heard_at = self._timers.now()
+        nodes = [_probes.unpack_node(raw) for raw in push.nodes]
+        self._apply(nodes, frozenset(push.leaving))
+
     def _fetch(self) -> None:
-        if self._fetching:
+        """Reads the list where it is this node's part, or nobody else did."""
+        now = self._timers.now()
+        is_reader = self._board.read(_board.STORE_READER)
+        silent = now - self._heard_at > OTHERS_SILENT_S
+        if self._fetching or not (is_reader or silent):
             return
         self._fetching = True
         self._lists.fetch().add_done_callback(self._fetched)
@@ -93,12 +117,36 @@
             return
         vms = fut.result().vms
         entries = [v for v in vms if v.kind == _vms.ENTRY]
-        self._view.note_listed(
-            [v.as_node() for v in entries if v.state != _vms.LEAVING]
-        )
-        leaving = [v for v in vms if v.state == _vms.LEAVING]
-        names = {
+        nodes = [v.as_node() for v in entries if v.state != _vms.LEAVING]
+        leaving = frozenset(
             v.name if v.kind == _vms.ENTRY else f"{v.host}:{v.port}"
-            for v in leaving
-        }
-        self._board.write(_board.LEAVING, frozenset(names))
+            for v in vms
+            if v.state == _vms.LEAVING
+        )
+        self._apply(nodes, leaving)
+        self._push(nodes, leaving)
+
+    def _apply(
+        self, nodes: list[decisions.Node], leaving: frozenset[str]
+    ) -> None:
+        self._view.note_listed(nodes)
+        self._board.write(_board.LEAVING, leaving)
+
+    def _push(
+        self, nodes: list[decisions.Node], leaving: frozenset[str]
+    ) -> None:
+        """Passes the list on in the own data centre, if it is new or due."""
+        now = self._timers.now()
+        shown = (tuple(nodes), leaving)
+        if shown == self._pushed and now - self._pushed_at < REFRESH_S:
+            return
+        if not self._board.read(_board.STORE_READER):
+            return
+        self._pushed, self._pushed_at = shown, now
+        push = _messages.VmsPush(
+            [_probes.pack_node(n) for n in nodes], sorted(leaving)
+        )
+        for node in self._view.alive():
+            own = node.name == self.node.name
+            if not own and node.data_centre == self.node.data_centre:
+                self._peers.tell(node, push)
--- a/packages/node/src/ferry_node/_messages.py
+++ b/packages/node/src/ferry_node/_messages.py
@@ -263,6 +263,20 @@
     position: str
 
 
+@_message(16)
+@attrs.frozen(slots=True)
+class VmsPush:
+    """The platform's list, from one of the few nodes that read it.
+
+    Attributes:
+        nodes: Live entry VMs: name, data centre, host, peer and probe port.
+        leaving: Names of leaving entry VMs, and `host:port` of endpoints.
+    """
+
+    nodes: list[list[typing.Any]]
+    leaving: list[str]
+
+
 Message = typing.Any
 
 
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -59,7 +59,7 @@
             cfg,
             self.board,
             _vms.HttpVmLists(loop, cfg.vm_list_url),
-            self.peers.port,
+            self.peers,
         )
         self.controller = self._controller()
         self.dispatcher = _entry.Dispatcher(
@@ -307,6 +307,8 @@
                 stream.answer(correlation, self.spreader.answer(msg))
             case _messages.EntriesPush() as msg:
                 self.spreader.take(_messages.unpack_entries(msg.entries))
+            case _messages.VmsPush() as msg:
+                self.membership.take(msg)
             case _messages.PositionRequest() as msg:
                 self.position(msg).add_done_callback(
                     lambda f: stream.answer(correlation, f.result())
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -10,6 +10,7 @@
 
 from ferry_node import _loop
 from ferry_node import _messages
+from ferry_node import _probes
 from ferry_node import _streams
 
 USER_TIMEOUT_MS = 1_500
@@ -117,7 +118,10 @@
         try:
             for envelope in self._decoder.feed(data):
                 self._take(envelope)
-        except _messages.PeerProtocolError as exc:
+        except (
+            _messages.PeerProtocolError,
+            _probes.MalformedProbeError,
+        ) as exc:
             logging.warning(
                 "event=peer_protocol_error peer=%s detail=%s", self.node, exc
             )
--- a/packages/node/src/ferry_node/_probes.py
+++ b/packages/node/src/ferry_node/_probes.py
@@ -22,7 +22,8 @@
     """A datagram that is no probe message."""
 
 
-def _pack_node(node: decisions.Node) -> list[typing.Any]:
+def pack_node(node: decisions.Node) -> list[typing.Any]:
+    """Returns a node as a list that `msgpack` takes."""
     return [
         node.name,
         node.data_centre,
@@ -32,7 +33,12 @@
     ]
 
 
-def _unpack_node(raw: typing.Any) -> decisions.Node:
+def unpack_node(raw: typing.Any) -> decisions.Node:
+    """Returns a node from such a list.
+
+    Raises:
+        MalformedProbeError: It has another form.
+    """
     match raw:
         case [str(name), str(centre), str(host), int(peer), int(probe)]:
             return decisions.Node(name, centre, host, peer, probe)
@@ -43,7 +49,7 @@
 def _pack_updates(
     updates: tuple[decisions.Update, ...],
 ) -> list[list[typing.Any]]:
-    return [[_pack_node(u.node), u.incarnation, int(u.health)] for u in updates]
+    return [[pack_node(u.node), u.incarnation, int(u.health)] for u in updates]
 
 
 def _unpack_updates(raw: typing.Any) -> tuple[decisions.Update, ...]:
@@ -55,7 +61,7 @@
             case [node, int(incarnation), int(health)]:
                 updates.append(
                     decisions.Update(
-                        _unpack_node(node),
+                        unpack_node(node),
                         incarnation,
                         decisions.Health(health),
                     )
@@ -67,7 +73,7 @@
 
 def encode_probe(message: decisions.ProbeMessage) -> bytes:
     """Returns the datagram of a message."""
-    sender = _pack_node(message.sender)
+    sender = pack_node(message.sender)
     updates = _pack_updates(message.updates)
     row: list[typing.Any]
     match message:
@@ -76,7 +82,7 @@
         case decisions.Ack():
             row = [_ACK, message.number, sender, updates, message.incarnation]
         case decisions.IndirectProbe():
-            target = _pack_node(message.target)
+            target = pack_node(message.target)
             row = [_INDIRECT, message.number, sender, updates, target]
     return bytes(msgpack.packb([VERSION, *row]))
 
@@ -92,14 +98,14 @@
         match raw:
             case [int(v), 1, int(number), sender, updates] if v == VERSION:
                 return decisions.Probe(
-                    number, _unpack_node(sender), _unpack_updates(updates)
+                    number, unpack_node(sender), _unpack_updates(updates)
                 )
             case [int(v), 2, int(number), sender, updates, int(inc)] if (
                 v == VERSION
             ):
                 return decisions.Ack(
                     number,
-                    _unpack_node(sender),
+                    unpack_node(sender),
                     inc,
                     _unpack_updates(updates),
                 )
@@ -108,8 +114,8 @@
             ):
                 return decisions.IndirectProbe(
                     number,
-                    _unpack_node(sender),
-                    _unpack_node(target),
+                    unpack_node(sender),
+                    unpack_node(target),
                     _unpack_updates(updates),
                 )
     except MalformedProbeError:
--- a/packages/node/src/ferry_node/_settings.py
+++ b/packages/node/src/ferry_node/_settings.py
@@ -129,6 +129,12 @@
     request_timeout_s: float = attrs.field(
         default=10.0, validator=_check_positive
     )
+
+    @silence_s.validator
+    def _check_silence(self, _: object, value: float) -> None:
+        if value <= self.probe_s:
+            raise ValueError("silence_s must be greater than probe_s")
+
     transaction_idle_s: float = attrs.field(
         default=30.0, validator=_check_positive
     )
--- a/packages/node/src/ferry_node/_vms.py
+++ b/packages/node/src/ferry_node/_vms.py
@@ -15,6 +15,7 @@
 from ferry_node import _loop
 
 TIMEOUT_S = 1.0
+NOT_MODIFIED = 304
 ENTRY = "entry"
 ENDPOINT = "endpoint"
 LEAVING = "leaving"
@@ -80,6 +81,8 @@
     def __init__(self, loop: _loop.EventLoop, url: str) -> None:
         self._loop = loop
         self._url = url
+        self._etag = ""
+        self._last: VmList | None = None
         self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
         self._executor = concurrent.futures.ThreadPoolExecutor(
             1, thread_name_prefix="vm-list"
@@ -94,13 +97,19 @@
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _read(self) -> VmList:
+        headers = {"If-None-Match": self._etag} if self._etag else {}
         try:
-            reply = self._http.request("GET", self._url)
+            reply = self._http.request("GET", self._url, headers=headers)
+            if reply.status == NOT_MODIFIED and self._last is not None:
+                return self._last
             if reply.status != 200:
                 raise VmListUnavailableError(f"HTTP {reply.status}")
-            return decisions.structure(
+            found = decisions.structure(
                 json.loads(reply.data), VmList, "vm_list"
             )
+            self._etag = reply.headers.get("ETag", "")
+            self._last = found
+            return found
         except (
             urllib3.exceptions.HTTPError,
             ValueError,
--- a/packages/standins/src/ferry_standins/_vms.py
+++ b/packages/standins/src/ferry_standins/_vms.py
@@ -64,7 +64,14 @@
         with self._lock:
             shown = node.VmList(tuple(self._vms.values()))
         data = json.dumps(decisions.unstructure(shown)).encode()
+        etag = f'"{decisions.content_digest(data)}"'
+        if request.headers.get("If-None-Match") == etag:
+            request.send_response(304)
+            request.send_header("Content-Length", "0")
+            request.end_headers()
+            return
         request.send_response(200)
+        request.send_header("ETag", etag)
         request.send_header("Content-Length", str(len(data)))
         request.end_headers()
         request.wfile.write(data)
--- a/tools/bench_path.sh
+++ b/tools/bench_path.sh
@@ -1,22 +1,6 @@
 #!/usr/bin/env bash
-# Runs stand-ins and three nodes as processes of their own, and measures the
-# path through one of them. Ends what it started.
+# Measures the cost of the path through one node.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-bin=${VENV:-.venv}/bin
-dir=$(mktemp -d)
-pids=()
-trap 'kill "${pids[@]}" 2>/dev/null || true; wait; rm -rf "$dir"' EXIT
-"$bin/rosemaryferryctl" stand-ins --dir "$dir" > "$dir/members" &
-pids+=($!)
-for _ in $(seq 100); do [ -f "$dir/ready" ] && break; sleep 0.1; done
-for cfg in "$dir"/*.jsonc; do
-  "$bin/rosemaryferry" run --settings "$cfg" > "$cfg.out" 2> "$cfg.err" &
-  pids+=($!)
-done
-port() { sed -n 's/.*"port": \([0-9]*\).*/\1/p' "$dir/$1.jsonc"; }
-member=$(sed -n 's/^plates-hall-b: //p' "$dir/members")
-"$bin/rosemaryferryctl" bench path \
-  --direct "host=${member%%:*} port=${member##*:} user=clerk dbname=plates" \
-  --through "host=127.0.0.1 port=$(port hall-b-1) user=clerk@lone-star dbname=plates" \
-  "$@"
+source "$(dirname "$0")/fleet.sh"
+"$bin/rosemaryferryctl" bench path --direct "$direct" --through "$through" \
+  --pid "$through_pid" "$@"
