Cut-off data centres told the truth; streams and memory at the design size

Cause: the capacity page showed 895 MB for streams to 409 peers (the unpacker's 1 MB buffer, then its 40 KB), and a timer for each stream; the table of cut-off data centres showed an order inside as unknown that was never delivered; a replica far behind was tried five times a second.

--- a/packages/ctl/src/ferry_ctl/_bench_capacity.py
+++ b/packages/ctl/src/ferry_ctl/_bench_capacity.py
@@ -32,6 +32,9 @@
 WATCH_RUN_S = 10.0
 GAP_SEEDS = 6
 TCP_BYTES = 80
+TICKS = 50
+TICKS_PER_S = 1 / 0.3
+STREAM_SIZES = (50, 150, 400)
 
 
 @attrs.frozen
@@ -209,6 +212,36 @@
     return used / nodes / 6.0, more / nodes / 6.0
 
 
+def _step(loop: node.EventLoop) -> None:
+    """Runs what is ready, without waiting."""
+    loop.call_soon(lambda: None)
+    loop.step()
+
+
+def _peer_streams(count: int) -> tuple[float, float]:
+    """Returns the memory of streams, both ends, and a tick's seconds."""
+    loop = node.EventLoop()
+    hello = node.Hello("here", "dc")
+    tracemalloc.start()
+    here = node.Peers(loop, hello, "127.0.0.1", 0, lambda *_: None)
+    before = tracemalloc.get_traced_memory()[0]
+    for index in range(count):
+        target = decisions.Node(f"n{index}", "dc", "127.0.0.1", here.port, 1)
+        here.stream(target)
+        _step(loop)
+    for _ in range(count):
+        _step(loop)
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    began = time.process_time()
+    for _ in range(TICKS):
+        here.tick()
+    tick_s = (time.process_time() - began) / TICKS
+    here.close()
+    loop.close()
+    return float(size), tick_s
+
+
 def run(seed: int) -> _report.Report:
     """Returns slopes, and the figures at the design size."""
     figures: _report.Figures = {}
@@ -227,6 +260,14 @@
     member_bytes = _fitted(
         figures, "membership_bytes_per_s", (50, 150, 410), lambda n: costs[n][1]
     )
+    streams = {size: _peer_streams(size) for size in STREAM_SIZES}
+    stream = _fitted(
+        figures, "peer_stream_bytes", STREAM_SIZES, lambda n: streams[n][0]
+    )
+    tick = _fitted(
+        figures, "peer_tick_s", STREAM_SIZES, lambda n: streams[n][1]
+    )
+    figures["peer_streams_mb_per_node"] = stream.at(NODES) / 1e6
     asked, answered = _probe_bytes()
     probes_per_s = SERVICES * MEMBERS / PROBE_S
     figures["probe_bytes_asked"] = asked
@@ -234,7 +275,10 @@
     figures["services_per_node"] = SERVICES
     figures["probes_per_s_per_node"] = probes_per_s
     figures["control_core_per_node"] = (
-        watch.at(SERVICES) + probe.slope * probes_per_s + member_core.at(NODES)
+        watch.at(SERVICES)
+        + probe.slope * probes_per_s
+        + member_core.at(NODES)
+        + tick.at(NODES) * TICKS_PER_S
     )
     figures["control_bytes_per_s_per_node"] = probes_per_s * (
         asked + answered
--- a/packages/node/src/ferry_node/__init__.py
+++ b/packages/node/src/ferry_node/__init__.py
@@ -8,7 +8,9 @@
 from ferry_node._loop import EventLoop
 from ferry_node._loop import call_on
 from ferry_node._loop import on_loop
+from ferry_node._messages import Hello
 from ferry_node._node import Node
+from ferry_node._peers import Peers
 from ferry_node._settings import CallerSettings
 from ferry_node._settings import EndpointSettings
 from ferry_node._settings import PolicySettings
@@ -30,9 +32,11 @@
     "EndpointConn",
     "EndpointSettings",
     "EventLoop",
+    "Hello",
     "HttpStore",
     "Listener",
     "Node",
+    "Peers",
     "PolicySettings",
     "Settings",
     "SettingsUnreadableError",
--- a/packages/node/src/ferry_node/_entry.py
+++ b/packages/node/src/ferry_node/_entry.py
@@ -66,6 +66,9 @@
     ) -> "decisions.Future[typing.Any]":
         """Sends a request; fails with `PeerLostError`."""
 
+    def check(self, node: decisions.Node) -> "decisions.Future[None]":
+        """Tells whether a node shows life; fails with `PeerLostError`."""
+
     def tell(self, node: decisions.Node, message: _messages.Message) -> None:
         """Sends a one-way message."""
 
@@ -247,10 +250,12 @@
         on_part: Callable[[bytes], object],
     ) -> "decisions.Flow[_messages.ExecuteReply]":
         fut: decisions.Future[_messages.ExecuteReply] = decisions.Future()
-        decisions.forward(self._ctx.peers.call(node, req, on_part), fut)
-        if req.as_primary:
-            self._under_way[req.database].add(fut)
         try:
+            if not req.read:
+                yield self._ctx.peers.check(node)
+            decisions.forward(self._ctx.peers.call(node, req, on_part), fut)
+            if req.as_primary:
+                self._under_way[req.database].add(fut)
             reply = yield fut
         except _peers.PeerLostError as exc:
             return _messages.ExecuteReply(
--- a/packages/node/src/ferry_node/_peer_server.py
+++ b/packages/node/src/ferry_node/_peer_server.py
@@ -4,6 +4,7 @@
 
 import ferry_decisions as decisions
 
+from ferry_node import _codec
 from ferry_node import _messages
 from ferry_node import _peers
 
@@ -19,7 +20,7 @@
         self._channels: dict[_peers.PeerStream, set[int]] = {}
 
     def serve(
-        self, stream: _peers.PeerStream, envelope: _messages.Envelope
+        self, stream: _peers.PeerStream, envelope: _codec.Envelope
     ) -> None:
         """Answers what other nodes ask."""
         correlation = envelope.correlation
@@ -37,7 +38,7 @@
             case _messages.SyncRequest() as msg:
                 stream.answer(correlation, self._node.spreader.answer(msg))
             case _messages.EntriesPush() as msg:
-                self._node.spreader.take(_messages.unpack_entries(msg.entries))
+                self._node.spreader.take(_codec.unpack_entries(msg.entries))
             case _messages.VmsPush() as msg:
                 self._node.membership.take(msg)
             case _messages.PositionRequest() as msg:
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -8,6 +8,7 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_node import _codec
 from ferry_node import _loop
 from ferry_node import _messages
 from ferry_node import _probes
@@ -16,6 +17,8 @@
 USER_TIMEOUT_MS = 1_500
 PING_S = 0.3
 PING_TIMEOUT_S = 1.0
+CHECK_AFTER_S = 0.5
+CHECK_S = 0.4
 IDLE_CLOSE_S = 120.0
 
 
@@ -53,11 +56,13 @@
         self._loop = loop
         self._stream = stream
         self._serve = serve
-        self._decoder = _messages.MessageDecoder()
+        self._decoder = _codec.MessageDecoder()
         self._calls: dict[int, _Call] = {}
         self._numbers = itertools.count(1)
         self._heard = loop.now()
         self._open = opened
+        self._spoke = float("-inf")
+        self._checks: list[decisions.Future[None]] = []
         self.node = ""
         self.used = loop.now()
         self.closed = False
@@ -67,8 +72,7 @@
         stream.on_closed = self._stream_closed
         stream.on_open = self._opened
         stream.keep_alive(USER_TIMEOUT_MS)
-        self._pinger = decisions.PeriodicTimer(loop, PING_S, self._ping)
-        stream.send(_messages.encode(0, hello))
+        stream.send(_codec.encode(0, hello))
 
     @property
     def queued(self) -> int:
@@ -90,16 +94,33 @@
         number = next(self._numbers)
         self.used = self._loop.now()
         self._calls[number] = _Call(fut, on_part)
-        self._stream.send(_messages.encode(number, message))
+        self._stream.send(_codec.encode(number, message))
+        return fut
+
+    def check(self) -> "decisions.Future[None]":
+        """Returns a future that is done once the peer has shown life.
+
+        That is at once if it did so a short while ago. Fails with
+        `PeerLostError`, and nothing was handed over.
+        """
+        if self.closed:
+            return decisions.failed(PeerLostError("closed before", False))
+        if self._open and self._loop.now() - self._spoke < CHECK_AFTER_S:
+            return decisions.completed(None)
+        fut: decisions.Future[None] = decisions.Future()
+        self._checks.append(fut)
+        self.tell(_messages.Ping())
+        lost = PeerLostError("shows no life", False)
+        self._loop.after(CHECK_S, lambda: decisions.reject(fut, lost))
         return fut
 
     def tell(self, message: _messages.Message) -> None:
         """Sends a message that has no answer."""
-        self._stream.send(_messages.encode(0, message))
+        self._stream.send(_codec.encode(0, message))
 
     def answer(self, correlation: int, message: _messages.Message) -> None:
         """Sends an answer, or a part of one."""
-        self._stream.send(_messages.encode(correlation, message))
+        self._stream.send(_codec.encode(correlation, message))
 
     def close(self) -> None:
         """Closes the stream; what waits for an answer fails."""
@@ -114,12 +135,15 @@
         self._heard = self._loop.now()
 
     def _receive(self, data: bytes) -> None:
-        self._heard = self._loop.now()
+        self._heard = self._spoke = self._loop.now()
+        checks, self._checks = self._checks, []
+        for check in checks:
+            decisions.resolve(check, None)
         try:
             for envelope in self._decoder.feed(data):
                 self._take(envelope)
         except (
-            _messages.PeerProtocolError,
+            _codec.PeerProtocolError,
             _probes.MalformedProbeError,
         ) as exc:
             logging.warning(
@@ -127,7 +151,7 @@
             )
             self._fail(str(exc))
 
-    def _take(self, envelope: _messages.Envelope) -> None:
+    def _take(self, envelope: _codec.Envelope) -> None:
         message = envelope.message
         call = self._calls.get(envelope.correlation)
         match message:
@@ -153,7 +177,7 @@
                 self.used = self._loop.now()
                 self._serve(self, envelope)
 
-    def _ping(self) -> None:
+    def tick(self) -> None:
         """Finds a silent stream while an answer is owed."""
         now = self._loop.now()
         if not self._calls:
@@ -171,7 +195,6 @@
         if self.closed:
             return
         self.closed = True
-        self._pinger.stop()
         self._stream.close()
         calls, self._calls = self._calls, {}
         for call in calls.values():
@@ -180,7 +203,7 @@
             callback(self)
 
 
-Serve = Callable[[PeerStream, _messages.Envelope], object]
+Serve = Callable[[PeerStream, _codec.Envelope], object]
 
 
 class Peers:
@@ -201,6 +224,7 @@
         self._in: set[PeerStream] = set()
         self.on_stream_closed: list[Callable[[PeerStream], object]] = []
         self._listener = _streams.Listener(loop, host, port, self._accept)
+        self._ticker = decisions.PeriodicTimer(loop, PING_S, self.tick)
 
     @property
     def port(self) -> int:
@@ -216,6 +240,10 @@
         """Sends a request to a node over its stream."""
         return self.stream(node).call(message, on_part)
 
+    def check(self, node: decisions.Node) -> "decisions.Future[None]":
+        """Returns a future that is done once a node has shown life."""
+        return self.stream(node).check()
+
     def tell(self, node: decisions.Node, message: _messages.Message) -> None:
         """Sends a one-way message to a node."""
         self.stream(node).tell(message)
@@ -230,8 +258,14 @@
             self._out[node.name] = stream
         return stream
 
+    def tick(self) -> None:
+        """Looks after all streams; one timer costs less than one for each."""
+        for stream in [*self._out.values(), *self._in]:
+            stream.tick()
+
     def close(self) -> None:
         """Closes the listener and all streams."""
+        self._ticker.stop()
         self._listener.close()
         for stream in [*self._out.values(), *self._in]:
             stream.close()
--- a/packages/node/src/ferry_node/_spread.py
+++ b/packages/node/src/ferry_node/_spread.py
@@ -14,6 +14,7 @@
 import ferry_decisions as decisions
 
 from ferry_node import _board
+from ferry_node import _codec
 from ferry_node import _entry
 from ferry_node import _messages
 from ferry_node import _settings
@@ -101,7 +102,7 @@
             return _messages.SyncReply(True, [], {})
         newer = self._directory.newer_than(req.revisions)
         return _messages.SyncReply(
-            True, _messages.pack_entries(newer), self._directory.revisions()
+            True, _codec.pack_entries(newer), self._directory.revisions()
         )
 
     def _notified(self, entry: decisions.StoreEntry) -> None:
@@ -111,7 +112,7 @@
     def _push(
         self, entries: list[decisions.StoreEntry], everywhere: bool
     ) -> None:
-        push = _messages.EntriesPush(_messages.pack_entries(entries))
+        push = _messages.EntriesPush(_codec.pack_entries(entries))
         for node in self._others():
             if everywhere or node.data_centre == self._cfg.data_centre:
                 self._peers.tell(node, push)
@@ -171,11 +172,11 @@
                 digest, self._directory.revisions(), full=True
             ),
         )
-        self.take(_messages.unpack_entries(reply.entries))
+        self.take(_codec.unpack_entries(reply.entries))
         newer = self._directory.newer_than(reply.revisions)
         if newer:
             self._peers.tell(
-                node, _messages.EntriesPush(_messages.pack_entries(newer))
+                node, _messages.EntriesPush(_codec.pack_entries(newer))
             )
 
     def _ask(
--- a/packages/node/src/ferry_node/_targets.py
+++ b/packages/node/src/ferry_node/_targets.py
@@ -9,6 +9,7 @@
 from ferry_node import _settings
 
 BEHIND_S = 0.2
+TOO_OLD_S = 2.0
 
 
 @attrs.frozen(slots=True)
@@ -110,6 +111,8 @@
         self, database: str, target: Target, reply: _messages.ExecuteReply
     ) -> None:
         """Avoids for a while a replica that was out of reach or too old."""
-        if not target.primary and reply.detail != "below_floor":
-            until = self._timers.now() + BEHIND_S
+        if not target.primary and reply.detail != decisions.Fitness.FLOOR.value:
+            too_old = reply.detail == decisions.Fitness.AGE.value
+            pause_s = TOO_OLD_S if too_old else BEHIND_S
+            until = self._timers.now() + pause_s
             self._behind[(database, target.member)] = until
--- a/packages/node/src/ferry_node/tests/test_inputs.py
+++ b/packages/node/src/ferry_node/tests/test_inputs.py
@@ -8,6 +8,7 @@
 
 import ferry_node as node
 from ferry_node import _batches
+from ferry_node import _codec
 from ferry_node import _messages
 from ferry_node import _probes
 from ferry_node import _wire
@@ -95,11 +96,11 @@
 @FIXED
 @hypothesis.given(st.lists(st.binary(max_size=80), max_size=6))
 def test_any_peer_bytes_are_messages_or_a_typed_error(chunks):
-    decoder = _messages.MessageDecoder()
+    decoder = _codec.MessageDecoder()
     try:
         for chunk in chunks:
             list(decoder.feed(chunk))
-    except _messages.PeerProtocolError:
+    except _codec.PeerProtocolError:
         return
 
 
@@ -144,11 +145,11 @@
     ids=lambda m: type(m).__name__,
 )
 def test_message_round_trip_in_any_cut(message):
-    data = _messages.encode(7, message)
+    data = _codec.encode(7, message)
     for cut in range(len(data)):
-        decoder = _messages.MessageDecoder()
+        decoder = _codec.MessageDecoder()
         found = [*decoder.feed(data[:cut]), *decoder.feed(data[cut:])]
-        assert found == [_messages.Envelope(7, message)]
+        assert found == [_codec.Envelope(7, message)]
 
 
 @pytest.mark.parametrize(
@@ -164,8 +165,8 @@
 def test_wrong_message_is_a_typed_error(name, row):
     import msgpack
 
-    decoder = _messages.MessageDecoder()
-    with pytest.raises(_messages.PeerProtocolError):
+    decoder = _codec.MessageDecoder()
+    with pytest.raises(_codec.PeerProtocolError):
         list(decoder.feed(msgpack.packb(row)))
     assert name
 
--- a/packages/standins/src/ferry_standins/_lab_node.py
+++ b/packages/standins/src/ferry_standins/_lab_node.py
@@ -7,6 +7,7 @@
 import ferry_decisions as decisions
 from ferry_node import _entry
 from ferry_node import _messages
+from ferry_node import _peers
 from ferry_node import _serving
 from ferry_node import _settings
 
@@ -17,6 +18,8 @@
 if typing.TYPE_CHECKING:
     from ferry_standins import _lab
 
+CHECK_S = 0.4
+
 
 class LabNode:
     """One node's decisions."""
@@ -172,5 +175,18 @@
 
         return self._lab.call(self._centre, target, work)
 
+    def check(self, node: decisions.Node) -> "decisions.Future[None]":
+        """Shows life unless the way is cut, as a stream that was idle."""
+        lab = self._lab
+        target = lab.members_of[node.name]
+        alive = lab.call(
+            self._centre, target, lambda: decisions.completed(None)
+        )
+        out: decisions.Future[None] = decisions.Future()
+        decisions.forward(alive, out)
+        lost = _peers.PeerLostError("shows no life", handed=False)
+        lab.timers.after(CHECK_S, lambda: decisions.reject(out, lost))
+        return out
+
     def tell(self, node: decisions.Node, message: _messages.Message) -> None:
         """Sends nothing: the lab has no one-way messages."""
--- a/packages/standins/src/ferry_standins/_swarm.py
+++ b/packages/standins/src/ferry_standins/_swarm.py
@@ -11,6 +11,7 @@
 import attrs
 import ferry_decisions as decisions
 from ferry_node import _board
+from ferry_node import _codec
 from ferry_node import _messages
 from ferry_node import _peers
 from ferry_node import _probes
@@ -111,19 +112,23 @@
         self.timers.after(PEER_TIMEOUT_S, lambda: decisions.reject(fut, lost))
         return fut
 
+    def check(self, node: decisions.Node) -> "decisions.Future[None]":
+        """Is not asked here: spreaders hand nothing over."""
+        return decisions.completed(None)
+
     def tell(self, node: decisions.Node, message: _messages.Message) -> None:
         """Sends a one-way message to another node's spreader."""
         self._count(message)
 
         def take(target: "SwarmNode") -> None:
             if target.spreader is not None:
-                entries = _messages.unpack_entries(message.entries)
+                entries = _codec.unpack_entries(message.entries)
                 target.spreader.take(entries)
 
         self.swarm.carry(self, node.name, take)
 
     def _count(self, message: _messages.Message) -> None:
-        size = len(_messages.encode(1, message)) + TCP_HEADER_BYTES
+        size = len(_codec.encode(1, message)) + TCP_HEADER_BYTES
         self.stream_bytes += size
 
     def _changed(self) -> None:
--- a/packages/standins/src/ferry_standins/tests/test_faults.py
+++ b/packages/standins/src/ferry_standins/tests/test_faults.py
@@ -252,3 +252,73 @@
     write, read = read_after_a_write_beyond_the_cut()
     assert read.outcome is decisions.Outcome.RAN
     assert read.value < write.value
+
+
+@pytest.mark.parametrize(
+    ("name", "where", "use", "outcome"),
+    [
+        ("read inside, within its age", "inside", "read", "RAN"),
+        ("order inside, primary outside", "inside", "write", "NOT_RUN"),
+        ("read outside", "outside", "read", "RAN"),
+        ("order outside", "outside", "write", "RAN"),
+    ],
+)
+def test_data_centre_without_the_primary_is_cut_off(name, where, use, outcome):
+    lab = standins.Lab(standins.LabPlan(staleness_s=30.0), 9)
+    lab.timers.advance(1.5)
+    inside = next(
+        m.described.data_centre
+        for m in lab.members.values()
+        if not m.replica.leads
+    )
+    outside = lab.primary().described.data_centre
+    session = standins.LabSession(lab, "clerk", timeout_s=3.0)
+    first = session.write(lab.node_in(inside))
+    lab.timers.advance(1.0)
+    assert first.result().outcome is decisions.Outcome.RAN
+    lab.cut_centre(inside)
+    lab.timers.advance(2.0)
+    node = lab.node_in(inside if where == "inside" else outside)
+    fut = session.read(node) if use == "read" else session.write(node)
+    lab.timers.advance(6.0)
+    assert fut.result().outcome is decisions.Outcome[outcome], name
+    assert lab.primary().replica.term == 1
+
+
+def test_data_centre_with_the_primary_is_cut_off_and_healed():
+    """Inside, orders are not acknowledged; outside they go on; none is lost."""
+    lab = standins.Lab(standins.LabPlan(staleness_s=30.0), 10)
+    lab.timers.advance(1.5)
+    inside = lab.primary().described.data_centre
+    outside = next(c for c in lab.plan.centres if c != inside)
+    lab.cut_centre(inside)
+    lab.timers.advance(2.0)
+    cut_off = standins.LabSession(lab, "inside", timeout_s=2.0)
+    going_on = standins.LabSession(lab, "outside", timeout_s=2.0)
+    held = cut_off.write(lab.node_in(inside))
+    ran = going_on.write(lab.node_in(outside))
+    lab.timers.advance(3.0)
+    assert held.result().outcome is decisions.Outcome.NOT_RUN
+    assert ran.result().outcome is decisions.Outcome.RAN
+    lab.heal_centre(inside)
+    lab.sync_records()
+    lab.timers.advance(3.0)
+    after = cut_off.write(lab.node_in(inside))
+    lab.timers.advance(1.0)
+    assert after.result().outcome is decisions.Outcome.RAN
+    assert lab.verdict().total == 0
+
+
+def test_hour_without_the_store_stops_nothing_that_ran():
+    lab = standins.Lab(standins.LabPlan(), 11)
+    lab.timers.advance(1.5)
+    lab.store.down = True
+    session = standins.LabSession(lab, "clerk")
+    nodes = list(lab.members_of.values())
+    for minute in range(60):
+        write = session.write(nodes[minute % 3])
+        lab.timers.advance(30.0)
+        read = session.read(nodes[(minute + 1) % 3])
+        lab.timers.advance(30.0)
+        assert write.result().outcome is decisions.Outcome.RAN
+        assert read.result().value == session.next_value
