--- a/packages/ctl/src/ferry_ctl/_contracts.py
+++ b/packages/ctl/src/ferry_ctl/_contracts.py
@@ -14,8 +14,8 @@
     """Shows and changes contracts."""
 
 
-def _show(value: object) -> None:
-    click.echo(json.dumps(value, indent=2))
+def _show(api: _api.Api, path: str) -> None:
+    click.echo(json.dumps(api.call("GET", path).body, indent=2))
 
 
 def _document(path: str) -> bytes:
@@ -40,8 +40,7 @@
 @_api.api_options
 def show(customer: str, url: str, token: str, operator: str) -> None:
     """Shows one contract."""
-    api = _api.Api(url, token, operator)
-    _show(api.call("GET", f"/v1/contracts/{customer}").body)
+    _show(_api.Api(url, token, operator), f"/v1/contracts/{customer}")
 
 
 @contract.command()
@@ -49,8 +48,7 @@
 @_api.api_options
 def history(customer: str, url: str, token: str, operator: str) -> None:
     """Shows who changed a contract, and how; the newest change first."""
-    api = _api.Api(url, token, operator)
-    _show(api.call("GET", f"/v1/contracts/{customer}/history").body)
+    _show(_api.Api(url, token, operator), f"/v1/contracts/{customer}/history")
 
 
 @contract.command()
--- a/packages/standins/src/ferry_standins/_log.py
+++ b/packages/standins/src/ferry_standins/_log.py
@@ -82,6 +82,28 @@
         """What its reads show, in the term that it follows."""
         return decisions.Position(self.term, self.applied)
 
+    def status(
+        self, now: float, owner: str, guests: int
+    ) -> decisions.MemberStatus:
+        """Returns what the member says of itself.
+
+        Args:
+            now: The time in seconds.
+            owner: The node that owns the member.
+            guests: Connections that another owner has left.
+        """
+        return decisions.MemberStatus(
+            name=self.name,
+            promised=self.promised,
+            is_primary=self.leads,
+            received=self.received,
+            applied=self.shown,
+            term=self.term,
+            owner=owner,
+            guests=guests,
+            upstream_silence_s=0.0 if self.leads else now - self.heard_at,
+        )
+
     def fence(self, term: int, claim_id: str) -> None:
         """Promises a term to a claim.
 
--- a/packages/standins/src/ferry_standins/_member.py
+++ b/packages/standins/src/ferry_standins/_member.py
@@ -82,18 +82,8 @@
 
     def status(self) -> decisions.MemberStatus:
         """Returns what the member says of itself."""
-        replica = self.replica
-        silence = 0.0 if replica.leads else self.loop.now() - replica.heard_at
-        return decisions.MemberStatus(
-            name=self.name,
-            promised=replica.promised,
-            is_primary=replica.leads,
-            received=replica.received,
-            applied=replica.shown,
-            term=replica.term,
-            owner=self.owner_id,
-            guests=self.guests(),
-            upstream_silence_s=silence,
+        return self.replica.status(
+            self.loop.now(), self.owner_id, self.guests()
         )
 
     def apply_to(self, index: int) -> None:
--- a/packages/standins/src/ferry_standins/_virtual.py
+++ b/packages/standins/src/ferry_standins/_virtual.py
@@ -110,19 +110,8 @@
 
     def status(self) -> decisions.MemberStatus:
         """Returns what the member says of itself."""
-        replica = self.replica
-        silence = self._timers.now() - replica.heard_at
-        return decisions.MemberStatus(
-            name=self.name,
-            promised=replica.promised,
-            is_primary=replica.leads,
-            received=replica.received,
-            applied=replica.shown,
-            term=replica.term,
-            owner=self.owner_id,
-            guests=sum(c.owner != self.owner_id for c in self.conns),
-            upstream_silence_s=0.0 if replica.leads else silence,
-        )
+        guests = sum(c.owner != self.owner_id for c in self.conns)
+        return self.replica.status(self._timers.now(), self.owner_id, guests)
 
     @property
     def delay_s(self) -> float:
