--- a/packages/ctl/src/ferry_ctl/_bench.py
+++ b/packages/ctl/src/ferry_ctl/_bench.py
@@ -3,6 +3,7 @@
 import click
 
 from ferry_ctl import _bench_capacity
+from ferry_ctl import _bench_explore
 from ferry_ctl import _bench_failover
 from ferry_ctl import _bench_fairness
 from ferry_ctl import _bench_idle
@@ -104,3 +105,12 @@
 def overload(as_json: bool, seed: int) -> None:
     """Writes at up to five times the capacity of a primary."""
     _report.show(_bench_overload.run(seed), as_json)
+
+
+@bench.command("explore")
+@_json
+@_seed
+@click.option("--seeds", default=20, show_default=True, help="Schedules.")
+def explore(as_json: bool, seed: int, seeds: int) -> None:
+    """Random schedules of overlapping faults, checked for violations."""
+    _report.show(_bench_explore.run(seed, seeds), as_json)
--- a/packages/decisions/src/ferry_decisions/_databases.py
+++ b/packages/decisions/src/ferry_decisions/_databases.py
@@ -170,11 +170,13 @@
         promised: The highest term it was fenced at; it takes no entry and no
             order of an earlier one.
         is_primary: Whether it believes that it leads.
-        received: How much its log holds of the history of the term that it
-            follows; this survives its restart.
-        applied: How much of it its reads show.
-        term: The last term that it led or followed. Its log is a part of
-            that term's history, from the beginning.
+        received: How much its log holds; this survives its restart. The term
+            of the position is the last one whose *start* the log has reached:
+            a member that follows a new primary counts in the new term only
+            when it holds all that the term began with, else its shorter log
+            would win over one that holds acknowledged entries.
+        applied: How much of it its reads show, in the same term.
+        term: The term that it leads or follows.
         owner: The node that owns it, with the id of its ownership; statements
             of other nodes are refused.
         guests: Connections for statements that another owner has left.
--- a/packages/standins/src/ferry_standins/_control.py
+++ b/packages/standins/src/ferry_standins/_control.py
@@ -57,7 +57,8 @@
     if order.term < replica.promised:
         raise _log.RefusedError(f"promised {replica.promised}")
     common = member.group.common_prefix(member.name, order.primary)
-    was_cut = replica.follow(order.term, order.primary, common)
+    start = dict(order.starts)[order.term]
+    was_cut = replica.follow(order.term, order.primary, common, start)
     member.drop_callers()
     if was_cut:
         member.rebuild()
--- a/packages/standins/src/ferry_standins/_log.py
+++ b/packages/standins/src/ferry_standins/_log.py
@@ -52,6 +52,9 @@
         promised: The highest term it was fenced at.
         promised_to: The claim that it promised to.
         term: The term that it follows or leads.
+        start: The index at which that term began.
+        whole: The last term whose start its log has reached. Only in that
+            term does its log count when a successor is chosen.
         primary: The member that it follows; its own name if it leads.
         heard_at: When it last heard from its primary, in seconds.
         cut: Entries that a promotion cut from its log.
@@ -63,6 +66,8 @@
     promised: int = 0
     promised_to: str = ""
     term: int = 0
+    start: int = 0
+    whole: int = 0
     primary: str = ""
     heard_at: float = 0.0
     cut: list[LogEntry] = attrs.field(factory=list)
@@ -74,13 +79,13 @@
 
     @property
     def received(self) -> decisions.Position:
-        """How much it holds of the history of the term that it follows."""
-        return decisions.Position(self.term, len(self.log))
+        """How much it holds of the history of its last whole term."""
+        return decisions.Position(self.whole, len(self.log))
 
     @property
     def shown(self) -> decisions.Position:
-        """What its reads show, in the term that it follows."""
-        return decisions.Position(self.term, self.applied)
+        """What its reads show, in its last whole term."""
+        return decisions.Position(self.whole, self.applied)
 
     def status(
         self, now: float, owner: str, guests: int
@@ -128,16 +133,19 @@
             raise RefusedError(f"promised {self.promised}")
         self.promised = term
         self.term = term
+        self.start = start
+        self.whole = term
         self.primary = self.name
         self.applied = len(self.log)
 
-    def follow(self, term: int, primary: str, common: int) -> bool:
+    def follow(self, term: int, primary: str, common: int, start: int) -> bool:
         """Becomes a replica; returns whether what it shows was cut.
 
         Args:
             term: The primary's term.
             primary: The primary's name.
             common: How many entries it has in common with the primary.
+            start: The index at which the term began.
 
         Raises:
             RefusedError: It has promised a later term.
@@ -148,13 +156,20 @@
             return False
         self.promised = term
         self.term = term
+        self.start = start
         self.primary = primary
         self.cut = self.log[common:]
         del self.log[common:]
         was_cut = self.applied > len(self.log)
         self.applied = min(self.applied, len(self.log))
+        self._note_whole()
         return was_cut
 
+    def _note_whole(self) -> None:
+        """Counts in the followed term once its start is reached."""
+        if len(self.log) >= self.start:
+            self.whole = self.term
+
     def append(self, statements: tuple[LogStatement, ...]) -> None:
         """Adds an entry as the primary.
 
@@ -176,6 +191,7 @@
             return False
         fresh = entries[len(self.log) - base :]
         self.log.extend(fresh)
+        self._note_whole()
         return True
 
 
--- a/packages/standins/src/ferry_standins/_virtual.py
+++ b/packages/standins/src/ferry_standins/_virtual.py
@@ -161,7 +161,10 @@
         if order.term < self.replica.promised:
             raise _log.RefusedError(str(self.replica.promised))
         common = self.group.common_prefix(self.name, order.primary.name)
-        was_cut = self.replica.follow(order.term, order.primary.name, common)
+        start = dict(order.starts)[order.term]
+        was_cut = self.replica.follow(
+            order.term, order.primary.name, common, start
+        )
         self.drop_conns()
         if was_cut:
             self.values = {}
--- a/packages/standins/src/ferry_standins/tests/test_faults.py
+++ b/packages/standins/src/ferry_standins/tests/test_faults.py
@@ -8,6 +8,7 @@
 import math
 
 import attrs
+from ferry_ctl import _bench_explore
 from ferry_ctl import _bench_failover
 import ferry_decisions as decisions
 from ferry_decisions import _confirmations
@@ -322,3 +323,25 @@
         lab.timers.advance(30.0)
         assert write.result().outcome is decisions.Outcome.RAN
         assert read.result().value == session.next_value
+
+
+@pytest.mark.parametrize("seed", [6099, 42])
+def test_schedule_of_overlapping_faults_breaks_no_promise(seed):
+    """Seed 6099 lost 23 orders: a member that had just begun to follow a new
+    primary, and lacked entries, counted in the new term and was promoted."""
+    verdict, requests, _ = _bench_explore.explore(seed)
+    assert verdict.total == 0
+    assert requests > 500
+
+
+def test_member_counts_in_a_new_term_only_when_it_is_whole():
+    replica = standins.Replica("m")
+    replica.follow(1, "p", 0, 0)
+    entry = standins.LogEntry(1, ())
+    replica.receive(1, "p", [entry] * 4, 0)
+    assert replica.received == decisions.Position(1, 4)
+    replica.fence(3, "claim")
+    replica.follow(3, "q", 4, 6)
+    assert replica.received == decisions.Position(1, 4)
+    replica.receive(3, "q", [entry, entry], 4)
+    assert replica.received == decisions.Position(3, 6)
