Read once more: one answer to a position request, and what nothing used

Change: _serving.answer_position serves both; the leftovers are gone. No change of behaviour, no test changed.

--- a/packages/ctl/src/ferry_ctl/_bench_fairness.py
+++ b/packages/ctl/src/ferry_ctl/_bench_fairness.py
@@ -105,7 +105,6 @@
         )
         self.served: dict[str, Served] = {}
         self.busy_s = 0.0
-        self.wanted_s = 0.0
         self.down_until = 0.0
         self._total = sum(d.share for d in scene.demands)
         self._contracts = {
--- a/packages/decisions/src/ferry_decisions/_membership.py
+++ b/packages/decisions/src/ferry_decisions/_membership.py
@@ -29,14 +29,6 @@
     listed: bool = True
 
 
-@attrs.define(slots=True)
-class _Waiting:
-    """A probe without an answer yet."""
-
-    target: str
-    sent_at: float
-
-
 class Membership:
     """One node's view of all nodes."""
 
@@ -56,7 +48,7 @@
         self._rng = rng
         self._on_change = on_change
         self._peers: dict[str, _Peer] = {}
-        self._waiting: dict[int, _Waiting] = {}
+        self._waiting: dict[int, str] = {}
         self._relays: dict[int, tuple[_placement.Node, int]] = {}
         self._news: dict[str, tuple[_probing.Update, int]] = {}
         self._near: list[str] = []
@@ -175,7 +167,7 @@
         waiting = self._waiting.pop(message.number, None)
         if waiting is None:
             return
-        peer = self._peers.get(waiting.target)
+        peer = self._peers.get(waiting)
         if peer is None or peer.health is _probing.Health.LEFT:
             return
         if peer.health is _probing.Health.SUSPECT and (
@@ -192,7 +184,7 @@
         if target is None:
             return
         number = self._send_probe(target.node)
-        self._waiting[number] = _Waiting(target.node.name, self._timers.now())
+        self._waiting[number] = target.node.name
         self._timers.after(
             self._cfg.timeout_s, lambda: self._ask_helpers(number)
         )
@@ -202,9 +194,9 @@
 
     def _ask_helpers(self, number: int) -> None:
         waiting = self._waiting.get(number)
-        if waiting is None or waiting.target not in self._peers:
+        if waiting is None or waiting not in self._peers:
             return
-        target = self._peers[waiting.target].node
+        target = self._peers[waiting].node
         helpers = [
             p.node
             for p in self._peers.values()
@@ -224,7 +216,7 @@
         waiting = self._waiting.pop(number, None)
         if waiting is None:
             return
-        peer = self._peers.get(waiting.target)
+        peer = self._peers.get(waiting)
         if peer is None or peer.health is not _probing.Health.ALIVE:
             return
         self._suspect(peer, self._cfg.suspicion_s)
--- a/packages/decisions/src/ferry_decisions/_positions.py
+++ b/packages/decisions/src/ferry_decisions/_positions.py
@@ -107,8 +107,3 @@
     if not history.knows(applied.term):
         return False
     return applied.index >= history.surviving_index(floor, applied.term)
-
-
-def raised(floor: Position, seen: Position) -> Position:
-    """Returns the floor after a session has seen a position."""
-    return max(floor, seen)
--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -49,10 +49,6 @@
     """Fewer than a majority of the members could be fenced."""
 
 
-class PrimaryRecoveredError(Exception):
-    """The primary gave a sign of life before anything was claimed."""
-
-
 def record_key(database: str) -> str:
     """Returns the store's key of a database's record."""
     return RECORD_PREFIX + database
--- a/packages/node/src/ferry_node/_controllers.py
+++ b/packages/node/src/ferry_node/_controllers.py
@@ -135,7 +135,6 @@
         cfg: _settings.Settings,
         contracts: decisions.ContractBook,
         ctx: decisions.WatchContext,
-        on_record: Callable[[decisions.Record], object],
     ) -> None:
         self.services: dict[tuple[str, str], _serving.MemberService] = {}
         self.retired: set[_serving.MemberService] = set()
@@ -144,7 +143,6 @@
         self._cfg = cfg
         self._contracts = contracts
         self._ctx = ctx
-        self._on_record = on_record
         self._numbers = itertools.count(1)
 
     def run(self, board: decisions.View) -> None:
--- a/packages/node/src/ferry_node/_endpoint.py
+++ b/packages/node/src/ferry_node/_endpoint.py
@@ -132,14 +132,6 @@
         self._stream.send(payload)
         return pending.fut
 
-    def pause(self) -> None:
-        """Stops taking in the answer until `resume`."""
-        self._stream.pause()
-
-    def resume(self) -> None:
-        """Takes in the answer again."""
-        self._stream.resume()
-
     def close(self, cancel: bool = False) -> None:
         """Closes the connection.
 
--- a/packages/node/src/ferry_node/_idempotency.py
+++ b/packages/node/src/ferry_node/_idempotency.py
@@ -37,7 +37,7 @@
         raise decisions.RequestFailedError(
             decisions.INVALID_SETTING, f"idempotency_key: {_KEY.pattern}"
         )
-    digest = _digest(payload)
+    digest = decisions.content_digest(payload)
     yield _query(conn, _CREATE)
     yield _query(conn, "BEGIN")
     claimed = yield _query(
@@ -104,7 +104,3 @@
     conn: _endpoint.EndpointConn, sql: str
 ) -> "decisions.Future[_endpoint.Answer]":
     return conn.execute(_wire.encode_query(sql))
-
-
-def _digest(payload: bytes) -> str:
-    return decisions.content_digest(payload)
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -21,6 +21,7 @@
 from ferry_node import _observers
 from ferry_node import _peer_server
 from ferry_node import _peers
+from ferry_node import _serving
 from ferry_node import _settings
 from ferry_node import _spread
 from ferry_node import _store
@@ -140,16 +141,8 @@
         self, req: _messages.PositionRequest
     ) -> "decisions.Future[_messages.PositionReply]":
         """Returns a primary's proved position, if this node serves it."""
-        return decisions.start(self._position(req))
-
-    def _position(
-        self, req: _messages.PositionRequest
-    ) -> "decisions.Flow[_messages.PositionReply]":
         service = self.controller.services.get((req.database, req.member))
-        found = None
-        if service is not None:
-            found = yield service.position(req.session)
-        return _messages.PositionReply(str(found) if found else "")
+        return _serving.answer_position(service, req)
 
     def publish(self, record: decisions.Record) -> None:
         """Takes a record in, and makes every node learn it."""
@@ -221,7 +214,7 @@
             new_id=lambda: secrets.token_hex(8),
         )
         return _controllers.ServiceController(
-            self.loop, self.cfg, self.contracts, ctx, self.publish
+            self.loop, self.cfg, self.contracts, ctx
         )
 
     def _subscribe(self) -> None:
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -74,11 +74,6 @@
         stream.keep_alive(USER_TIMEOUT_MS)
         stream.send(_codec.encode(0, hello))
 
-    @property
-    def queued(self) -> int:
-        """Bytes that wait to be sent."""
-        return self._stream.queued
-
     def call(
         self,
         message: _messages.Message,
--- a/packages/node/src/ferry_node/_serving.py
+++ b/packages/node/src/ferry_node/_serving.py
@@ -308,6 +308,25 @@
                 self.drop(channel.number)
 
 
+def answer_position(
+    service: MemberService | None, req: _messages.PositionRequest
+) -> "decisions.Future[_messages.PositionReply]":
+    """Returns the answer to a request for a position.
+
+    Args:
+        service: The service of the member; None where this node has none.
+        req: The request.
+    """
+
+    def flow() -> "decisions.Flow[_messages.PositionReply]":
+        found = None
+        if service is not None:
+            found = yield service.position(req.session)
+        return _messages.PositionReply(str(found) if found else "")
+
+    return decisions.start(flow())
+
+
 def _statement_limit(contract: decisions.Contract) -> int:
     """Returns the connections that single statements may hold at once."""
     return max(1, contract.connections // 2)
--- a/packages/node/src/ferry_node/_streams.py
+++ b/packages/node/src/ferry_node/_streams.py
@@ -9,7 +9,6 @@
 from ferry_node import _loop
 
 RECV_BYTES = 65_536
-HIGH_WATER_BYTES = 1 << 20
 MAX_READS_PER_EVENT = 4
 
 _READ = selectors.EVENT_READ
@@ -78,14 +77,6 @@
         """Whether the stream is encrypted."""
         return isinstance(self._sock, ssl.SSLSocket)
 
-    @property
-    def peer_host(self) -> str:
-        """The IP number of the other side; empty once it is gone."""
-        try:
-            return str(self._sock.getpeername()[0])
-        except OSError:
-            return ""
-
     def send(self, data: bytes) -> None:
         """Sends bytes, or queues what the socket does not take now."""
         if self.closed:
--- a/packages/node/src/ferry_node/_vms.py
+++ b/packages/node/src/ferry_node/_vms.py
@@ -17,7 +17,6 @@
 TIMEOUT_S = 1.0
 NOT_MODIFIED = 304
 ENTRY = "entry"
-ENDPOINT = "endpoint"
 LEAVING = "leaving"
 
 
--- a/packages/node/src/ferry_node/_wire.py
+++ b/packages/node/src/ferry_node/_wire.py
@@ -21,10 +21,8 @@
 
 READY = b"Z"
 ERROR = b"E"
-COMMAND_COMPLETE = b"C"
 PARSE_COMPLETE = b"1"
 PARAMETER = b"S"
-COPY_IN = b"G"
 AUTHENTICATION = b"R"
 
 Query = messages.Query
--- a/packages/standins/src/ferry_standins/_lab_node.py
+++ b/packages/standins/src/ferry_standins/_lab_node.py
@@ -96,16 +96,8 @@
         self, req: _messages.PositionRequest
     ) -> "decisions.Future[_messages.PositionReply]":
         """Proves the primary's position."""
-        return decisions.start(self._position(req))
-
-    def _position(
-        self, req: _messages.PositionRequest
-    ) -> "decisions.Flow[_messages.PositionReply]":
         service = self.services.get(req.member)
-        found = None
-        if service is not None:
-            found = yield service.position(req.session)
-        return _messages.PositionReply(str(found) if found else "")
+        return _serving.answer_position(service, req)
 
     def _service(
         self,
