--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := -e packages/decisions -e packages/node -e packages/standins -e packages/ctl
+PACKAGES := -e packages/decisions -e packages/runtime -e packages/proxy -e packages/node -e packages/standins -e packages/ctl
 
 .PHONY: install demo test check format bench-path
 
--- a/packages/ctl/src/ferry_ctl/_bench_capacity.py
+++ b/packages/ctl/src/ferry_ctl/_bench_capacity.py
@@ -13,6 +13,7 @@
 import attrs
 import ferry_decisions as decisions
 import ferry_node as node
+import ferry_runtime as runtime
 import ferry_standins as standins
 
 from ferry_ctl import _bench_failover
@@ -212,7 +213,7 @@
     return used / nodes / 6.0, more / nodes / 6.0
 
 
-def _step(loop: node.EventLoop) -> None:
+def _step(loop: runtime.EventLoop) -> None:
     """Runs what is ready, without waiting."""
     loop.call_soon(lambda: None)
     loop.step()
@@ -220,7 +221,7 @@
 
 def _peer_streams(count: int) -> tuple[float, float]:
     """Returns the memory of streams, both ends, and a tick's seconds."""
-    loop = node.EventLoop()
+    loop = runtime.EventLoop()
     hello = node.Hello("here", "dc")
     tracemalloc.start()
     here = node.Peers(loop, hello, "127.0.0.1", 0, lambda *_: None)
--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -28,11 +28,13 @@
 from ferry_decisions._flows import SharedRounds
 from ferry_decisions._flows import TimeoutExpiredError
 from ferry_decisions._flows import completed
+from ferry_decisions._flows import either
 from ferry_decisions._flows import failed
 from ferry_decisions._flows import forward
 from ferry_decisions._flows import reject
 from ferry_decisions._flows import resolve
 from ferry_decisions._flows import settle_all
+from ferry_decisions._flows import settled
 from ferry_decisions._flows import sleep
 from ferry_decisions._flows import start
 from ferry_decisions._flows import within
@@ -40,22 +42,33 @@
 from ferry_decisions._outcomes import ANSWER_LOST
 from ferry_decisions._outcomes import BEHIND
 from ferry_decisions._outcomes import BY_NAME
+from ferry_decisions._outcomes import CANCELED
 from ferry_decisions._outcomes import DEADLINE_IN_QUEUE
 from ferry_decisions._outcomes import DUPLICATE_KEY
+from ferry_decisions._outcomes import IN_FAILED_TRANSACTION
 from ferry_decisions._outcomes import INVALID_SETTING
 from ferry_decisions._outcomes import LOGIN_REFUSED
+from ferry_decisions._outcomes import MEMBER_BUSY
 from ferry_decisions._outcomes import NO_CONNECTION
 from ferry_decisions._outcomes import NO_CONTRACT
 from ferry_decisions._outcomes import NO_PRIMARY
 from ferry_decisions._outcomes import NO_SERVING_NODE
 from ferry_decisions._outcomes import NOT_CONFIRMED
+from ferry_decisions._outcomes import NOT_PRIMARY
 from ferry_decisions._outcomes import OVERLOADED
 from ferry_decisions._outcomes import PROTOCOL_VIOLATION
 from ferry_decisions._outcomes import READ_CUT
+from ferry_decisions._outcomes import STATEMENT_FAILED
+from ferry_decisions._outcomes import STATEMENT_TIMEOUT
 from ferry_decisions._outcomes import STOPPING
 from ferry_decisions._outcomes import TERM_CHANGED
+from ferry_decisions._outcomes import TOO_LARGE
+from ferry_decisions._outcomes import TOO_MANY_CONNECTIONS
 from ferry_decisions._outcomes import TRANSACTION_LOST
+from ferry_decisions._outcomes import UNKNOWN_DATABASE
+from ferry_decisions._outcomes import UNKNOWN_PREPARED
 from ferry_decisions._outcomes import UNSUPPORTED
+from ferry_decisions._outcomes import WRONG_MEMBER
 from ferry_decisions._outcomes import Outcome
 from ferry_decisions._outcomes import Reason
 from ferry_decisions._outcomes import RequestFailedError
@@ -119,6 +132,7 @@
     "BEHIND",
     "BY_NAME",
     "Blackboard",
+    "CANCELED",
     "CONTRACT_PREFIX",
     "ClosableDriver",
     "Contract",
@@ -136,6 +150,7 @@
     "Health",
     "History",
     "INVALID_SETTING",
+    "IN_FAILED_TRANSACTION",
     "IndirectProbe",
     "InvalidDocumentError",
     "InvalidPositionError",
@@ -143,11 +158,13 @@
     "Kind",
     "LOGIN_REFUSED",
     "Login",
+    "MEMBER_BUSY",
     "Member",
     "MemberStatus",
     "Membership",
     "MembershipSettings",
     "NOT_CONFIRMED",
+    "NOT_PRIMARY",
     "NO_CONNECTION",
     "NO_CONTRACT",
     "NO_PRIMARY",
@@ -173,6 +190,8 @@
     "RequestFailedError",
     "RetryBudget",
     "SETTING_PREFIX",
+    "STATEMENT_FAILED",
+    "STATEMENT_TIMEOUT",
     "STOPPING",
     "SessionFloors",
     "SessionState",
@@ -185,17 +204,22 @@
     "StoreUnavailableError",
     "StoreWatch",
     "TERM_CHANGED",
+    "TOO_LARGE",
+    "TOO_MANY_CONNECTIONS",
     "TOPOLOGY_PREFIX",
     "TRANSACTION_LOST",
     "TermReplacedError",
     "TimeoutExpiredError",
     "Timer",
     "TimerService",
+    "UNKNOWN_DATABASE",
+    "UNKNOWN_PREPARED",
     "UNSUPPORTED",
     "UnknownCustomerError",
     "Update",
     "View",
     "VirtualTimers",
+    "WRONG_MEMBER",
     "WatchContext",
     "WatchSettings",
     "ZERO",
@@ -206,6 +230,7 @@
     "contract_from_json",
     "database_from_json",
     "decode_record",
+    "either",
     "failed",
     "forward",
     "ranked",
@@ -217,6 +242,7 @@
     "satisfies",
     "serving_node",
     "settle_all",
+    "settled",
     "sleep",
     "staleness_of",
     "start",
--- a/packages/decisions/src/ferry_decisions/_outcomes.py
+++ b/packages/decisions/src/ferry_decisions/_outcomes.py
@@ -62,6 +62,17 @@
 )
 LOGIN_REFUSED = Reason("28P01", Outcome.NOT_RUN, "login_refused")
 CANCELED = Reason("57014", Outcome.NOT_RUN, "canceled")
+MEMBER_BUSY = Reason("RF020", Outcome.NOT_RUN, "member_busy", 0.1)
+NOT_PRIMARY = Reason("25006", Outcome.NOT_RUN, "not_primary", 0.2)
+WRONG_MEMBER = Reason("RF022", Outcome.NOT_RUN, "wrong_member", 0.2)
+UNKNOWN_PREPARED = Reason("26000", Outcome.NOT_RUN, "unknown_prepared")
+UNKNOWN_DATABASE = Reason("3D000", Outcome.NOT_RUN, "unknown_database")
+TOO_LARGE = Reason("54000", Outcome.NOT_RUN, "too_large")
+IN_FAILED_TRANSACTION = Reason(
+    "25P02", Outcome.NOT_RUN, "in_failed_transaction"
+)
+STATEMENT_FAILED = Reason("RF110", Outcome.UNKNOWN, "statement_failed")
+STATEMENT_TIMEOUT = Reason("RF111", Outcome.UNKNOWN, "statement_timeout")
 
 BY_NAME: dict[str, Reason] = {
     value.name: value
--- a/packages/decisions/src/ferry_decisions/_timers.py
+++ b/packages/decisions/src/ferry_decisions/_timers.py
@@ -81,6 +81,10 @@
         """Returns the virtual time in seconds."""
         return self._now
 
+    def boot_now(self) -> float:
+        """Returns the same: a virtual machine is never suspended."""
+        return self._now
+
     def after(self, delay: float, callback: Callable[[], object]) -> Timer:
         """Runs `callback` once, `delay` virtual seconds from now."""
         timer = Timer(self._now + max(0.0, delay), callback)
--- a/packages/node/src/ferry_node/__init__.py
+++ b/packages/node/src/ferry_node/__init__.py
@@ -5,9 +5,6 @@
 from ferry_node._drivers import ControlOrder
 from ferry_node._drivers import encode_order
 from ferry_node._endpoint import EndpointConn
-from ferry_node._loop import EventLoop
-from ferry_node._loop import call_on
-from ferry_node._loop import on_loop
 from ferry_node._messages import Hello
 from ferry_node._node import Node
 from ferry_node._peers import Peers
@@ -19,9 +16,6 @@
 from ferry_node._settings import settings_from_file
 from ferry_node._settings import settings_from_text
 from ferry_node._store import HttpStore
-from ferry_node._streams import Listener
-from ferry_node._streams import Stream
-from ferry_node._streams import connect
 from ferry_node._vms import Vm
 from ferry_node._vms import VmList
 
@@ -31,23 +25,17 @@
     "ControlOrder",
     "EndpointConn",
     "EndpointSettings",
-    "EventLoop",
     "Hello",
     "HttpStore",
-    "Listener",
     "Node",
     "Peers",
     "PolicySettings",
     "Settings",
     "SettingsUnreadableError",
-    "Stream",
     "Vm",
     "VmList",
-    "call_on",
-    "connect",
     "encode_order",
     "make_login",
-    "on_loop",
     "settings_from_file",
     "settings_from_text",
 ]
--- a/packages/node/src/ferry_node/_admin.py
+++ b/packages/node/src/ferry_node/_admin.py
@@ -14,9 +14,9 @@
 from absl import logging
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _contracts_api
-from ferry_node import _loop
 from ferry_node import _status
 
 if typing.TYPE_CHECKING:
@@ -165,7 +165,7 @@
         )
 
     def _on_loop(self, work: typing.Callable[[], T]) -> T:
-        fut = _loop.call_on(
+        fut = runtime.call_on(
             self._node.loop, lambda: decisions.completed(work())
         )
         return fut.result(CALL_TIMEOUT_S)
--- a/packages/node/src/ferry_node/_callers.py
+++ b/packages/node/src/ferry_node/_callers.py
@@ -9,13 +9,12 @@
 from absl import logging
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _batches
 from ferry_node import _conversation
 from ferry_node import _login
-from ferry_node import _loop
 from ferry_node import _settings
-from ferry_node import _streams
 from ferry_node import _wire
 
 LOGIN_TIMEOUT_S = 10.0
@@ -38,7 +37,7 @@
         cancel: Called with a process id and a secret to stop a batch.
     """
 
-    loop: _loop.EventLoop
+    loop: runtime.EventLoop
     cfg: _settings.Settings
     contracts: decisions.ContractBook
     sessions: _conversation.ConversationContext
@@ -70,7 +69,7 @@
     def __init__(
         self,
         ctx: CallerContext,
-        stream: _streams.Stream,
+        stream: runtime.Stream,
         process_id: int,
         on_closed: "Callable[[CallerConn], object]",
     ) -> None:
@@ -256,7 +255,7 @@
         self._stream.close_when_sent()
         self._closed()
 
-    def _lost(self, _: _streams.StreamClosedError) -> None:
+    def _lost(self, _: runtime.StreamClosedError) -> None:
         self._closed()
 
     def _closed(self) -> None:
--- a/packages/node/src/ferry_node/_contracts_api.py
+++ b/packages/node/src/ferry_node/_contracts_api.py
@@ -7,9 +7,9 @@
 
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _auth
-from ferry_node import _loop
 
 if typing.TYPE_CHECKING:
     from ferry_node import _node
@@ -84,7 +84,7 @@
             ApiError: There is none.
         """
         book = self._node.contracts
-        fut = _loop.call_on(
+        fut = runtime.call_on(
             self._node.loop, lambda: decisions.completed(book.get(customer))
         )
         try:
@@ -120,7 +120,7 @@
         return self._run(lambda: self._change(customer, None, change))
 
     def _run(self, flow: "typing.Callable[[], decisions.Flow[T]]") -> T:
-        fut = _loop.call_on(self._node.loop, lambda: decisions.start(flow()))
+        fut = runtime.call_on(self._node.loop, lambda: decisions.start(flow()))
         try:
             return fut.result(WAIT_S)
         except decisions.StoreUnavailableError as exc:
--- a/packages/node/src/ferry_node/_controllers.py
+++ b/packages/node/src/ferry_node/_controllers.py
@@ -7,11 +7,11 @@
 
 from absl import logging
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _board
 from ferry_node import _drivers
 from ferry_node import _endpoint
-from ferry_node import _loop
 from ferry_node import _pools
 from ferry_node import _serving
 from ferry_node import _settings
@@ -131,7 +131,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         cfg: _settings.Settings,
         contracts: decisions.ContractBook,
         ctx: decisions.WatchContext,
--- a/packages/node/src/ferry_node/_drivers.py
+++ b/packages/node/src/ferry_node/_drivers.py
@@ -10,9 +10,9 @@
 
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _endpoint
-from ferry_node import _loop
 from ferry_node import _settings
 from ferry_node import _wire
 
@@ -54,7 +54,7 @@
 
     def __call__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         database: decisions.Database,
         cfg: _settings.EndpointSettings,
         probe_timeout_s: float,
@@ -72,7 +72,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         member: decisions.Member,
         database: str,
         cfg: _settings.EndpointSettings,
@@ -162,7 +162,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         database: decisions.Database,
         cfg: _settings.EndpointSettings,
         probe_timeout_s: float,
--- a/packages/node/src/ferry_node/_endpoint.py
+++ b/packages/node/src/ferry_node/_endpoint.py
@@ -9,9 +9,8 @@
 
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
-from ferry_node import _loop
-from ferry_node import _streams
 from ferry_node import _wire
 
 BUFFER_BYTES = 1 << 18
@@ -78,7 +77,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         host: str,
         port: int,
         parameters: dict[str, str],
@@ -87,7 +86,7 @@
         self._loop = loop
         self._host = host
         self._port = port
-        self._stream = _streams.connect(loop, host, port)
+        self._stream = runtime.connect(loop, host, port)
         self._stream.keep_alive(USER_TIMEOUT_MS)
         self._splitter = _wire.FrameSplitter()
         self._pending: collections.deque[_Pending] = collections.deque()
@@ -153,7 +152,7 @@
             self._send_cancel()
 
     def _send_cancel(self) -> None:
-        stream = _streams.connect(self._loop, self._host, self._port)
+        stream = runtime.connect(self._loop, self._host, self._port)
         request = _wire.encode_cancel(*self._key)
 
         def send() -> None:
@@ -238,7 +237,7 @@
         self._stream.close()
         self._finish(decisions.EndpointUnreachableError("connection timed out"))
 
-    def _lost(self, exc: _streams.StreamClosedError) -> None:
+    def _lost(self, exc: runtime.StreamClosedError) -> None:
         if not self.ready.done():
             self._finish(
                 decisions.EndpointUnreachableError(str(exc), exc.refused)
--- a/packages/node/src/ferry_node/_main.py
+++ b/packages/node/src/ferry_node/_main.py
@@ -7,8 +7,8 @@
 from absl import logging
 import click
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
-from ferry_node import _loop
 from ferry_node import _node
 from ferry_node import _settings
 
@@ -50,7 +50,7 @@
     logging.use_absl_handler()
     if cfg.log_dir:
         logging.get_absl_handler().use_absl_log_file(cfg.node, cfg.log_dir)
-    loop = _loop.EventLoop()
+    loop = runtime.EventLoop()
     node = _node.Node(loop, cfg)
     stopper = _Stopper(loop, node)
     signal.signal(signal.SIGTERM, stopper.on_signal)
@@ -67,7 +67,7 @@
 class _Stopper:
     """Turns the first signal into a planned stop and the second into an end."""
 
-    def __init__(self, loop: _loop.EventLoop, node: _node.Node) -> None:
+    def __init__(self, loop: runtime.EventLoop, node: _node.Node) -> None:
         self._loop = loop
         self._node = node
         self._signals = 0
--- a/packages/node/src/ferry_node/_membership.py
+++ b/packages/node/src/ferry_node/_membership.py
@@ -4,9 +4,9 @@
 
 from absl import logging
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _board
-from ferry_node import _loop
 from ferry_node import _messages
 from ferry_node import _peers
 from ferry_node import _probes
@@ -22,7 +22,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         cfg: _settings.Settings,
         board: decisions.Blackboard,
         lists: _vms.VmLists,
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _admin
 from ferry_node import _board
@@ -14,7 +15,6 @@
 from ferry_node import _controllers
 from ferry_node import _conversation
 from ferry_node import _entry
-from ferry_node import _loop
 from ferry_node import _membership
 from ferry_node import _messages
 from ferry_node import _metrics
@@ -25,7 +25,6 @@
 from ferry_node import _settings
 from ferry_node import _spread
 from ferry_node import _store
-from ferry_node import _streams
 from ferry_node import _tracing
 from ferry_node import _vms
 
@@ -36,7 +35,9 @@
 class Node:
     """One node, built from its settings, on one loop."""
 
-    def __init__(self, loop: _loop.EventLoop, cfg: _settings.Settings) -> None:
+    def __init__(
+        self, loop: runtime.EventLoop, cfg: _settings.Settings
+    ) -> None:
         self.cfg = cfg
         self.loop = loop
         self.board = decisions.Blackboard()
@@ -98,7 +99,7 @@
             secret=secrets.token_bytes(SECRET_BYTES),
             cancel=self._cancel_caller,
         )
-        self._listener = _streams.Listener(
+        self._listener = runtime.Listener(
             loop, cfg.callers.host, cfg.callers.port, self._accept
         )
         self.admin = _admin.AdminServer(self)
@@ -228,7 +229,7 @@
         )
         self.board.subscribe(self.spreader)
 
-    def _accept(self, stream: _streams.Stream) -> None:
+    def _accept(self, stream: runtime.Stream) -> None:
         if len(self._callers) >= self.cfg.callers.max_connections:
             stream.close()
             return
--- a/packages/node/src/ferry_node/_peers.py
+++ b/packages/node/src/ferry_node/_peers.py
@@ -7,12 +7,11 @@
 from absl import logging
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 
 from ferry_node import _codec
-from ferry_node import _loop
 from ferry_node import _messages
 from ferry_node import _probes
-from ferry_node import _streams
 
 USER_TIMEOUT_MS = 1_500
 PING_S = 0.3
@@ -47,8 +46,8 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
-        stream: _streams.Stream,
+        loop: runtime.EventLoop,
+        stream: runtime.Stream,
         hello: _messages.Hello,
         serve: "Serve",
         opened: bool,
@@ -121,7 +120,7 @@
         """Closes the stream; what waits for an answer fails."""
         self._fail("closed by this node")
 
-    def _stream_closed(self, exc: _streams.StreamClosedError) -> None:
+    def _stream_closed(self, exc: runtime.StreamClosedError) -> None:
         self.refused = exc.refused
         self._fail(str(exc))
 
@@ -206,7 +205,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         hello: _messages.Hello,
         host: str,
         port: int,
@@ -218,7 +217,7 @@
         self._out: dict[str, PeerStream] = {}
         self._in: set[PeerStream] = set()
         self.on_stream_closed: list[Callable[[PeerStream], object]] = []
-        self._listener = _streams.Listener(loop, host, port, self._accept)
+        self._listener = runtime.Listener(loop, host, port, self._accept)
         self._ticker = decisions.PeriodicTimer(loop, PING_S, self.tick)
 
     @property
@@ -247,7 +246,7 @@
         """Returns the stream to a node, connecting where there is none."""
         stream = self._out.get(node.name)
         if stream is None or stream.closed:
-            raw = _streams.connect(self._loop, node.host, node.peer_port)
+            raw = runtime.connect(self._loop, node.host, node.peer_port)
             stream = self._wrap(raw, opened=False)
             stream.node = node.name
             self._out[node.name] = stream
@@ -265,10 +264,10 @@
         for stream in [*self._out.values(), *self._in]:
             stream.close()
 
-    def _accept(self, raw: _streams.Stream) -> None:
+    def _accept(self, raw: runtime.Stream) -> None:
         self._in.add(self._wrap(raw, opened=True))
 
-    def _wrap(self, raw: _streams.Stream, opened: bool) -> PeerStream:
+    def _wrap(self, raw: runtime.Stream, opened: bool) -> PeerStream:
         stream = PeerStream(self._loop, raw, self._hello, self._serve, opened)
         stream.on_closed.append(self._forget)
         return stream
--- a/packages/node/src/ferry_node/_probes.py
+++ b/packages/node/src/ferry_node/_probes.py
@@ -6,10 +6,9 @@
 
 from absl import logging
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 import msgpack
 
-from ferry_node import _loop
-
 VERSION = 1
 MAX_DATAGRAM = 8_192
 MAX_PER_EVENT = 64
@@ -130,7 +129,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         host: str,
         port: int,
         on_message: typing.Callable[[decisions.ProbeMessage], object],
--- a/packages/node/src/ferry_node/_store.py
+++ b/packages/node/src/ferry_node/_store.py
@@ -15,10 +15,9 @@
 
 from absl import logging
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 import urllib3
 
-from ferry_node import _loop
-
 CALL_TIMEOUT_S = 1.0
 WATCH_READ_TIMEOUT_S = 30.0
 WORKERS = 4
@@ -49,7 +48,7 @@
 class HttpStore:
     """A client of the store, for one node."""
 
-    def __init__(self, loop: _loop.EventLoop, url: str) -> None:
+    def __init__(self, loop: runtime.EventLoop, url: str) -> None:
         self._loop = loop
         self._url = url.rstrip("/")
         self._http = urllib3.PoolManager(
@@ -117,7 +116,7 @@
 
     def _submit(self, work: Callable[[], T]) -> "decisions.Future[T]":
         self.calls += 1
-        return _loop.on_loop(self._loop, self._executor.submit(work))
+        return runtime.on_loop(self._loop, self._executor.submit(work))
 
     def _range(
         self, body: dict[str, typing.Any]
@@ -144,7 +143,7 @@
 
     def __init__(
         self,
-        loop: _loop.EventLoop,
+        loop: runtime.EventLoop,
         url: str,
         prefix: str,
         notify: Callable[[decisions.StoreEntry], None],
--- a/packages/node/src/ferry_node/_vms.py
+++ b/packages/node/src/ferry_node/_vms.py
@@ -10,10 +10,9 @@
 
 import attrs
 import ferry_decisions as decisions
+import ferry_runtime as runtime
 import urllib3
 
-from ferry_node import _loop
-
 TIMEOUT_S = 1.0
 NOT_MODIFIED = 304
 ENTRY = "entry"
@@ -77,7 +76,7 @@
 class HttpVmLists:
     """Reads the list from the platform."""
 
-    def __init__(self, loop: _loop.EventLoop, url: str) -> None:
+    def __init__(self, loop: runtime.EventLoop, url: str) -> None:
         self._loop = loop
         self._url = url
         self._etag = ""
@@ -89,7 +88,7 @@
 
     def fetch(self) -> "decisions.Future[VmList]":
         """Reads the list; fails with `VmListUnavailableError`."""
-        return _loop.on_loop(self._loop, self._executor.submit(self._read))
+        return runtime.on_loop(self._loop, self._executor.submit(self._read))
 
     def close(self) -> None:
         """Ends the executor."""
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -0,0 +1,251 @@
+"""The log's events: one JSON line each, typed, and bounded in number.
+
+A line names its event and its fields; times are in seconds. Lines go to
+standard output and never block: what a stalled reader does not take is left
+out and counted. Ordinary requests have a budget of lines a second; failures
+have one of their own.
+"""
+
+import json
+import os
+import sys
+import time
+
+from absl import logging
+import attrs
+
+REQUESTS_PER_S = 5.0  # Lines for requests that went well.
+FAILURES_PER_S = 40.0  # Lines for requests that were refused or failed.
+BURST_S = 2.0  # Seconds of budget that may be saved up.
+
+
+@attrs.frozen(slots=True)
+class NodeStarted:
+    """A process began."""
+
+    data_centre: str
+
+
+@attrs.frozen(slots=True)
+class NodeStopping:
+    """A planned stop began."""
+
+    sessions: int
+
+
+@attrs.frozen(slots=True)
+class NodeStopped:
+    """A process ends; `cut` counts sessions that were still busy."""
+
+    cut: int
+
+
+@attrs.frozen(slots=True)
+class SettingsReloaded:
+    """The settings were read again."""
+
+    changed: bool
+
+
+@attrs.frozen(slots=True)
+class Ready:
+    """The node began or ceased to want new sessions."""
+
+    ready: bool
+    why: str
+
+
+@attrs.frozen(slots=True)
+class DependencyLost:
+    """Something that the node needs does not answer."""
+
+    name: str
+    detail: str
+
+
+@attrs.frozen(slots=True)
+class DependencyBack:
+    """It answers again."""
+
+    name: str
+
+
+@attrs.frozen(slots=True)
+class ConfigurationTaken:
+    """A configuration is in force; `source` is the store or a peer."""
+
+    version: int
+    revision: int
+    source: str
+
+
+@attrs.frozen(slots=True)
+class DocumentRefused:
+    """A document in the store is invalid and was passed over."""
+
+    key: str
+    revision: int
+    detail: str
+
+
+@attrs.frozen(slots=True)
+class MemberChanged:
+    """A member appeared, changed or went."""
+
+    member: str
+    service: str
+    change: str
+
+
+@attrs.frozen(slots=True)
+class LeaderFound:
+    """A primary is followed from now on."""
+
+    service: str
+    member: str
+    term: int
+
+
+@attrs.frozen(slots=True)
+class LeaderLost:
+    """The primary that was followed leads no more."""
+
+    service: str
+    member: str
+    term: int
+
+
+@attrs.frozen(slots=True)
+class PrimarySuspected:
+    """A change of primary is wanted; `peers` counts those who agree."""
+
+    service: str
+    member: str
+    why: str
+    silence_s: float
+    peers: int
+
+
+@attrs.frozen(slots=True)
+class PromotionStep:
+    """A step of a change of primary."""
+
+    service: str
+    step: str
+    token: int
+    member: str
+    detail: str
+
+
+@attrs.frozen(slots=True)
+class RequestDone:
+    """The outcome of a request, and what decided it."""
+
+    request: str
+    session: int
+    route: str
+    kind: str
+    outcome: str
+    detail: str
+    member: str
+    elapsed_s: float
+    waited_s: float
+    attempts: int
+
+
+@attrs.frozen(slots=True)
+class LinesLeftOut:
+    """How many lines were left out since the last such line."""
+
+    requests: int
+    failures: int
+    blocked: int
+
+
+class _Budget:
+    """A number of lines a second."""
+
+    def __init__(self, per_s: float) -> None:
+        self._per_s = per_s
+        self._left = per_s * BURST_S
+        self._at = time.monotonic()
+
+    def take(self) -> bool:
+        """Whether one more line is within the budget."""
+        now = time.monotonic()
+        gained = (now - self._at) * self._per_s
+        self._left = min(self._per_s * BURST_S, self._left + gained)
+        self._at = now
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
+class EventLog:
+    """Writes events as lines, within budgets and without blocking."""
+
+    def __init__(self, node: str, fd: int | None = None) -> None:
+        self._node = node
+        self._fd = sys.stdout.fileno() if fd is None else fd
+        os.set_blocking(self._fd, False)
+        self._requests = _Budget(REQUESTS_PER_S)
+        self._failures = _Budget(FAILURES_PER_S)
+        self._rest = b""
+        self._left_out = {"requests": 0, "failures": 0, "blocked": 0}
+
+    def write(self, event: attrs.AttrsInstance) -> None:
+        """Writes an event, if its budget allows."""
+        if isinstance(event, RequestDone) and not self._allowed(event):
+            return
+        if any(self._left_out.values()):
+            counts, self._left_out = self._left_out, _zero()
+            self._line(LinesLeftOut(**counts))
+        self._line(event)
+
+    def _allowed(self, event: RequestDone) -> bool:
+        went_well = event.outcome == "ran"
+        budget = self._requests if went_well else self._failures
+        if budget.take():
+            return True
+        self._left_out["requests" if went_well else "failures"] += 1
+        return False
+
+    def _line(self, event: attrs.AttrsInstance) -> None:
+        fields = {
+            "at": round(time.time(), 4),
+            "node": self._node,
+            "event": type(event).__name__,
+            **attrs.asdict(event),
+        }
+        data = self._rest + json.dumps(fields, default=str).encode() + b"\n"
+        try:
+            sent = os.write(self._fd, data)
+        except BlockingIOError:
+            self._left_out["blocked"] += 1
+            return
+        except OSError:
+            self._left_out["blocked"] += 1
+            return
+        # The rest of a half-written line goes before the next one.
+        self._rest = data[sent:]
+
+
+def _zero() -> dict[str, int]:
+    return {"requests": 0, "failures": 0, "blocked": 0}
+
+
+_logs: list[EventLog] = []
+
+
+def start_log(log: EventLog) -> None:
+    """Sends this process's events to a log."""
+    _logs[:] = [log]
+
+
+def emit(event: attrs.AttrsInstance) -> None:
+    """Writes an event to the process's log; without one, to absl's."""
+    for log in _logs:
+        log.write(event)
+    if not _logs:
+        logging.debug("%s", event)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -0,0 +1,122 @@
+"""How fresh a read is: floors that cover all commits up to a moment.
+
+A commit is acknowledged once `sync_replicas` replicas have received it. A
+change of primary first pauses a fence of replicas (`fence_size`), so that no
+later commit of the old term can be acknowledged. Two facts follow.
+
+* `proof_size` replicas that were not paused, asked at a moment, prove that
+  the term had not been replaced then: they meet every fence.
+* The end of the primary's log, asked at that moment, covers every commit
+  acknowledged before. So does the highest position received by any
+  `fence_size` replicas, where the primary cannot be asked.
+"""
+
+import collections
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _members
+
+
+def proof_size(sync_replicas: int) -> int:
+    """Returns how many unpaused replicas prove that a term goes on."""
+    return max(1, sync_replicas)
+
+
+def fence_size(replicas: int, sync_replicas: int) -> int:
+    """Returns how many paused replicas end the acknowledgements of a term.
+
+    Args:
+        replicas: How many the group has, without the primary.
+        sync_replicas: How many must receive a commit.
+    """
+    return max(1, replicas - proof_size(sync_replicas) + 1)
+
+
+@attrs.frozen(slots=True)
+class Sample:
+    """A position that covers all commits acknowledged before a moment."""
+
+    at: float
+    floor: decisions.Position
+
+
+def sample_of(
+    leader: _members.Leader,
+    reports: dict[str, _members.Report],
+    replicas: int,
+    sync_replicas: int,
+) -> Sample | None:
+    """Returns what one round of reports proves; None where they do not.
+
+    Args:
+        leader: Who is believed to lead.
+        reports: The answers of the round, by member.
+        replicas: How many replicas the group has.
+        sync_replicas: How many must receive a commit.
+    """
+    following = [
+        r
+        for name, r in reports.items()
+        if name != leader.member and r.follows(leader.term)
+    ]
+    if len(following) < proof_size(sync_replicas):
+        return None
+    own = reports.get(leader.member)
+    if _leads(own, leader):
+        assert own is not None
+        asked = [own, *following]
+        return Sample(min(r.asked_at for r in asked), own.received)
+    if not sync_replicas or len(following) < fence_size(
+        replicas, sync_replicas
+    ):
+        return None
+    return Sample(
+        min(r.asked_at for r in following), max(r.received for r in following)
+    )
+
+
+def _leads(report: _members.Report | None, leader: _members.Leader) -> bool:
+    if report is None or report.role is not _members.Role.PRIMARY:
+        return False
+    return report.term == leader.term
+
+
+class Floors:
+    """The recent samples of one group."""
+
+    MAX_SAMPLES = 64  # At 2.5 a second, more than any staleness that is set.
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[Sample] = collections.deque(
+            maxlen=self.MAX_SAMPLES
+        )
+        self._term = 0
+
+    def add(self, sample: Sample, term: int) -> None:
+        """Takes a sample in; older ones than the newest are passed over.
+
+        Samples of an earlier term are dropped: they may cover commits that
+        were never acknowledged and that no member shows any more.
+
+        Args:
+            sample: What a round proved.
+            term: The term of the primary that it was proved for.
+        """
+        if term > self._term:
+            self._term = term
+            self._samples.clear()
+        if not self._samples or sample.at > self._samples[-1].at:
+            self._samples.append(sample)
+
+    def covering(self, moment: float) -> decisions.Position | None:
+        """Returns a floor for all commits acknowledged before `moment`.
+
+        It is the oldest that does, since that is the one that most replicas
+        already show. None where no sample is that new.
+        """
+        for sample in self._samples:
+            if sample.at >= moment:
+                return sample.floor
+        return None
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -0,0 +1,317 @@
+"""One group of members as this node sees it: links, leader and floors."""
+
+from collections.abc import Callable
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _configuration
+from ferry_proxy import _events
+from ferry_proxy import _freshness
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _policy
+from ferry_proxy import _pools
+
+STATUS_PRIORITY = 0  # Control links go before all statements in any case.
+PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
+
+
+class Group:
+    """The members of one service, and what is known of them."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        service: _configuration.Service,
+        data_centre: str,
+        connector: _links.Connector,
+        policy: _policy.Policy,
+    ) -> None:
+        self._clock = clock
+        self._connector = connector
+        self._policy = policy
+        self._data_centre = data_centre
+        self._proofs = decisions.SharedRounds(self._prove)
+        self._rounds = decisions.SharedRounds(self._round)
+        self._changed: decisions.Future[None] = decisions.Future()
+        self._last_report: dict[str, _members.Report] = {}
+        self.service = service
+        self.pools: dict[str, _pools.Pool] = {}
+        self.leader: _members.Leader | None = None
+        self.term = 0
+        self.floors = _freshness.Floors()
+        self.last_leader = ""
+        self.leaderless_since = clock.now()
+        self.vanished: dict[str, float] = {}
+        self.change_until = float("-inf")
+        self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
+        self.on_leader: list[Callable[[_members.Leader], object]] = []
+
+    # -- members ---------------------------------------------------------
+
+    def set_members(
+        self, members: dict[str, _members.Member], limit: int
+    ) -> None:
+        """Takes in which members the group has.
+
+        Args:
+            members: All members, by id.
+            limit: How many links to each this node may open.
+        """
+        for name in self.pools.keys() - members.keys():
+            self._remove(name)
+        for name, member in members.items():
+            pool = self.pools.get(name)
+            if pool is not None and _moved(pool.member, member):
+                pool.close()
+                pool = None
+            self.vanished.pop(name, None)
+            if pool is None:
+                self.pools[name] = _pools.Pool(
+                    self._clock, member, self._connector, self._policy, limit
+                )
+            else:
+                pool.member = member
+                pool.limit = limit
+
+    def _remove(self, name: str) -> None:
+        pool = self.pools.pop(name)
+        pool.close()
+        self._last_report.pop(name, None)
+        if not pool.member.draining:
+            self.vanished[name] = self._clock.now()
+        if self.leader is not None and self.leader.member == name:
+            self._lose_leader()
+
+    def _lose_leader(self) -> None:
+        self.leader = None
+        self.leaderless_since = self._clock.now()
+
+    @property
+    def leader_pool(self) -> _pools.Pool | None:
+        """The links to the primary, if one is known."""
+        return self.pools.get(self.leader.member) if self.leader else None
+
+    @property
+    def replicas(self) -> int:
+        """How many members may count as replicas."""
+        return max(0, len(self.pools) - 1)
+
+    @property
+    def is_changing(self) -> bool:
+        """Whether a change of primary is believed to be under way."""
+        return self._clock.now() < self.change_until or self.leader is None
+
+    def is_near(self, pool: _pools.Pool) -> bool:
+        """Whether a member is in this node's data centre."""
+        return pool.member.data_centre == self._data_centre
+
+    def is_responsive(self, pool: _pools.Pool) -> bool:
+        """Whether a member answered something a short while ago."""
+        silence = self._clock.now() - pool.heard
+        return silence < self._policy.probe_s + self._policy.probe_timeout_s
+
+    def expect_change(self) -> None:
+        """Notes that a change of primary has begun."""
+        self.change_until = self._clock.now() + self._policy.promote_wait_s
+
+    def until_leader_changes(self, limit_s: float) -> "decisions.Future[None]":
+        """Returns a future that is done at a new leader or after a time."""
+        timer = decisions.sleep(self._clock, limit_s)
+        return decisions.either(self._changed, timer)
+
+    # -- questions -------------------------------------------------------
+
+    def refresh(self) -> "decisions.Future[dict[str, _members.Report]]":
+        """Asks all members for their status, in a round begun from now on."""
+        return self._rounds.join()
+
+    def prove(self) -> "decisions.Future[_members.Leader]":
+        """Proves that the leader still leads, by answers from now on.
+
+        Fails with `decisions.RequestFailedError` where no proof is to be had.
+        """
+        return self._proofs.join()
+
+    def ask(
+        self, pool: _pools.Pool, command: _links.Command
+    ) -> "decisions.Flow[_members.Report]":
+        """Sends a control command to a member and returns its report.
+
+        Raises:
+            decisions.RequestFailedError: The member did not report.
+        """
+        policy = self._policy
+        until = self._clock.now() + policy.probe_timeout_s
+        taken = yield pool.acquire(_pools.Use.CONTROL, STATUS_PRIORITY, until)
+        asked_at = self._clock.boot_now()
+        fut = taken.link.run([command])[0]
+        try:
+            reply: _links.Reply = yield decisions.within(
+                self._clock, policy.probe_timeout_s, fut
+            )
+        except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
+            pool.discard(taken)
+            raise decisions.RequestFailedError(
+                decisions.ANSWER_LOST, str(exc)
+            ) from exc
+        pool.note_heard(taken)
+        pool.release(taken)
+        if reply.report is None:
+            reason = reply.reason or decisions.PROTOCOL_VIOLATION
+            raise decisions.RequestFailedError(reason, reply.detail)
+        report = attrs.evolve(reply.report, asked_at=asked_at)
+        self._last_report[pool.member.id] = report
+        return report
+
+    def last_report(self, member: str) -> _members.Report | None:
+        """Returns the newest report of a member."""
+        return self._last_report.get(member)
+
+    # -- rounds ----------------------------------------------------------
+
+    def _round(self) -> "decisions.Flow[dict[str, _members.Report]]":
+        reports: dict[str, _members.Report] = {}
+        futs = [
+            decisions.start(self._ask_twice(pool, reports))
+            for pool in list(self.pools.values())
+        ]
+        yield decisions.settle_all(futs, lambda _: self._suffices(reports))
+        self._take_round(reports)
+        late = decisions.settle_all(futs, lambda _: False)
+        late.add_done_callback(lambda _: self._end_round(reports))
+        return reports
+
+    def _suffices(self, reports: dict[str, _members.Report]) -> bool:
+        return self._sample(reports) is not None
+
+    def _ask_twice(
+        self, pool: _pools.Pool, reports: dict[str, _members.Report]
+    ) -> "decisions.Flow[None]":
+        """Asks again over another link: one lost link is no lost member."""
+        try:
+            report = yield from self.ask(pool, _links.Status())
+        except decisions.RequestFailedError as exc:
+            if exc.reason is not decisions.ANSWER_LOST:
+                raise
+            report = yield from self.ask(pool, _links.Status())
+        reports[pool.member.id] = report
+
+    def _take_round(self, reports: dict[str, _members.Report]) -> None:
+        self._find_leader(reports)
+        sample = self._sample(reports)
+        if sample is not None and self.leader is not None:
+            self.floors.add(sample, self.leader.term)
+
+    def _end_round(self, reports: dict[str, _members.Report]) -> None:
+        self._take_round(reports)
+        for callback in self.on_round:
+            callback(reports)
+
+    def _sample(
+        self, reports: dict[str, _members.Report]
+    ) -> _freshness.Sample | None:
+        if self.leader is None:
+            return None
+        return _freshness.sample_of(
+            self.leader, reports, self.replicas, self.service.sync_replicas
+        )
+
+    def _find_leader(self, reports: dict[str, _members.Report]) -> None:
+        for name, report in reports.items():
+            self.term = max(self.term, report.term)
+            if report.role is _members.Role.PRIMARY:
+                self.note_leader(_members.Leader(name, report.term))
+        leader = self.leader
+        own = reports.get(leader.member) if leader else None
+        steps_back = own is not None and own.role is _members.Role.REPLICA
+        if leader is not None and own is not None and steps_back:
+            _events.emit(
+                _events.LeaderLost(self.service.name, leader.member, own.term)
+            )
+            self._lose_leader()
+
+    def note_leader(self, leader: _members.Leader) -> None:
+        """Takes in who leads, unless a later term is known."""
+        known = self.leader
+        newer = known is None or leader.term > known.term
+        if leader.term < self.term or not newer:
+            return
+        if leader.member not in self.pools:
+            return
+        self.leader = leader
+        self.last_leader = leader.member
+        self.term = leader.term
+        self.change_until = float("-inf")
+        _events.emit(
+            _events.LeaderFound(self.service.name, leader.member, leader.term)
+        )
+        changed, self._changed = self._changed, decisions.Future()
+        decisions.resolve(changed, None)
+        for callback in self.on_leader:
+            callback(leader)
+
+    # -- proofs ----------------------------------------------------------
+
+    def _prove(self) -> "decisions.Flow[_members.Leader]":
+        leader = self.leader
+        if leader is None:
+            raise decisions.RequestFailedError(decisions.NO_PRIMARY)
+        wanted = _freshness.proof_size(self.service.sync_replicas)
+        proofs: list[_members.Report] = []
+        done: decisions.Future[None] = decisions.Future()
+        replicas = self._proof_order(leader)
+        futs = []
+        for number, pool in enumerate(replicas):
+            if number >= wanted:
+                pause = decisions.sleep(self._clock, PROOF_HEDGE_S)
+                yield decisions.either(done, pause)
+            if done.done():
+                break
+            fut = decisions.start(self._prove_by(pool, leader, proofs))
+            fut.add_done_callback(
+                lambda _: _resolve_if(len(proofs) >= wanted, done)
+            )
+            futs.append(fut)
+        if not done.done():
+            yield decisions.settle_all(futs, lambda _: done.done())
+        if len(proofs) < wanted or self.leader != leader:
+            raise decisions.RequestFailedError(
+                decisions.NO_PRIMARY, "no proof that the primary still leads"
+            )
+        return leader
+
+    def _proof_order(self, leader: _members.Leader) -> list[_pools.Pool]:
+        """Returns the replicas, those that are likely to answer soon first."""
+        pools = [p for n, p in self.pools.items() if n != leader.member]
+        return sorted(
+            pools,
+            key=lambda p: (
+                not self.is_responsive(p),
+                p.member.draining,
+                not self.is_near(p),
+            ),
+        )
+
+    def _prove_by(
+        self,
+        pool: _pools.Pool,
+        leader: _members.Leader,
+        proofs: list[_members.Report],
+    ) -> "decisions.Flow[None]":
+        report = yield from self.ask(pool, _links.Status())
+        if report.follows(leader.term):
+            proofs.append(report)
+        elif report.term > leader.term:
+            self.refresh()
+
+
+def _resolve_if(condition: bool, fut: "decisions.Future[None]") -> None:
+    if condition:
+        decisions.resolve(fut, None)
+
+
+def _moved(before: _members.Member, after: _members.Member) -> bool:
+    return (before.host, before.port) != (after.host, after.port)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -0,0 +1,76 @@
+"""The members of the database groups, as listed and as they report."""
+
+import enum
+
+import attrs
+import ferry_decisions as decisions
+
+
+@attrs.frozen(slots=True)
+class Member:
+    """An entry of the list of members.
+
+    Attributes:
+        id: Its name for as long as it lives; a restart at the same address
+            under another id is another member.
+        service: The group that it belongs to.
+        host: Its IP number.
+        port: Its TCP port.
+        data_centre: Where it runs.
+        slots: Statements that it runs at the same time.
+        draining: Whether it is about to leave.
+        leads: Whether it believes to be the primary.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    data_centre: str
+    slots: int
+    draining: bool = False
+    leads: bool = False
+
+
+class Role(enum.Enum):
+    """What a member believes to be."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@attrs.frozen(slots=True)
+class Report:
+    """A member's status, and when it was asked for.
+
+    Attributes:
+        role: What it believes to be.
+        term: The term that it is in.
+        received: The end of the log that it has received.
+        paused_term: The term at which it stopped receiving; 0 for none.
+        asked_at: Boot time, in seconds, before the question was sent.
+    """
+
+    role: Role
+    term: int
+    received: decisions.Position
+    paused_term: int
+    asked_at: float
+
+    def follows(self, term: int) -> bool:
+        """Whether it is a replica that may receive commits of `term`."""
+        receiving = self.paused_term <= term
+        return self.role is Role.REPLICA and self.term == term and receiving
+
+
+@attrs.frozen(slots=True)
+class Leader:
+    """Who leads a group.
+
+    Attributes:
+        member: The member's id.
+        term: The term that it leads.
+    """
+
+    member: str
+    term: int
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -0,0 +1,146 @@
+"""What nodes tell each other, as msgpack arrays over a stream."""
+
+from collections.abc import Callable
+import typing
+
+import attrs
+import msgpack
+
+from ferry_proxy import _store
+
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024  # A whole copy of the store's items.
+
+
+class PeerProtocolError(Exception):
+    """Bytes from a peer are no message."""
+
+
+T = typing.TypeVar("T")
+_types: dict[str, type[typing.Any]] = {}
+
+
+def message(name: str) -> Callable[[type[T]], type[T]]:
+    """Returns a decorator that registers a message type under `name`."""
+
+    def register(cls: type[T]) -> type[T]:
+        _types[name] = cls
+        return cls
+
+    return register
+
+
+@message("hello")
+@attrs.frozen(slots=True)
+class Hello:
+    """The first message of each side: who it is."""
+
+    node: str
+
+
+@message("ping")
+@attrs.frozen(slots=True)
+class Ping:
+    """Shows that the sender lives."""
+
+
+@message("sync")
+@attrs.frozen(slots=True)
+class SyncRequest:
+    """Asks for all items changed after a revision."""
+
+    after: int
+
+
+@message("items")
+@attrs.frozen(slots=True)
+class SyncReply:
+    """Items, as rows of key, value and revision."""
+
+    rows: list[tuple[str, bytes | None, int]]
+
+    @property
+    def items(self) -> "tuple[_store.Item, ...]":
+        """The items, typed."""
+        return tuple(_store.Item(*row) for row in self.rows)
+
+
+@message("opinion?")
+@attrs.frozen(slots=True)
+class OpinionRequest:
+    """Asks how long ago a member was heard."""
+
+    service: str
+    member: str
+
+
+@message("opinion")
+@attrs.frozen(slots=True)
+class OpinionReply:
+    """Seconds since the member was heard; negative for never."""
+
+    heard_ago_s: float
+
+
+@message("leader")
+@attrs.frozen(slots=True)
+class LeaderNotice:
+    """Tells that a member leads a group since a term."""
+
+    service: str
+    member: str
+    term: int
+
+
+Message = (
+    Hello
+    | Ping
+    | SyncRequest
+    | SyncReply
+    | OpinionRequest
+    | OpinionReply
+    | LeaderNotice
+)
+
+
+@attrs.frozen(slots=True)
+class Envelope:
+    """A message and the number of the question that it belongs to."""
+
+    number: int
+    body: Message
+
+
+def encode(number: int, body: Message) -> bytes:
+    """Returns the bytes of a message."""
+    name = next(n for n, cls in _types.items() if cls is type(body))
+    fields = attrs.astuple(body, recurse=False)
+    return typing.cast(bytes, msgpack.packb([name, number, *fields]))
+
+
+class Decoder:
+    """Cuts a stream of bytes into messages."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+
+    def feed(self, data: bytes) -> list[Envelope]:
+        """Returns the messages that are whole now.
+
+        Raises:
+            PeerProtocolError: The bytes are no messages.
+        """
+        try:
+            self._unpacker.feed(data)
+            return [_envelope(raw) for raw in self._unpacker]
+        except (
+            msgpack.UnpackException,
+            ValueError,
+            TypeError,
+            KeyError,
+        ) as exc:
+            raise PeerProtocolError(repr(exc)) from exc
+
+
+def _envelope(raw: typing.Any) -> Envelope:
+    name, number, *fields = raw
+    return Envelope(int(number), _types[name](*fields))
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -0,0 +1,97 @@
+"""The proxy's own tunables, with their defaults and where they come from.
+
+A file in JSON with comments may change any of them.
+"""
+
+import pathlib
+
+import attrs
+import cattrs
+import json5
+
+
+class InvalidPolicyError(ValueError):
+    """A file of tunables holds mistakes; the message names them all."""
+
+
+def _positive(_: object, field: "attrs.Attribute[float]", value: float) -> None:
+    if value <= 0:
+        raise ValueError(f"{field.name} must be positive")
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Policy:
+    """Tunables; all times are in seconds.
+
+    Attributes:
+        probe_s: Pause between two rounds of status questions to a group. At
+            0.4 s a node costs a member 2.5 questions a second.
+        probe_timeout_s: How long a status may take. Calm members answer in
+            about 5 ms; a member five times slower still fits.
+        connect_timeout_s: How long a new connection may take; a handshake
+            costs 12 ms and a network trip 3 ms.
+        suspect_s: Silence after which a primary is suspected: two probes.
+        opinion_s: A peer that heard the primary within this speaks for it.
+        stall_s: How long no replica may receive a primary's newest commit.
+        claim_valid_s: How long a claim may be acted upon by its holder.
+        claim_takeover_s: When others may take a claim over; longer than
+            `claim_valid_s` by the longest time that a call may be under way.
+        promote_wait_s: How long to wait for a promoted member to lead; a
+            promotion takes 0.6 s to 1 s.
+        hold_share: The share of a route's target latency for which a request
+            may wait for a connection before it is refused.
+        failover_hold_share: The share of a route's time limit for which a
+            request may wait while a change of primary is under way.
+        hedge_share: The share of the target latency after which a read is
+            asked at another member too.
+        transaction_reserve: Connections of a member that transactions leave
+            free for single statements and status questions.
+        connect_backoff_s: Pause after a failed connect.
+        return_grace_s: After a time without the store, members missing from
+            it are kept for this long.
+        watch_wait_s: How long a watch of the store waits; also the longest
+            time for which a silent watch goes unnoticed.
+        store_timeout_s: How long a call of the store may take beyond that.
+    """
+
+    probe_s: float = attrs.field(default=0.4, validator=_positive)
+    probe_timeout_s: float = attrs.field(default=0.35, validator=_positive)
+    connect_timeout_s: float = attrs.field(default=0.4, validator=_positive)
+    suspect_s: float = attrs.field(default=0.8, validator=_positive)
+    opinion_s: float = attrs.field(default=0.6, validator=_positive)
+    stall_s: float = attrs.field(default=0.8, validator=_positive)
+    claim_valid_s: float = attrs.field(default=1.5, validator=_positive)
+    claim_takeover_s: float = attrs.field(default=4.0, validator=_positive)
+    promote_wait_s: float = attrs.field(default=2.0, validator=_positive)
+    hold_share: float = attrs.field(default=0.24, validator=_positive)
+    failover_hold_share: float = attrs.field(default=0.8, validator=_positive)
+    hedge_share: float = attrs.field(default=0.4, validator=_positive)
+    transaction_reserve: int = attrs.field(
+        default=1, validator=attrs.validators.ge(0)
+    )
+    connect_backoff_s: float = attrs.field(default=0.25, validator=_positive)
+    return_grace_s: float = attrs.field(default=2.5, validator=_positive)
+    watch_wait_s: float = attrs.field(default=1.0, validator=_positive)
+    store_timeout_s: float = attrs.field(default=0.8, validator=_positive)
+
+
+def policy_from_file(path: str) -> Policy:
+    """Reads tunables.
+
+    Raises:
+        InvalidPolicyError: The file cannot be read, or holds mistakes.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    try:
+        raw = json5.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        return converter.structure(raw, Policy)
+    except (OSError, ValueError) as exc:
+        raise InvalidPolicyError(f"{path}: {exc}") from exc
+    except cattrs.BaseValidationError as exc:
+        mistakes = "; ".join(cattrs.transform_error(exc))
+        raise InvalidPolicyError(f"{path}: {mistakes}") from exc
+
+
+def hold_until(arrived: float, limit_s: float, share: float) -> float:
+    """Returns until when a request may wait, given a share of a limit."""
+    return arrived + limit_s * share
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -0,0 +1,257 @@
+"""The connections of one node to one member.
+
+A member takes few connections, of all nodes together, so each node has a
+limit and a queue by priority. Opening costs the member a slot for some time:
+a link is kept for as long as it works.
+"""
+
+from collections.abc import Callable
+import enum
+import heapq
+import itertools
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _policy
+from ferry_proxy import _pooled_links
+
+PooledLink = _pooled_links.PooledLink
+
+
+class Use(enum.Enum):
+    """What a link is wanted for."""
+
+    CONTROL = "control"
+    STATEMENT = "statement"
+    TRANSACTION = "transaction"
+
+
+@attrs.define(slots=True, eq=False)
+class _Waiter:
+    """A request that waits for a link."""
+
+    use: Use
+    values: dict[str, str]
+    fut: "decisions.Future[PooledLink]"
+    timer: decisions.Timer
+
+
+class Pool:
+    """Links to one member, and who waits for them."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        member: _members.Member,
+        connector: _links.Connector,
+        policy: _policy.Policy,
+        limit: int,
+    ) -> None:
+        self._clock = clock
+        self._connector = connector
+        self._policy = policy
+        self._idle: list[PooledLink] = []
+        self._used: set[PooledLink] = set()
+        self._opening = 0
+        self._waiters: list[tuple[int, int, _Waiter]] = []
+        self._order = itertools.count()
+        self._backoff_until = float("-inf")
+        self._closed = False
+        self.member = member
+        self.limit = limit
+        self.opened = 0
+        self.heard = clock.now()
+        self.refused_since = float("inf")
+        self.latency_s = 0.0
+        self.on_heard: Callable[[], object] = lambda: None
+
+    @property
+    def in_flight(self) -> int:
+        """Links in use, and requests that wait for one."""
+        return len(self._used) + len(self._waiters)
+
+    @property
+    def size(self) -> int:
+        """Links that are open or being opened."""
+        return len(self._idle) + len(self._used) + self._opening
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether no link is open and the last attempt to open one failed."""
+        return self._backing_off and not (self._idle or self._used)
+
+    @property
+    def is_spare(self) -> bool:
+        """Whether a statement would get a link without waiting."""
+        may_open = self.size < self.limit and not self._backing_off
+        return not self._waiters and bool(self._idle or may_open)
+
+    def acquire(
+        self,
+        use: Use,
+        priority: int,
+        until: float,
+        values: dict[str, str] | None = None,
+    ) -> "decisions.Future[PooledLink]":
+        """Takes a link.
+
+        Args:
+            use: What for.
+            priority: The place in the queue; 0 goes first.
+            until: When to give up, in the clock's seconds.
+            values: The session's values, to prefer a link that has them.
+
+        Fails with `decisions.RequestFailedError` when none is to be had.
+        """
+        fut: decisions.Future[PooledLink] = decisions.Future()
+        if self._closed or self.is_unreachable:
+            return decisions.failed(_unavailable(self.member.id))
+        timer = self._clock.after(
+            until - self._clock.now(),
+            lambda: decisions.reject(fut, _overloaded(self.member.id)),
+        )
+        fut.add_done_callback(lambda _: timer.cancel())
+        waiter = _Waiter(use, values or {}, fut, timer)
+        rank = -1 if use is Use.CONTROL else priority
+        heapq.heappush(self._waiters, (rank, next(self._order), waiter))
+        self._serve()
+        return fut
+
+    def release(self, taken: PooledLink) -> None:
+        """Gives a link back that has no transaction open."""
+        if taken not in self._used:
+            return
+        self._used.discard(taken)
+        if taken.link.lost or self._closed:
+            taken.link.close()
+        else:
+            taken.for_transaction = False
+            self._idle.append(taken)
+        self._serve()
+
+    def discard(self, taken: PooledLink) -> None:
+        """Closes a link that must not be used again."""
+        taken.link.close()
+        self.release(taken)
+
+    def note_heard(self, taken: PooledLink, elapsed_s: float = 0.0) -> None:
+        """Takes in that the member answered.
+
+        Args:
+            taken: The link.
+            elapsed_s: How long a statement took; 0 for other answers.
+        """
+        now = self._clock.now()
+        taken.heard = self.heard = now
+        self.refused_since = float("inf")
+        if elapsed_s:
+            self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
+        self.on_heard()
+
+    def close(self) -> None:
+        """Closes the idle links; those in use close as they come back."""
+        self._closed = True
+        idle, self._idle = self._idle, []
+        for taken in idle:
+            taken.link.close()
+        for _, _, waiter in self._waiters:
+            decisions.reject(waiter.fut, _unavailable(self.member.id))
+
+    @property
+    def _backing_off(self) -> bool:
+        return self._clock.now() < self._backoff_until
+
+    def _serve(self) -> None:
+        """Gives links to those who wait, in order."""
+        self._idle = [t for t in self._idle if not t.link.lost]
+        held: list[tuple[int, int, _Waiter]] = []
+        while self._waiters:
+            entry = heapq.heappop(self._waiters)
+            waiter = entry[2]
+            if waiter.fut.done():
+                continue
+            if not self._may_take(waiter.use):
+                held.append(entry)
+                continue
+            if not self._idle:
+                held.append(entry)
+                break
+            self._give(waiter)
+        for entry in held:
+            heapq.heappush(self._waiters, entry)
+        self._open_more(len(held))
+
+    def _may_take(self, use: Use) -> bool:
+        if use is not Use.TRANSACTION:
+            return True
+        taken = sum(t.for_transaction for t in self._used)
+        return taken < max(1, self.limit - self._policy.transaction_reserve)
+
+    def _give(self, waiter: _Waiter) -> None:
+        if waiter.use is Use.CONTROL:
+            # The one that was silent for longest also gets checked so.
+            best = min(self._idle, key=lambda t: t.heard)
+        else:
+            best = min(
+                self._idle, key=lambda t: (t.distance(waiter.values), -t.heard)
+            )
+        self._idle.remove(best)
+        self._used.add(best)
+        best.for_transaction = waiter.use is Use.TRANSACTION
+        decisions.resolve(waiter.fut, best)
+
+    def _open_more(self, wanted: int) -> None:
+        if self._closed or self._backing_off:
+            return
+        while self._opening < wanted and self.size < self.limit:
+            self._opening += 1
+            fut = self._connector.connect(
+                self.member, self._policy.connect_timeout_s
+            )
+            fut.add_done_callback(self._opened)
+
+    def _opened(self, fut: "decisions.Future[_links.Link]") -> None:
+        self._opening -= 1
+        exc = fut.exception()
+        if exc is not None:
+            self._note_failure(exc)
+            return
+        link = fut.result()
+        if self._closed:
+            link.close()
+            return
+        self.opened += 1
+        taken = PooledLink(link, self._clock.now())
+        self._idle.append(taken)
+        self.note_heard(taken)
+        self._serve()
+
+    def _note_failure(self, exc: BaseException) -> None:
+        now = self._clock.now()
+        self._backoff_until = now + self._policy.connect_backoff_s
+        if isinstance(exc, _links.ConnectFailedError):
+            if exc.refused:
+                self.refused_since = min(self.refused_since, now)
+            elif exc.reason is decisions.TOO_MANY_CONNECTIONS:
+                self.heard = now
+        self._clock.after(self._policy.connect_backoff_s, self._serve)
+        if self.size:
+            return
+        waiters, self._waiters = self._waiters, []
+        for _, _, waiter in waiters:
+            decisions.reject(waiter.fut, _unavailable(self.member.id))
+
+
+LATENCY_WEIGHT = 0.2  # Of the newest sample in a moving mean; about 5 samples.
+
+
+def _unavailable(member: str) -> decisions.RequestFailedError:
+    return decisions.RequestFailedError(decisions.NO_CONNECTION, member)
+
+
+def _overloaded(member: str) -> decisions.RequestFailedError:
+    return decisions.RequestFailedError(decisions.OVERLOADED, member)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -0,0 +1,380 @@
+"""Changes of primary, from the evidence to the new term.
+
+Any node may act. It claims the change in the store, which also gives the
+fencing token; stops the old primary and its replicas; promotes the replica
+that received most; and tells its peers. A holder acts only for a bounded boot
+time after its claim, and others wait longer than that before they claim.
+"""
+
+from collections.abc import Callable
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _clocks
+from ferry_proxy import _events
+from ferry_proxy import _fencing
+from ferry_proxy import _groups
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _peer_messages
+from ferry_proxy import _peers
+from ferry_proxy import _policy
+from ferry_proxy import _pools
+from ferry_proxy import _store
+
+RANK_DELAY_S = 0.06  # Longer than a claim takes to be seen by the next node.
+MAX_RANK = 5
+OPINION_WAIT_S = 0.15  # A peer answers in a few milliseconds.
+PAUSE_AFTER_FAILURE_S = 0.4
+NEVER = float("inf")
+POLL_S = 0.03  # How often a promoted member is asked whether it leads.
+
+
+class ChangeAbandonedError(Exception):
+    """A change of primary cannot go on; another try may follow."""
+
+
+@attrs.frozen(slots=True)
+class PromoterContext:
+    """What a promoter works with.
+
+    Attributes:
+        clock: The clock.
+        policy: The tunables.
+        node: This node's name.
+        catalogue: The copy of the store.
+        store: The store.
+        promotions: The platform's call.
+        mesh: The peers.
+        note_promoted: Called with each change that this node completed.
+    """
+
+    clock: _clocks.Clock
+    policy: _policy.Policy
+    node: str
+    catalogue: _catalogue.Catalogue
+    store: _store.Store
+    promotions: _store.Promotions
+    mesh: _peers.Mesh
+    note_promoted: Callable[[str, float], object]
+
+
+class Promoter:
+    """Watches one group's primary and replaces it when it has to be."""
+
+    def __init__(self, ctx: PromoterContext, group: _groups.Group) -> None:
+        self._ctx = ctx
+        self._group = group
+        self._busy = False
+        self._not_before = float("-inf")
+        self._stalled_since = NEVER
+        self._stalled_at: decisions.Position | None = None
+        group.on_round.append(self._take_round)
+
+    # -- evidence --------------------------------------------------------
+
+    def _take_round(self, reports: dict[str, _members.Report]) -> None:
+        self._watch_stall(reports)
+        self.check()
+
+    def _watch_stall(self, reports: dict[str, _members.Report]) -> None:
+        """Notes since when no replica has the primary's newest commit."""
+        group = self._group
+        leader = group.leader
+        own = reports.get(leader.member) if leader else None
+        others = [
+            r.received
+            for n, r in reports.items()
+            if leader and n != leader.member
+        ]
+        behind = own is not None and bool(others) and own.received > max(others)
+        if not behind or not group.service.sync_replicas:
+            self._stalled_since = NEVER
+            return
+        newest = max(others)
+        if self._stalled_since == NEVER or newest != self._stalled_at:
+            self._stalled_since = self._ctx.clock.now()
+            self._stalled_at = newest
+
+    def evidence(self) -> _fencing.Evidence:
+        """Returns what is known of the primary now."""
+        group = self._group
+        now = self._ctx.clock.now()
+        pool = group.leader_pool
+        successors = [
+            p
+            for n, p in group.pools.items()
+            if p is not pool and group.is_responsive(p) and self._stays(p)
+        ]
+        return _fencing.Evidence(
+            has_leader=pool is not None,
+            silence_s=now - pool.heard if pool else 0.0,
+            refused_s=now - pool.refused_since if pool else 0.0,
+            stalled_s=now - self._stalled_since,
+            leaderless_s=now - group.leaderless_since,
+            is_draining=pool is not None and pool.member.draining,
+            successors=len(successors),
+        )
+
+    def _stays(self, pool: _pools.Pool) -> bool:
+        return not pool.member.draining
+
+    def check(self) -> None:
+        """Begins a change if the evidence asks for one."""
+        now = self._ctx.clock.now()
+        if self._busy or now < self._not_before:
+            return
+        cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
+        if cause is None:
+            return
+        self._busy = True
+        fut = decisions.start(self._change(cause))
+        fut.add_done_callback(self._ended)
+
+    def _ended(self, fut: "decisions.Future[None]") -> None:
+        self._busy = False
+        exc = fut.exception()
+        if exc is None:
+            return
+        pause = self._ctx.clock.now() + PAUSE_AFTER_FAILURE_S
+        self._not_before = pause
+        self._log("abandoned", 0, "", repr(exc))
+
+    # -- the change ------------------------------------------------------
+
+    def _change(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
+        begun = self._ctx.clock.now()
+        yield decisions.sleep(self._ctx.clock, self._rank() * RANK_DELAY_S)
+        still = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
+        if still is not cause:
+            return
+        yield from self._ask_peers(cause)
+        held, valid_until = yield from self._claim()
+        token = held.claim.token
+        self._log("claimed", token, "", cause.value)
+        self._group.expect_change()
+        reports, term = yield from self._fence(cause, token)
+        try:
+            yield from self._promote(reports, token, valid_until)
+        except ChangeAbandonedError:
+            yield from self._resume(reports)
+            raise
+        self._ctx.note_promoted(cause.value, self._ctx.clock.now() - begun)
+        yield from self._finish(held)
+
+    def _rank(self) -> int:
+        """Returns this node's place in the order in which nodes act."""
+        names = sorted({*self._ctx.catalogue.nodes, self._ctx.node})
+        service = self._group.service.name
+        ranked = sorted(
+            names, key=lambda n: decisions.rendezvous_score(service, n)
+        )
+        return min(MAX_RANK, ranked.index(self._ctx.node))
+
+    def _ask_peers(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
+        group = self._group
+        leader = group.leader
+        if leader is None:
+            return
+        question = _peer_messages.OpinionRequest(
+            group.service.name, leader.member
+        )
+        futs = [
+            decisions.within(self._ctx.clock, OPINION_WAIT_S, s.call(question))
+            for s in self._ctx.mesh.streams
+        ]
+        settled = yield decisions.settle_all(futs, lambda _: False)
+        heard = [
+            s.result.heard_ago_s
+            for s in settled
+            if s.failure is None
+            and isinstance(s.result, _peer_messages.OpinionReply)
+        ]
+        vetoed = _fencing.is_vetoed(cause, heard, self._ctx.policy)
+        _events.emit(
+            _events.PrimarySuspected(
+                group.service.name,
+                leader.member,
+                f"{cause.value}{' (vetoed)' if vetoed else ''}",
+                round(self.evidence().silence_s, 3),
+                len(heard),
+            )
+        )
+        if vetoed:
+            raise ChangeAbandonedError("a peer hears the primary")
+
+    def _claim(
+        self,
+    ) -> "decisions.Flow[tuple[_catalogue.HeldClaim, float]]":
+        """Takes the right to act; returns it and until when it holds."""
+        ctx = self._ctx
+        service = self._group.service.name
+        held = ctx.catalogue.claims.get(service)
+        now = ctx.clock.boot_now()
+        if held is not None and not held.claim.done:
+            age = now - held.seen_at
+            if age < ctx.policy.claim_takeover_s:
+                self._group.expect_change()
+                raise ChangeAbandonedError("another node holds the claim")
+        token = held.claim.token + 1 if held else 1
+        revision = held.revision if held else 0
+        claim = _catalogue.Claim(ctx.node, token)
+        key = _catalogue.CLAIM_PREFIX + service
+        valid_until = now + ctx.policy.claim_valid_s
+        item = yield ctx.store.put_if(key, claim.encode(), revision)
+        if item is None:
+            raise ChangeAbandonedError("another node was faster")
+        ctx.catalogue.take((item,), "own claim")
+        mine = _catalogue.HeldClaim(claim, item.revision, now)
+        return mine, valid_until
+
+    def _fence(
+        self, cause: _fencing.Cause, token: int
+    ) -> "decisions.Flow[tuple[dict[str, _members.Report], int]]":
+        """Stops the old primary and pauses its replicas.
+
+        Raises:
+            ChangeAbandonedError: Too few of them could be reached.
+        """
+        group = self._group
+        old = group.leader.member if group.leader else group.last_leader
+        yield from self._list_members()
+        term = self._next_term()
+        old_pool = group.pools.get(old)
+        if old_pool is not None and cause is not _fencing.Cause.MISSING:
+            stop = decisions.start(group.ask(old_pool, _links.StepDown(term)))
+            if cause in (_fencing.Cause.LEAVING, _fencing.Cause.STALLED):
+                yield decisions.settled(stop)
+        others = {n: p for n, p in group.pools.items() if n != old}
+        reports: dict[str, _members.Report] = {}
+        futs = [
+            decisions.start(self._pause(p, term, reports))
+            for p in others.values()
+        ]
+        yield decisions.settle_all(futs, lambda _: False)
+        now = self._ctx.clock.now()
+        vanished = [
+            now - at for name, at in group.vanished.items() if name != old
+        ]
+        needed = _fencing.fence_needed(
+            len(others), vanished, group.service.sync_replicas
+        )
+        detail = f"{len(reports)} of {len(others)} paused, {needed} needed"
+        self._log("fenced", token, old, detail)
+        if len(reports) < needed or not reports:
+            yield from self._resume(reports)
+            raise ChangeAbandonedError(detail)
+        return reports, term
+
+    def _list_members(self) -> "decisions.Flow[None]":
+        """Reads the list anew: an unknown replica could acknowledge."""
+        prefix = self._ctx.catalogue.member_prefix
+        listed = yield self._ctx.store.list(prefix)
+        self._ctx.catalogue.take(listed.items, "store")
+
+    def _next_term(self) -> int:
+        group = self._group
+        terms = [group.term]
+        for name in group.pools:
+            report = group.last_report(name)
+            if report is not None:
+                terms += [report.term, report.paused_term]
+        return max(terms) + 1
+
+    def _pause(
+        self,
+        pool: _pools.Pool,
+        term: int,
+        reports: dict[str, _members.Report],
+    ) -> "decisions.Flow[None]":
+        try:
+            report = yield from self._group.ask(pool, _links.Pause(term))
+        except decisions.RequestFailedError:
+            report = yield from self._group.ask(pool, _links.Pause(term))
+        is_paused = report.paused_term >= term
+        if report.role is _members.Role.REPLICA and is_paused:
+            reports[pool.member.id] = report
+
+    def _resume(
+        self, reports: dict[str, _members.Report]
+    ) -> "decisions.Flow[None]":
+        futs = [
+            decisions.start(self._group.ask(pool, _links.Resume()))
+            for name, pool in self._group.pools.items()
+            if name in reports
+        ]
+        yield decisions.settle_all(futs, lambda _: False)
+
+    def _promote(
+        self,
+        reports: dict[str, _members.Report],
+        token: int,
+        valid_until: float,
+    ) -> "decisions.Flow[None]":
+        ctx = self._ctx
+        group = self._group
+        members = {n: p.member for n, p in group.pools.items()}
+        successor = _fencing.choose_successor(reports, members)
+        if ctx.clock.boot_now() >= valid_until:
+            raise ChangeAbandonedError("the claim is too old to act on")
+        detail = f"received {reports[successor].received}"
+        self._log("promoting", token, successor, detail)
+        try:
+            yield ctx.promotions.promote(
+                group.service.name, successor, ctx.node, token
+            )
+        except _store.PromotionRefusedError as exc:
+            raise ChangeAbandonedError(str(exc)) from exc
+        except _store.StoreUnavailableError as exc:
+            # It may have been taken: the member itself tells.
+            self._log("unanswered", token, successor, str(exc))
+        yield from self._await_leader(successor, token)
+
+    def _await_leader(
+        self, successor: str, token: int
+    ) -> "decisions.Flow[None]":
+        ctx = self._ctx
+        group = self._group
+        end = ctx.clock.now() + ctx.policy.promote_wait_s
+        while ctx.clock.now() < end:
+            pool = group.pools.get(successor)
+            if pool is None:
+                break
+            try:
+                report = yield from group.ask(pool, _links.Status())
+            except decisions.RequestFailedError as exc:
+                self._log("asked", token, successor, exc.reason.name)
+            else:
+                if report.role is _members.Role.PRIMARY:
+                    self._announce(successor, report.term, token)
+                    return
+            yield decisions.sleep(ctx.clock, POLL_S)
+        raise ChangeAbandonedError(f"{successor} does not lead")
+
+    def _announce(self, successor: str, term: int, token: int) -> None:
+        group = self._group
+        self._log("promoted", token, successor, f"term {term}")
+        group.note_leader(_members.Leader(successor, term))
+        notice = _peer_messages.LeaderNotice(
+            group.service.name, successor, term
+        )
+        for stream in self._ctx.mesh.streams:
+            stream.tell(notice)
+        group.refresh()
+
+    def _finish(self, held: _catalogue.HeldClaim) -> "decisions.Flow[None]":
+        """Lets the next claim follow at once."""
+        done = attrs.evolve(held.claim, done=True)
+        key = _catalogue.CLAIM_PREFIX + self._group.service.name
+        item = yield self._ctx.store.put_if(key, done.encode(), held.revision)
+        if item is not None:
+            self._ctx.catalogue.take((item,), "own claim")
+
+    def _log(self, step: str, token: int, member: str, detail: str) -> None:
+        _events.emit(
+            _events.PromotionStep(
+                self._group.service.name, step, token, member, detail
+            )
+        )
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -0,0 +1,54 @@
+"""Which member gets a read.
+
+Answers the load of ordinary days: many short reads, some members slow, and
+traffic between data centres that costs money. A pure function of what is
+known of the members, so it is tested without a network.
+"""
+
+import attrs
+
+FAR_FACTOR = 1.5  # A far member costs a network trip of 2 ms and its bytes.
+PRIMARY_FACTOR = 3.0  # The primary keeps its slots for what only it can run.
+UNRESPONSIVE_FACTOR = 1000.0  # Only where nobody else is left.
+FLOOR_LATENCY_S = 0.005  # Below this, differences of latency are noise.
+
+
+@attrs.frozen(slots=True)
+class Candidate:
+    """A member that may run a read.
+
+    Attributes:
+        member: Its id.
+        is_primary: Whether it leads.
+        is_near: Whether it is in this node's data centre.
+        is_responsive: Whether it answered a short while ago.
+        in_flight: This node's statements there, waiting ones included.
+        slots: Statements that it runs at the same time.
+        latency_s: The mean time of a statement there, lately.
+    """
+
+    member: str
+    is_primary: bool
+    is_near: bool
+    is_responsive: bool
+    in_flight: int
+    slots: int
+    latency_s: float
+
+
+def cost(candidate: Candidate) -> float:
+    """Returns the expected cost of a read at a member, in weighted seconds."""
+    load = 1.0 + candidate.in_flight
+    value = max(candidate.latency_s, FLOOR_LATENCY_S) * load
+    if not candidate.is_near:
+        value *= FAR_FACTOR
+    if candidate.is_primary:
+        value *= PRIMARY_FACTOR
+    if not candidate.is_responsive:
+        value *= UNRESPONSIVE_FACTOR
+    return value
+
+
+def best(candidates: list[Candidate]) -> Candidate | None:
+    """Returns the member to ask; None without candidates."""
+    return min(candidates, key=lambda c: (cost(c), c.member), default=None)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -0,0 +1,346 @@
+"""A caller's session: its values, prepared names, transaction and commits.
+
+The same code serves every protocol: a front decodes requests to `Statement`
+and encodes `Answer`. Requests of a session run one after another.
+"""
+
+from collections.abc import Callable
+import itertools
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _configuration
+from ferry_proxy import _events
+from ferry_proxy import _execution
+from ferry_proxy import _groups
+from ferry_proxy import _jobs
+from ferry_proxy import _links
+from ferry_proxy import _metrics
+from ferry_proxy import _policy
+from ferry_proxy import _statements
+from ferry_proxy import _transactions
+
+Kind = _statements.Kind
+STATES = _statements.TransactionState
+MAX_STATE = 512  # Values and prepared names a session may hold, each.
+_ids = itertools.count(1)
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """The whole answer to one request.
+
+    Attributes:
+        state: Where the session stands after it.
+        rows: The rows of the member, as they were.
+        proof: The member's token of the run; empty where no member ran it.
+        reason: Why it failed; None for success.
+        detail: Words for a reader.
+        position: The member's position, where one is known.
+    """
+
+    state: _statements.TransactionState
+    rows: tuple[str, ...] = ()
+    proof: str = ""
+    reason: decisions.Reason | None = None
+    detail: str = ""
+    position: decisions.Position | None = None
+
+
+@attrs.frozen(slots=True)
+class SessionContext:
+    """What all sessions of a node share.
+
+    Attributes:
+        clock: The clock.
+        policy: The tunables.
+        executor: Runs statements.
+        metrics: Counts them.
+        configuration: Returns the configuration in force.
+        group: Returns the members of a service; None for an unknown one.
+    """
+
+    clock: _clocks.Clock
+    policy: _policy.Policy
+    executor: _execution.Executor
+    metrics: _metrics.Metrics
+    configuration: Callable[[], _configuration.Configuration | None]
+    group: Callable[[str], _groups.Group | None]
+
+
+class Session:
+    """One session, from its start to its end."""
+
+    def __init__(self, ctx: SessionContext, database: str) -> None:
+        self._ctx = ctx
+        self._database = database
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, _statements.Prepared] = {}
+        self._transaction: _transactions.Transaction | None = None
+        self._route: _configuration.Route | None = None
+        self._commits: dict[str, decisions.Position] = {}
+        self._closed = False
+        self.id = next(_ids)
+        self.busy = False
+
+    @property
+    def state(self) -> _statements.TransactionState:
+        """Where the session stands."""
+        if self._transaction is None:
+            return STATES.IDLE
+        if self._transaction.failure is not None:
+            return STATES.FAILED
+        return STATES.OPEN
+
+    @property
+    def is_known(self) -> bool:
+        """Whether its database has a route."""
+        return self._find_route() is not None
+
+    def run(
+        self, statement: _statements.Statement
+    ) -> "decisions.Future[Answer]":
+        """Runs a statement; one at a time."""
+        self.busy = True
+        fut = decisions.start(self._run(statement))
+        fut.add_done_callback(lambda _: self._finished())
+        return fut
+
+    def close(self) -> None:
+        """Ends the session; what is open is rolled back."""
+        self._closed = True
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None and not self.busy:
+            transaction.roll_back()
+
+    def end_transaction(self, reason: decisions.Reason) -> None:
+        """Ends an open transaction between two requests of the caller."""
+        if self._transaction is not None and not self.busy:
+            self._transaction.fail(reason)
+
+    def end_if_idle(self, now: float) -> None:
+        """Ends a transaction that has rested for longer than it may."""
+        cfg = self._ctx.configuration()
+        transaction = self._transaction
+        if cfg is None or transaction is None or self.busy:
+            return
+        rested = now - transaction.used > cfg.transaction_idle_s
+        if rested and transaction.holds_link:
+            transaction.fail(decisions.TRANSACTION_LOST)
+
+    def _finished(self) -> None:
+        self.busy = False
+
+    # -- statements ------------------------------------------------------
+
+    def _run(
+        self, statement: _statements.Statement
+    ) -> "decisions.Flow[Answer]":
+        kind = statement.kind
+        if kind is Kind.ROLLBACK:
+            return self._roll_back()
+        if self.state is STATES.FAILED:
+            return self._answer_failed(statement)
+        if kind in (Kind.BEGIN, Kind.BEGIN_READ):
+            return self._begin(kind is Kind.BEGIN_READ)
+        if kind in (Kind.SET, Kind.PREPARE, Kind.CLOSE):
+            return self._change_state(statement)
+        return (yield from self._run_remote(statement))
+
+    def _roll_back(self) -> Answer:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            transaction.roll_back()
+        return Answer(STATES.IDLE)
+
+    def _answer_failed(self, statement: _statements.Statement) -> Answer:
+        if statement.kind is Kind.COMMIT:
+            self._roll_back()
+            return Answer(
+                STATES.IDLE,
+                reason=decisions.TRANSACTION_LOST,
+                detail="the transaction had failed and is rolled back",
+            )
+        return Answer(
+            STATES.FAILED,
+            reason=decisions.IN_FAILED_TRANSACTION,
+            detail="the transaction has failed; end it",
+        )
+
+    def _begin(self, read_only: bool) -> Answer:
+        if self._transaction is not None:
+            return self._malformed("a transaction is open")
+        route = self._find_route()
+        if route is None:
+            return self._unknown_database()
+        self._route = route
+        ctx = self._ctx
+        self._transaction = _transactions.Transaction(
+            ctx.clock, ctx.executor, ctx.policy, read_only
+        )
+        return Answer(STATES.OPEN)
+
+    def _change_state(self, statement: _statements.Statement) -> Answer:
+        """Keeps values and prepared names; a member learns of them later."""
+        name = statement.name
+        full = max(len(self._values), len(self._prepared)) >= MAX_STATE
+        if statement.kind is Kind.CLOSE:
+            if self._prepared.pop(name, None) is None:
+                return self._unknown_prepared(name)
+        elif full:
+            return self._malformed("too many values or prepared statements")
+        elif statement.kind is Kind.SET:
+            self._values = {**self._values, name: statement.value}
+        elif statement.prepared is not None:
+            self._prepared[name] = statement.prepared
+        return Answer(self.state)
+
+    def _run_remote(
+        self, statement: _statements.Statement
+    ) -> "decisions.Flow[Answer]":
+        prepared = None
+        if statement.kind is Kind.EXECUTE:
+            prepared = self._prepared.get(statement.name)
+            if prepared is None:
+                return self._unknown_prepared(statement.name)
+        if statement.kind is Kind.COMMIT and self._transaction is None:
+            return self._malformed("no transaction is open")
+        transaction = self._transaction
+        route = self._route if transaction else self._find_route()
+        group = self._ctx.group(route.service) if route else None
+        if route is None:
+            return self._unknown_database()
+        if group is None:
+            return self._refused(decisions.NO_PRIMARY, "no members are known")
+        job = self._job(statement, prepared, route, group)
+        try:
+            reply = yield from self._dispatch(job, transaction)
+        except decisions.RequestFailedError as exc:
+            if statement.kind is Kind.COMMIT:
+                self._transaction = None
+            answer = self._refused(exc.reason, exc.detail)
+        else:
+            answer = self._take(job, transaction, reply)
+        self._record(job, answer)
+        return answer
+
+    def _job(
+        self,
+        statement: _statements.Statement,
+        prepared: _statements.Prepared | None,
+        route: _configuration.Route,
+        group: _groups.Group,
+    ) -> _jobs.Job:
+        reads_own = route.consistency is _configuration.Consistency.SESSION
+        return _jobs.Job(
+            statement=statement,
+            prepared=prepared,
+            route=route,
+            group=group,
+            values=self._values,
+            arrived=self._ctx.clock.now(),
+            arrived_boot=self._ctx.clock.boot_now(),
+            session_floor=(
+                self._commits.get(route.service) if reads_own else None
+            ),
+        )
+
+    def _dispatch(
+        self, job: _jobs.Job, transaction: _transactions.Transaction | None
+    ) -> "decisions.Flow[_links.Reply]":
+        if transaction is not None:
+            return (yield from transaction.run(job))
+        if self._writes(job):
+            return (yield from self._ctx.executor.write(job))
+        reply: _links.Reply = yield self._ctx.executor.read(job)
+        return reply
+
+    def _writes(self, job: _jobs.Job) -> bool:
+        if job.prepared is not None:
+            return job.prepared.writes
+        return job.statement.kind is Kind.WRITE
+
+    def _take(
+        self,
+        job: _jobs.Job,
+        transaction: _transactions.Transaction | None,
+        reply: _links.Reply,
+    ) -> Answer:
+        is_commit = job.statement.kind is Kind.COMMIT
+        if is_commit:
+            self._transaction = None
+        if reply.reason is not None:
+            return Answer(self.state, reason=reply.reason, detail=reply.detail)
+        wrote = transaction.wrote if transaction else self._writes(job)
+        ended = transaction is None or is_commit
+        if wrote and ended and reply.position is not None:
+            self._note_commit(job.route.service, reply.position)
+        if self._closed and transaction is not None and not is_commit:
+            transaction.roll_back()
+        return Answer(
+            self.state, reply.rows, reply.proof, position=reply.position
+        )
+
+    def _note_commit(self, service: str, position: decisions.Position) -> None:
+        known = self._commits.get(service)
+        if known is None or position > known:
+            self._commits[service] = position
+
+    # -- answers ---------------------------------------------------------
+
+    def _refused(self, reason: decisions.Reason, detail: str) -> Answer:
+        transaction = self._transaction
+        if transaction is not None:
+            transaction.fail(reason)
+        return Answer(self.state, reason=reason, detail=detail)
+
+    def _malformed(self, detail: str) -> Answer:
+        return Answer(
+            self.state, reason=decisions.PROTOCOL_VIOLATION, detail=detail
+        )
+
+    def _unknown_prepared(self, name: str) -> Answer:
+        return Answer(
+            self.state, reason=decisions.UNKNOWN_PREPARED, detail=name
+        )
+
+    def _unknown_database(self) -> Answer:
+        return Answer(
+            self.state,
+            reason=decisions.UNKNOWN_DATABASE,
+            detail=self._database,
+        )
+
+    def _find_route(self) -> _configuration.Route | None:
+        cfg = self._ctx.configuration()
+        return cfg.routes.get(self._database) if cfg else None
+
+    def _record(self, job: _jobs.Job, answer: Answer) -> None:
+        now = self._ctx.clock.now()
+        outcome = answer.reason.name if answer.reason else "ran"
+        offered = job.offered_at or now
+        leader = job.group.leader
+        at_replica = leader is None or leader.member != job.member
+        self._ctx.metrics.note_request(
+            job.route.name,
+            job.statement.kind,
+            outcome,
+            now - job.arrived,
+            at_replica and not answer.reason,
+        )
+        _events.emit(
+            _events.RequestDone(
+                request=job.statement.request_id,
+                session=self.id,
+                route=job.route.name,
+                kind=job.statement.kind.value,
+                outcome=outcome,
+                detail=answer.detail,
+                member=job.member,
+                elapsed_s=round(now - job.arrived, 4),
+                waited_s=round(offered - job.arrived, 4),
+                attempts=job.attempts,
+            )
+        )
--- /dev/null
+++ b/packages/runtime/src/ferry_runtime/__init__.py
@@ -0,0 +1,29 @@
+"""The event loop, streams and HTTP that all processes are built on."""
+
+from ferry_runtime._http import HttpCallFailedError
+from ferry_runtime._http import HttpClient
+from ferry_runtime._http import HttpReply
+from ferry_runtime._http import HttpRequest
+from ferry_runtime._http import HttpServer
+from ferry_runtime._loop import EventLoop
+from ferry_runtime._loop import call_on
+from ferry_runtime._loop import on_loop
+from ferry_runtime._streams import Listener
+from ferry_runtime._streams import Stream
+from ferry_runtime._streams import StreamClosedError
+from ferry_runtime._streams import connect
+
+__all__ = [
+    "EventLoop",
+    "HttpCallFailedError",
+    "HttpClient",
+    "HttpReply",
+    "HttpRequest",
+    "HttpServer",
+    "Listener",
+    "Stream",
+    "StreamClosedError",
+    "call_on",
+    "connect",
+    "on_loop",
+]
--- a/packages/node/src/ferry_node/_loop.py
+++ b/packages/runtime/src/ferry_runtime/_loop.py
@@ -45,6 +45,10 @@
         """Returns the monotonic time in seconds."""
         return time.monotonic()
 
+    def boot_now(self) -> float:
+        """Returns seconds that also count while this machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def after(
         self, delay: float, callback: Callable[[], object]
     ) -> decisions.Timer:
--- a/packages/node/src/ferry_node/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -5,8 +5,9 @@
 import selectors
 import socket
 import ssl
+import struct
 
-from ferry_node import _loop
+from ferry_runtime import _loop
 
 RECV_BYTES = 65_536
 MAX_READS_PER_EVENT = 4
@@ -137,6 +138,14 @@
         self._loop.unregister(self._sock)
         self._sock.close()
 
+    def abort(self) -> None:
+        """Closes with a reset, so that queued bytes are not delivered."""
+        if self.closed:
+            return
+        linger = struct.pack("ii", 1, 0)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
     def close_when_sent(self) -> None:
         """Closes once all queued bytes are sent."""
         if not self._out:
--- a/packages/standins/src/ferry_standins/_fleet.py
+++ b/packages/standins/src/ferry_standins/_fleet.py
@@ -13,6 +13,7 @@
 import attrs
 import ferry_decisions as decisions
 import ferry_node as node
+import ferry_runtime as runtime
 
 from ferry_standins import _kv
 from ferry_standins import _log
@@ -60,7 +61,7 @@
         self.plan = plan
         self.kv = _kv.KvServer()
         self.vms = _vms.VmListServer()
-        self.loop = node.EventLoop()
+        self.loop = runtime.EventLoop()
         self.loop.start_thread("stand-ins")
         self.groups: dict[str, _log.Group] = {}
         self.members: dict[str, dict[str, _member.Member]] = {}
@@ -82,7 +83,7 @@
             admin_token=ADMIN_TOKEN,
             policy=self.plan.policy,
         )
-        loop = node.EventLoop()
+        loop = runtime.EventLoop()
         started = node.Node(loop, cfg)
         loop.start_thread(name)
         self.nodes[name] = started
@@ -109,7 +110,7 @@
     def stop_node(self, name: str) -> "concurrent.futures.Future[int]":
         """Begins a planned stop; the future counts what was cut off."""
         found = self.nodes[name]
-        return node.call_on(found.loop, found.stop)
+        return runtime.call_on(found.loop, found.stop)
 
     def put(self, key: str, value: object) -> None:
         """Writes a document to the store, over whatever is there."""
@@ -221,5 +222,5 @@
 
     def on_loop(self, work: Callable[[], object]) -> None:
         """Runs work on the stand-ins' loop and waits for it."""
-        fut = node.call_on(self.loop, lambda: decisions.completed(work()))
+        fut = runtime.call_on(self.loop, lambda: decisions.completed(work()))
         fut.result(CALL_TIMEOUT_S)
--- a/packages/standins/src/ferry_standins/_member.py
+++ b/packages/standins/src/ferry_standins/_member.py
@@ -8,7 +8,7 @@
 
 import attrs
 import ferry_decisions as decisions
-import ferry_node as node
+import ferry_runtime as runtime
 
 from ferry_standins import _log
 from ferry_standins import _session
@@ -35,7 +35,7 @@
 
     def __init__(
         self,
-        loop: node.EventLoop,
+        loop: runtime.EventLoop,
         name: str,
         group: _log.Group,
         max_connections: int = 35,
@@ -56,7 +56,7 @@
         self._lock_queue: collections.deque[
             tuple[_session.Session, Callable[[], None]]
         ] = collections.deque()
-        self._listener = node.Listener(loop, "127.0.0.1", 0, self._accept)
+        self._listener = runtime.Listener(loop, "127.0.0.1", 0, self._accept)
         self.port = self._listener.port
         group.add(self.replica, self.apply_to)
         group.subscribe(self._received)
@@ -76,7 +76,7 @@
     def restart(self) -> None:
         """Starts the member again on its old port, with its log."""
         self.group.set_down(self.name, False)
-        self._listener = node.Listener(
+        self._listener = runtime.Listener(
             self.loop, "127.0.0.1", self.port, self._accept
         )
 
@@ -183,7 +183,7 @@
             columns, rows, _sql.command_tag(sql, cursor.rowcount, len(rows))
         )
 
-    def _accept(self, stream: node.Stream) -> None:
+    def _accept(self, stream: runtime.Stream) -> None:
         _session.Session(self, stream)
 
     def _received(self, name: str) -> None:
--- a/packages/standins/src/ferry_standins/_session.py
+++ b/packages/standins/src/ferry_standins/_session.py
@@ -10,6 +10,7 @@
 import ferry_decisions as decisions
 import ferry_node as node
 from ferry_node import _wire
+import ferry_runtime as runtime
 
 from ferry_standins import _control
 from ferry_standins import _log
@@ -43,7 +44,9 @@
 class Session:
     """One connection to a member."""
 
-    def __init__(self, member: "_member.Member", stream: node.Stream) -> None:
+    def __init__(
+        self, member: "_member.Member", stream: runtime.Stream
+    ) -> None:
         self._member = member
         self._stream = stream
         self._decoder = _wire.CallerDecoder()
--- a/tools/gen_exports.py
+++ b/tools/gen_exports.py
@@ -29,7 +29,10 @@
     """Returns the names that others use through the alias."""
     pattern = re.compile(rf"\b{alias}\.(\w+)")
     used: set[str] = set()
-    for path in package.parents[2].glob("*/src/**/*.py"):
+    packages = package.parents[2]
+    adapter = packages.parent / "platform"
+    users = [*packages.glob("*/src/**/*.py"), *adapter.glob("**/*.py")]
+    for path in users:
         if path.parent != package:
             used |= set(pattern.findall(path.read_text()))
     return used
