--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -31,6 +31,7 @@
 from ferry_proxy._policy import InvalidPolicyError
 from ferry_proxy._policy import Policy
 from ferry_proxy._policy import policy_from_file
+from ferry_proxy._proxy import NOTICED_S
 from ferry_proxy._proxy import NodeIdentity
 from ferry_proxy._proxy import Platform
 from ferry_proxy._proxy import Proxy
@@ -63,6 +64,7 @@
     "Layout",
     "LinkLostError",
     "Member",
+    "NOTICED_S",
     "NodeIdentity",
     "Pause",
     "Platform",
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -155,6 +155,11 @@
         limit = self._policy.watch_wait_s + self._policy.store_timeout_s
         return self._clock.now() - self._heard_at < limit
 
+    @property
+    def newest(self) -> int:
+        """The highest revision of an item."""
+        return max((i.revision for i in self._items.values()), default=0)
+
     @property
     def age_s(self) -> float:
         """Seconds since the store last answered."""
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -192,13 +192,16 @@
         self._requests = _Budget(REQUESTS_PER_S)
         self._failures = _Budget(FAILURES_PER_S)
         self._rest = b""
-        self._left_out = {"requests": 0, "failures": 0, "blocked": 0}
+        self._left_out = _zero()
+        self._report_at = 0.0
 
     def write(self, event: attrs.AttrsInstance) -> None:
         """Writes an event, if its budget allows."""
         if isinstance(event, RequestDone) and not self._allowed(event):
             return
-        if any(self._left_out.values()):
+        now = time.monotonic()
+        if any(self._left_out.values()) and now >= self._report_at:
+            self._report_at = now + 1.0
             counts, self._left_out = self._left_out, _zero()
             self._line(LinesLeftOut(**counts))
         self._line(event)
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -13,6 +13,8 @@
 from ferry_proxy import _routing
 
 RETRY_PAUSE_S = 0.015  # About one short statement at a member.
+FLOOR_RETRY_S = 0.2  # Between rounds that readers cause for want of a floor.
+NO_FLOOR_PAUSE_S = 0.05  # Before a reader looks again for a floor.
 MAX_HEDGES = 2  # Further members that a read is asked at while one is silent.
 SILENT_LINK_S = 2.0  # A link without an answer for so long is closed.
 
@@ -130,7 +132,7 @@
         """
         group = job.group
         floor = group.floors.covering(job.moment)
-        if floor is None:
+        if floor is None and self._may_ask(group):
             yield decisions.settled(group.refresh())
             floor = group.floors.covering(job.moment)
         if floor is None:
@@ -138,6 +140,11 @@
         own = job.session_floor
         return floor if own is None else max(floor, own)
 
+    def _may_ask(self, group: _groups.Group) -> bool:
+        """Whether a round of questions now could tell more than the last."""
+        recent = self._clock.now() - group.round_at < FLOOR_RETRY_S
+        return group.leader is not None and not recent
+
     def _choose(
         self, group: _groups.Group, tried: set[str]
     ) -> _pools.Pool | None:
@@ -330,7 +337,7 @@
         elif self._running:
             return  # Another member may still answer.
         elif self._may_retry(reply):
-            self._clock.after(self._pause(reply), self._relaunch)
+            self._clock.after(self._pause(reply, exc), self._relaunch)
         elif reply is not None:
             decisions.resolve(self.outcome, reply)
         else:
@@ -347,8 +354,13 @@
             return now < max(job.arrived + limit, job.hold_until(self._policy))
         return now < job.hold_until(self._policy)
 
-    def _pause(self, reply: _links.Reply | None) -> float:
+    def _pause(
+        self, reply: _links.Reply | None, exc: BaseException | None
+    ) -> float:
         """Returns how long to wait: not at all while members are untried."""
+        if isinstance(exc, decisions.RequestFailedError):
+            if exc.reason is decisions.NO_PRIMARY:
+                return NO_FLOOR_PAUSE_S
         untried = self._job.group.pools.keys() - self._tried
         if reply is not None and untried and not self._job.is_primary_only:
             return 0.0
--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -7,13 +7,15 @@
 import enum
 
 import attrs
+import ferry_decisions as decisions
 
 from ferry_proxy import _freshness
 from ferry_proxy import _members
 from ferry_proxy import _policy
 
 REFUSED_S = 0.25  # A crashed process refuses at once; one retry confirms it.
-VANISHED_S = 10.0  # A member that vanished may hold commits; it may return.
+VANISHED_S = 30.0  # A member that vanished may live on, cut off, for longer
+# than any partition that is known to have passed.
 
 
 class Cause(enum.Enum):
@@ -83,19 +85,51 @@
     return any(0 <= heard < policy.opinion_s for heard in peers_heard_s)
 
 
-def fence_needed(
-    replicas: int, vanished_s: list[float], sync_replicas: int
-) -> int:
+def fence_needed(replicas: int, unsure: int, sync_replicas: int) -> int:
     """Returns how many members must be paused before a promotion.
 
     Args:
         replicas: Members that are listed, without the old primary.
-        vanished_s: For each member that went without leaving in order, the
-            seconds since; it may hold a commit that nobody else does.
+        unsure: Members that went without leaving in order and may still
+            receive commits.
         sync_replicas: How many replicas must receive a commit.
     """
-    recent = sum(since < VANISHED_S for since in vanished_s)
-    return _freshness.fence_size(replicas + recent, sync_replicas)
+    return _freshness.fence_size(replicas + unsure, sync_replicas)
+
+
+class StallWatch:
+    """Finds a primary whose commits no replica receives any more."""
+
+    LATE_S = 0.25  # A replica asked this much later should have the commit.
+
+    def __init__(self) -> None:
+        self._awaited: decisions.Position | None = None
+        self._since = 0.0
+        self.stalled_s = 0.0
+
+    def take(
+        self,
+        primary: _members.Report | None,
+        replicas: list[_members.Report],
+        now: float,
+    ) -> None:
+        """Takes a round of reports in.
+
+        Args:
+            primary: The primary's own; None where it did not answer.
+            replicas: The others'.
+            now: Boot time, in seconds.
+        """
+        for report in replicas:
+            awaited = self._awaited
+            if awaited is None or report.received >= awaited:
+                self._awaited = None
+                self.stalled_s = 0.0
+            elif report.asked_at >= self._since + self.LATE_S:
+                self.stalled_s = now - self._since
+        if self._awaited is None and primary is not None:
+            self._awaited = primary.received
+            self._since = primary.asked_at
 
 
 def choose_successor(
--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -7,8 +7,7 @@
 * `proof_size` replicas that were not paused, asked at a moment, prove that
   the term had not been replaced then: they meet every fence.
 * The end of the primary's log, asked at that moment, covers every commit
-  acknowledged before. So does the highest position received by any
-  `fence_size` replicas, where the primary cannot be asked.
+  acknowledged before.
 """
 
 import collections
@@ -45,17 +44,21 @@
 def sample_of(
     leader: _members.Leader,
     reports: dict[str, _members.Report],
-    replicas: int,
     sync_replicas: int,
 ) -> Sample | None:
     """Returns what one round of reports proves; None where they do not.
 
+    Without the primary's own report there is none: the replicas that are
+    listed need not be all that a cut-off primary has.
+
     Args:
         leader: Who is believed to lead.
         reports: The answers of the round, by member.
-        replicas: How many replicas the group has.
         sync_replicas: How many must receive a commit.
     """
+    own = reports.get(leader.member)
+    if own is None or not _leads(own, leader):
+        return None
     following = [
         r
         for name, r in reports.items()
@@ -63,24 +66,12 @@
     ]
     if len(following) < proof_size(sync_replicas):
         return None
-    own = reports.get(leader.member)
-    if _leads(own, leader):
-        assert own is not None
-        asked = [own, *following]
-        return Sample(min(r.asked_at for r in asked), own.received)
-    if not sync_replicas or len(following) < fence_size(
-        replicas, sync_replicas
-    ):
-        return None
-    return Sample(
-        min(r.asked_at for r in following), max(r.received for r in following)
-    )
+    return Sample(min(r.asked_at for r in [own, *following]), own.received)
 
 
-def _leads(report: _members.Report | None, leader: _members.Leader) -> bool:
-    if report is None or report.role is not _members.Role.PRIMARY:
-        return False
-    return report.term == leader.term
+def _leads(report: _members.Report, leader: _members.Leader) -> bool:
+    is_primary = report.role is _members.Role.PRIMARY
+    return is_primary and report.term == leader.term
 
 
 class Floors:
@@ -110,6 +101,11 @@
         if not self._samples or sample.at > self._samples[-1].at:
             self._samples.append(sample)
 
+    @property
+    def newest(self) -> Sample | None:
+        """The newest sample."""
+        return self._samples[-1] if self._samples else None
+
     def covering(self, moment: float) -> decisions.Position | None:
         """Returns a floor for all commits acknowledged before `moment`.
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -15,9 +15,23 @@
 from ferry_proxy import _pools
 
 STATUS_PRIORITY = 0  # Control links go before all statements in any case.
+ROUND_S = 0.12  # Calm members answer in 5 ms; waiting readers need a floor.
 PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
 
 
+@attrs.frozen(slots=True)
+class Vanished:
+    """A member that is listed no more and had not said that it leaves.
+
+    Attributes:
+        member: Its last entry.
+        at: When it went, in the clock's seconds.
+    """
+
+    member: _members.Member
+    at: float
+
+
 class Group:
     """The members of one service, and what is known of them."""
 
@@ -43,8 +57,11 @@
         self.term = 0
         self.floors = _freshness.Floors()
         self.last_leader = ""
+        self.round_at = float("-inf")
         self.leaderless_since = clock.now()
-        self.vanished: dict[str, float] = {}
+        self.vanished: dict[str, Vanished] = {}
+        self._asking: set[str] = set()
+        self._turn = 0
         self.change_until = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_leader: list[Callable[[_members.Leader], object]] = []
@@ -69,19 +86,23 @@
                 pool = None
             self.vanished.pop(name, None)
             if pool is None:
-                self.pools[name] = _pools.Pool(
-                    self._clock, member, self._connector, self._policy, limit
-                )
+                self.pools[name] = self.open_pool(member, limit)
             else:
                 pool.member = member
                 pool.limit = limit
 
+    def open_pool(self, member: _members.Member, limit: int = 1) -> _pools.Pool:
+        """Returns new links to a member, listed or not."""
+        return _pools.Pool(
+            self._clock, member, self._connector, self._policy, limit
+        )
+
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         pool.close()
         self._last_report.pop(name, None)
         if not pool.member.draining:
-            self.vanished[name] = self._clock.now()
+            self.vanished[name] = Vanished(pool.member, self._clock.now())
         if self.leader is not None and self.leader.member == name:
             self._lose_leader()
 
@@ -94,24 +115,27 @@
         """The links to the primary, if one is known."""
         return self.pools.get(self.leader.member) if self.leader else None
 
-    @property
-    def replicas(self) -> int:
-        """How many members may count as replicas."""
-        return max(0, len(self.pools) - 1)
-
     @property
     def is_changing(self) -> bool:
         """Whether a change of primary is believed to be under way."""
         return self._clock.now() < self.change_until or self.leader is None
 
+    @property
+    def floor_age_s(self) -> float:
+        """Seconds since the newest floor covered all commits."""
+        newest = self.floors.newest
+        if newest is None:
+            return float("inf")
+        return self._clock.boot_now() - newest.at
+
     def is_near(self, pool: _pools.Pool) -> bool:
         """Whether a member is in this node's data centre."""
         return pool.member.data_centre == self._data_centre
 
     def is_responsive(self, pool: _pools.Pool) -> bool:
-        """Whether a member answered something a short while ago."""
-        silence = self._clock.now() - pool.heard
-        return silence < self._policy.probe_s + self._policy.probe_timeout_s
+        """Whether a member owes no answer for long."""
+        limit = self._policy.probe_s + self._policy.probe_timeout_s
+        return not pool.is_unreachable and pool.owed_s < limit
 
     def expect_change(self) -> None:
         """Notes that a change of primary has begun."""
@@ -173,31 +197,59 @@
     # -- rounds ----------------------------------------------------------
 
     def _round(self) -> "decisions.Flow[dict[str, _members.Report]]":
+        """Asks for at most `ROUND_S`; later answers are still taken in."""
+        self.round_at = self._clock.now()
         reports: dict[str, _members.Report] = {}
         futs = [
             decisions.start(self._ask_twice(pool, reports))
-            for pool in list(self.pools.values())
+            for pool in self._to_ask()
         ]
-        yield decisions.settle_all(futs, lambda _: self._suffices(reports))
+        enough = decisions.settle_all(
+            futs, lambda _: self._sample(reports) is not None
+        )
+        yield decisions.either(
+            decisions.settled(enough), decisions.sleep(self._clock, ROUND_S)
+        )
         self._take_round(reports)
         late = decisions.settle_all(futs, lambda _: False)
         late.add_done_callback(lambda _: self._end_round(reports))
         return reports
 
-    def _suffices(self, reports: dict[str, _members.Report]) -> bool:
-        return self._sample(reports) is not None
+    def _to_ask(self) -> list[_pools.Pool]:
+        """Returns the primary and one replica, by turns; all in trouble.
+
+        Each question costs its member a slot for a moment.
+        """
+        pools = [p for n, p in self.pools.items() if n not in self._asking]
+        leader = self.leader_pool
+        calm = leader is not None and not self.is_changing
+        if leader is None or not calm or not self.is_responsive(leader):
+            return pools
+        others = [p for p in pools if p is not leader]
+        responsive = [p for p in others if self.is_responsive(p)]
+        asked = [leader] if leader in pools else []
+        self._turn += 1
+        late = self._clock.now() - self._policy.idle_probe_s
+        unheard = [p for p in others if p.heard < late]
+        if responsive:
+            asked.append(responsive[self._turn % len(responsive)])
+        return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
 
     def _ask_twice(
         self, pool: _pools.Pool, reports: dict[str, _members.Report]
     ) -> "decisions.Flow[None]":
         """Asks again over another link: one lost link is no lost member."""
+        name = pool.member.id
+        self._asking.add(name)
         try:
             report = yield from self.ask(pool, _links.Status())
         except decisions.RequestFailedError as exc:
             if exc.reason is not decisions.ANSWER_LOST:
                 raise
             report = yield from self.ask(pool, _links.Status())
-        reports[pool.member.id] = report
+        finally:
+            self._asking.discard(name)
+        reports[name] = report
 
     def _take_round(self, reports: dict[str, _members.Report]) -> None:
         self._find_leader(reports)
@@ -210,13 +262,34 @@
         for callback in self.on_round:
             callback(reports)
 
+    def take_survey(
+        self,
+        leader: _members.Leader,
+        sample: _freshness.Sample,
+        heard: float,
+    ) -> None:
+        """Takes in what a peer found out.
+
+        Args:
+            leader: Who leads, as the peer knows.
+            sample: A floor, with its time in this node's boot time.
+            heard: When the peer heard the primary, in the clock's seconds.
+        """
+        self.note_leader(leader)
+        if self.leader != leader:
+            return
+        self.floors.add(sample, leader.term)
+        pool = self.leader_pool
+        if pool is not None:
+            pool.reported = max(pool.reported, heard)
+
     def _sample(
         self, reports: dict[str, _members.Report]
     ) -> _freshness.Sample | None:
         if self.leader is None:
             return None
         return _freshness.sample_of(
-            self.leader, reports, self.replicas, self.service.sync_replicas
+            self.leader, reports, self.service.sync_replicas
         )
 
     def _find_leader(self, reports: dict[str, _members.Report]) -> None:
@@ -226,8 +299,9 @@
                 self.note_leader(_members.Leader(name, report.term))
         leader = self.leader
         own = reports.get(leader.member) if leader else None
-        steps_back = own is not None and own.role is _members.Role.REPLICA
-        if leader is not None and own is not None and steps_back:
+        if leader is None or own is None or own.term < leader.term:
+            return  # An answer that was late says nothing of this term.
+        if own.role is _members.Role.REPLICA:
             _events.emit(
                 _events.LeaderLost(self.service.name, leader.member, own.term)
             )
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -40,7 +40,13 @@
 @message("ping")
 @attrs.frozen(slots=True)
 class Ping:
-    """Shows that the sender lives."""
+    """Shows that the sender lives, and how new its copy of the store is.
+
+    Attributes:
+        newest: The highest revision of its items.
+    """
+
+    newest: int
 
 
 @message("sync")
@@ -91,8 +97,41 @@
     term: int
 
 
+@message("survey?")
+@attrs.frozen(slots=True)
+class SurveyRequest:
+    """Asks for the newest floor of a group."""
+
+    service: str
+
+
+@message("survey")
+@attrs.frozen(slots=True)
+class SurveyReply:
+    """What the last round of questions to a group found.
+
+    Attributes:
+        member: The primary; empty where none is known.
+        term: Its term.
+        floor_term: The term of the floor.
+        floor_index: The index of the floor.
+        age_s: How long ago, when this was sent, the floor covered all
+            acknowledged commits; negative where there is none.
+        heard_ago_s: How long ago the primary was heard.
+    """
+
+    member: str
+    term: int
+    floor_term: int
+    floor_index: int
+    age_s: float
+    heard_ago_s: float
+
+
 Message = (
     Hello
+    | SurveyRequest
+    | SurveyReply
     | Ping
     | SyncRequest
     | SyncReply
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -36,8 +36,10 @@
         stream: runtime.Stream,
         node: str,
         handler: Handler,
+        newest: Callable[[], int],
     ) -> None:
         self._loop = loop
+        self._newest = newest
         self._stream = stream
         self._handler = handler
         self._decoder = _peer_messages.Decoder()
@@ -45,6 +47,7 @@
         self._numbers = itertools.count(1)
         self._heard = loop.now()
         self.peer = ""
+        self.newest = 0
         stream.on_data = self._receive
         stream.on_closed = lambda exc: self._fail(str(exc))
         stream.keep_alive(USER_TIMEOUT_MS)
@@ -55,6 +58,11 @@
         """Whether the stream has ended."""
         return self._stream.closed
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since the peer was heard."""
+        return self._loop.now() - self._heard
+
     def call(
         self, body: _peer_messages.Message
     ) -> "decisions.Future[_peer_messages.Message]":
@@ -76,7 +84,7 @@
         if self._loop.now() - self._heard > SILENT_S:
             self._fail("silent")
         elif not self.closed:
-            self.tell(_peer_messages.Ping())
+            self.tell(_peer_messages.Ping(self._newest()))
 
     def close(self) -> None:
         """Closes the stream."""
@@ -95,6 +103,8 @@
         body = envelope.body
         if isinstance(body, _peer_messages.Hello):
             self.peer = body.node
+        elif isinstance(body, _peer_messages.Ping):
+            self.newest = body.newest
         elif envelope.number < 0:
             fut = self._calls.pop(-envelope.number, None)
             if fut is not None:
@@ -120,8 +130,18 @@
         loop: runtime.EventLoop,
         own: _catalogue.NodeEntry,
         handler: Handler,
+        newest: Callable[[], int],
     ) -> None:
+        """Begins to listen.
+
+        Args:
+            loop: The event loop.
+            own: This node.
+            handler: Answers the peers' questions.
+            newest: Returns the highest revision that this node knows.
+        """
         self._loop = loop
+        self._newest = newest
         self._own = own
         self._handler = handler
         self._out: dict[tuple[str, int], PeerStream] = {}
@@ -139,6 +159,22 @@
         found = {s.peer: s for s in [*self._in, *self._out.values()]}
         return [s for n, s in found.items() if n and not s.closed]
 
+    def reached_share(self, limit_s: float) -> float:
+        """Returns the share of the wanted peers that were heard lately.
+
+        Args:
+            limit_s: What is lately, in seconds.
+        """
+        if not self._wanted:
+            return 1.0
+        heard = [
+            s
+            for a, s in self._out.items()
+            if a in self._wanted and s.peer and not s.closed
+        ]
+        lately = sum(s.silence_s < limit_s for s in heard)
+        return lately / len(self._wanted)
+
     @property
     def connected(self) -> set[str]:
         """The names of the peers that are connected."""
@@ -187,7 +223,9 @@
         self._in.append(self._wrap(raw))
 
     def _wrap(self, raw: runtime.Stream) -> PeerStream:
-        return PeerStream(self._loop, raw, self._own.name, self._handler)
+        return PeerStream(
+            self._loop, raw, self._own.name, self._handler, self._newest
+        )
 
 
 def neighbours(own: str, names: list[str]) -> list[str]:
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -49,8 +49,11 @@
         connect_backoff_s: Pause after a failed connect.
         return_grace_s: After a time without the store, members missing from
             it are kept for this long.
-        watch_wait_s: How long a watch of the store waits; also the longest
-            time for which a silent watch goes unnoticed.
+        idle_probe_s: A member that was not heard for so long is asked too.
+        isolated_s: Without peers and floors for so long, a node sends callers
+            to others.
+        watch_wait_s: How long a watch of the store waits. A silent watch goes
+            unnoticed for as long; peers tell of changes meanwhile.
         store_timeout_s: How long a call of the store may take beyond that.
     """
 
@@ -61,7 +64,7 @@
     opinion_s: float = attrs.field(default=0.6, validator=_positive)
     stall_s: float = attrs.field(default=0.8, validator=_positive)
     claim_valid_s: float = attrs.field(default=1.5, validator=_positive)
-    claim_takeover_s: float = attrs.field(default=4.0, validator=_positive)
+    claim_takeover_s: float = attrs.field(default=2.7, validator=_positive)
     promote_wait_s: float = attrs.field(default=2.0, validator=_positive)
     hold_share: float = attrs.field(default=0.24, validator=_positive)
     failover_hold_share: float = attrs.field(default=0.8, validator=_positive)
@@ -71,7 +74,9 @@
     )
     connect_backoff_s: float = attrs.field(default=0.25, validator=_positive)
     return_grace_s: float = attrs.field(default=2.5, validator=_positive)
-    watch_wait_s: float = attrs.field(default=1.0, validator=_positive)
+    idle_probe_s: float = attrs.field(default=1.5, validator=_positive)
+    isolated_s: float = attrs.field(default=0.9, validator=_positive)
+    watch_wait_s: float = attrs.field(default=3.0, validator=_positive)
     store_timeout_s: float = attrs.field(default=0.8, validator=_positive)
 
 
--- a/packages/proxy/src/ferry_proxy/_pooled_links.py
+++ b/packages/proxy/src/ferry_proxy/_pooled_links.py
@@ -24,6 +24,7 @@
         values: The session values that are in place.
         prepared: The names of the prepared statements that are in place.
         for_transaction: Whether it is taken for a transaction.
+        sent_at: Since when it owes an answer; None for none.
     """
 
     link: _links.Link
@@ -31,6 +32,7 @@
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: dict[_statements.Prepared, str] = attrs.field(factory=dict)
     for_transaction: bool = False
+    sent_at: float | None = None
     _next_name: int = 0
 
     def align(
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -64,9 +64,10 @@
         self.member = member
         self.limit = limit
         self.opened = 0
-        self.heard = clock.now()
+        self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
+        self.is_replaced = False
         self.on_heard: Callable[[], object] = lambda: None
 
     @property
@@ -79,11 +80,30 @@
         """Links that are open or being opened."""
         return len(self._idle) + len(self._used) + self._opening
 
+    @property
+    def owed_s(self) -> float:
+        """Seconds since the last answer, while one is owed."""
+        now = self._clock.now()
+        sent = [t.sent_at for t in self._used if t.sent_at is not None]
+        if not sent:
+            return 0.0
+        return now - max(min(sent), self.heard)
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds since this node or a peer heard the member."""
+        return self._clock.now() - max(self.heard, self.reported)
+
     @property
     def is_unreachable(self) -> bool:
         """Whether no link is open and the last attempt to open one failed."""
         return self._backing_off and not (self._idle or self._used)
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether its address answered that the member is not there."""
+        return self.refused_since < float("inf") or self.is_replaced
+
     @property
     def is_spare(self) -> bool:
         """Whether a statement would get a link without waiting."""
@@ -126,6 +146,7 @@
         if taken not in self._used:
             return
         self._used.discard(taken)
+        taken.sent_at = None
         if taken.link.lost or self._closed:
             taken.link.close()
         else:
@@ -147,6 +168,7 @@
         """
         now = self._clock.now()
         taken.heard = self.heard = now
+        taken.sent_at = None
         self.refused_since = float("inf")
         if elapsed_s:
             self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
@@ -202,6 +224,7 @@
         self._idle.remove(best)
         self._used.add(best)
         best.for_transaction = waiter.use is Use.TRANSACTION
+        best.sent_at = self._clock.now()
         decisions.resolve(waiter.fut, best)
 
     def _open_more(self, wanted: int) -> None:
@@ -234,6 +257,7 @@
         now = self._clock.now()
         self._backoff_until = now + self._policy.connect_backoff_s
         if isinstance(exc, _links.ConnectFailedError):
+            self.is_replaced = exc.reason is decisions.WRONG_MEMBER
             if exc.refused:
                 self.refused_since = min(self.refused_since, now)
             elif exc.reason is decisions.TOO_MANY_CONNECTIONS:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -28,7 +28,6 @@
 MAX_RANK = 5
 OPINION_WAIT_S = 0.15  # A peer answers in a few milliseconds.
 PAUSE_AFTER_FAILURE_S = 0.4
-NEVER = float("inf")
 POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
@@ -49,6 +48,7 @@
         promotions: The platform's call.
         mesh: The peers.
         note_promoted: Called with each change that this node completed.
+        is_stopping: Whether this node is about to end.
     """
 
     clock: _clocks.Clock
@@ -59,6 +59,7 @@
     promotions: _store.Promotions
     mesh: _peers.Mesh
     note_promoted: Callable[[str, float], object]
+    is_stopping: Callable[[], bool]
 
 
 class Promoter:
@@ -69,10 +70,14 @@
         self._group = group
         self._busy = False
         self._not_before = float("-inf")
-        self._stalled_since = NEVER
-        self._stalled_at: decisions.Position | None = None
+        self._stall = _fencing.StallWatch()
         group.on_round.append(self._take_round)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a change is under way."""
+        return self._busy
+
     # -- evidence --------------------------------------------------------
 
     def _take_round(self, reports: dict[str, _members.Report]) -> None:
@@ -80,23 +85,15 @@
         self.check()
 
     def _watch_stall(self, reports: dict[str, _members.Report]) -> None:
-        """Notes since when no replica has the primary's newest commit."""
-        group = self._group
-        leader = group.leader
+        """Notes since when no replica has a commit of the primary's."""
+        leader = self._group.leader
         own = reports.get(leader.member) if leader else None
         others = [
-            r.received
+            r
             for n, r in reports.items()
-            if leader and n != leader.member
+            if leader is not None and n != leader.member
         ]
-        behind = own is not None and bool(others) and own.received > max(others)
-        if not behind or not group.service.sync_replicas:
-            self._stalled_since = NEVER
-            return
-        newest = max(others)
-        if self._stalled_since == NEVER or newest != self._stalled_at:
-            self._stalled_since = self._ctx.clock.now()
-            self._stalled_at = newest
+        self._stall.take(own, others, self._ctx.clock.boot_now())
 
     def evidence(self) -> _fencing.Evidence:
         """Returns what is known of the primary now."""
@@ -110,21 +107,26 @@
         ]
         return _fencing.Evidence(
             has_leader=pool is not None,
-            silence_s=now - pool.heard if pool else 0.0,
+            silence_s=pool.silence_s if pool else 0.0,
             refused_s=now - pool.refused_since if pool else 0.0,
-            stalled_s=now - self._stalled_since,
+            stalled_s=self._stalled_s(),
             leaderless_s=now - group.leaderless_since,
             is_draining=pool is not None and pool.member.draining,
             successors=len(successors),
         )
 
+    def _stalled_s(self) -> float:
+        if not self._group.service.sync_replicas:
+            return 0.0
+        return self._stall.stalled_s
+
     def _stays(self, pool: _pools.Pool) -> bool:
         return not pool.member.draining
 
     def check(self) -> None:
         """Begins a change if the evidence asks for one."""
         now = self._ctx.clock.now()
-        if self._busy or now < self._not_before:
+        if self._busy or now < self._not_before or self._ctx.is_stopping():
             return
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
@@ -213,7 +215,8 @@
         service = self._group.service.name
         held = ctx.catalogue.claims.get(service)
         now = ctx.clock.boot_now()
-        if held is not None and not held.claim.done:
+        if self._is_taken(held):
+            assert held is not None
             age = now - held.seen_at
             if age < ctx.policy.claim_takeover_s:
                 self._group.expect_change()
@@ -230,6 +233,16 @@
         mine = _catalogue.HeldClaim(claim, item.revision, now)
         return mine, valid_until
 
+    def _is_taken(self, held: _catalogue.HeldClaim | None) -> bool:
+        """Whether another node may be acting on a claim.
+
+        A claim of this node's own name is of an earlier try, or of a process
+        that is gone; nothing of it is under way any more.
+        """
+        if held is None or held.claim.done:
+            return False
+        return held.claim.holder != self._ctx.node
+
     def _fence(
         self, cause: _fencing.Cause, token: int
     ) -> "decisions.Flow[tuple[dict[str, _members.Report], int]]":
@@ -254,10 +267,7 @@
             for p in others.values()
         ]
         yield decisions.settle_all(futs, lambda _: False)
-        now = self._ctx.clock.now()
-        vanished = [
-            now - at for name, at in group.vanished.items() if name != old
-        ]
+        vanished = yield from self._pause_vanished(old, term)
         needed = _fencing.fence_needed(
             len(others), vanished, group.service.sync_replicas
         )
@@ -297,6 +307,27 @@
         if report.role is _members.Role.REPLICA and is_paused:
             reports[pool.member.id] = report
 
+    def _pause_vanished(self, old: str, term: int) -> "decisions.Flow[int]":
+        """Pauses members that are not listed any more but may still live.
+
+        Returns:
+            How many of them could neither be paused nor shown to be gone.
+        """
+        now = self._ctx.clock.now()
+        unsure = 0
+        for name, vanished in list(self._group.vanished.items()):
+            if name == old or now - vanished.at > _fencing.VANISHED_S:
+                continue
+            reports: dict[str, _members.Report] = {}
+            pool = self._group.open_pool(vanished.member)
+            paused = decisions.start(self._pause(pool, term, reports))
+            yield decisions.settled(paused)
+            is_gone = pool.is_refused
+            pool.close()
+            if not reports and not is_gone:
+                unsure += 1
+        return unsure
+
     def _resume(
         self, reports: dict[str, _members.Report]
     ) -> "decisions.Flow[None]":
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -20,17 +20,23 @@
 from ferry_proxy import _promotions
 from ferry_proxy import _sessions
 from ferry_proxy import _store
+from ferry_proxy import _surveys
 
 SYNC_S = 0.4  # How often peers are asked while the store does not answer.
 SYNC_WAIT_S = 0.4
+SYNC_PEERS = 2  # Peers asked at a time; one may be about to end.
 SWEEP_S = 0.25  # How often idle transactions are looked for.
 NOTICED_S = 2.6  # A balancer asks once a second and goes by two misses.
 DEAD_NODE_S = 30.0  # A node that no peer reaches for so long is forgotten.
+MOST = 0.5  # Of the peers, or of the groups.
 MIN_LINKS = 1
 SPARE_NODES = 1  # One more node may come while a leaving one still runs.
 END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
 
 
+_NO_SURVEY = _peer_messages.SurveyReply("", 0, 0, 0, -1.0, 0.0)
+
+
 @attrs.frozen(slots=True)
 class NodeIdentity:
     """Who a node is and how it is stopped.
@@ -95,7 +101,10 @@
         self.catalogue = _catalogue.Catalogue(
             loop, platform.store, platform.layout, policy
         )
-        self.mesh = _peers.Mesh(loop, self._own, self._answer_peer)
+        self.mesh = _peers.Mesh(
+            loop, self._own, self._answer_peer, lambda: self.catalogue.newest
+        )
+        self._surveys = _surveys.Surveys(loop, identity.name, self.mesh)
         self.catalogue.on_change.append(self._apply)
         self._executor = _execution.Executor(loop, policy)
         self._ctx = _sessions.SessionContext(
@@ -112,6 +121,7 @@
             decisions.PeriodicTimer(loop, SWEEP_S, self._sweep),
         ]
         self._registering = False
+        self._newest_before = -1
         loop.on_late(self._forgive)
         self._add_gauges()
 
@@ -127,8 +137,37 @@
         cfg = self.catalogue.configuration
         if self.stopping or cfg is None or not self._groups:
             return False
+        if self.is_isolated:
+            return False
         return any(g.leader is not None for g in self._groups.values())
 
+    @property
+    def readiness(self) -> str:
+        """What decides whether new sessions are wanted, in words."""
+        if self.stopping:
+            return "stopping"
+        if not self.has_configuration:
+            return "no configuration yet"
+        return "isolated" if self.is_isolated else "members are known"
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether callers are better off at other nodes.
+
+        So it is where most peers are silent and most groups have no recent
+        floor: this node is on the small side of a partition.
+        """
+        limit = self._policy.isolated_s
+        if self.mesh.reached_share(limit) >= MOST:
+            return False
+        stale = sum(g.floor_age_s > limit for g in self._groups.values())
+        return stale >= MOST * len(self._groups)
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether routes are known; before, nothing can be refused by name."""
+        return self.catalogue.configuration is not None
+
     @property
     def session_count(self) -> int:
         """Sessions that are open."""
@@ -209,6 +248,7 @@
             promotions=self._platform.promotions,
             mesh=self.mesh,
             note_promoted=self._note_promoted,
+            is_stopping=lambda: self.stopping,
         )
         self._promoters[name] = _promotions.Promoter(ctx, group)
         self.metrics.gauge(
@@ -238,8 +278,9 @@
     # -- periodic work ---------------------------------------------------
 
     def _probe(self) -> None:
-        for group in self._groups.values():
-            group.refresh()
+        for name, group in self._groups.items():
+            self._surveys.survey(group)
+            self._promoters[name].check()
 
     def _forgive(self, late_s: float) -> None:
         """A pause of this process is not held against the members."""
@@ -254,12 +295,21 @@
                 pool.heard = min(now, pool.heard + late_s)
 
     def _sync(self) -> None:
-        """Looks after this node's entry, or asks peers for the store's."""
+        """Looks after this node's entry, and after what it has missed.
+
+        A change that peers know of comes from the store within a round trip;
+        where it did not by the next look, the watch is silent or the store
+        turns this node away, and the peers are asked.
+        """
         if self.catalogue.is_connected:
             self._register()
+        newest = self.catalogue.newest
+        ahead = [s for s in self.mesh.streams if s.newest > newest]
+        if newest != self._newest_before or not ahead:
+            self._newest_before = newest
             return
-        question = _peer_messages.SyncRequest(self.catalogue.revision)
-        for stream in self.mesh.streams:
+        question = _peer_messages.SyncRequest(newest)
+        for stream in ahead[:SYNC_PEERS]:
             fut = decisions.within(
                 self._loop, SYNC_WAIT_S, stream.call(question)
             )
@@ -313,6 +363,9 @@
                 for i in self.catalogue.newer_than(body.after)
             ]
             return _peer_messages.SyncReply(rows)
+        if isinstance(body, _peer_messages.SurveyRequest):
+            group = self._groups.get(body.service)
+            return self._surveys.answer(group) if group else _NO_SURVEY
         if isinstance(body, _peer_messages.OpinionRequest):
             return self._opinion(body)
         if isinstance(body, _peer_messages.LeaderNotice):
@@ -354,7 +407,7 @@
         half = self._identity.grace_s / 2
         end = begun + self._identity.grace_s - END_MARGIN_S
         yield decisions.sleep(loop, min(NOTICED_S, half))
-        while loop.now() < end and not is_done():
+        while loop.now() < end and not (is_done() and self._is_calm):
             close_idle()
             if loop.now() - begun >= half:
                 for session in list(self._sessions.values()):
@@ -364,6 +417,11 @@
         _events.emit(_events.NodeStopped(cut))
         return cut
 
+    @property
+    def _is_calm(self) -> bool:
+        """Whether no change of primary is under way here."""
+        return not any(p.is_busy for p in self._promoters.values())
+
     def _add_gauges(self) -> None:
         metrics = self.metrics
         metrics.gauge("sessions", lambda: float(self.session_count))
--- a/packages/runtime/src/ferry_runtime/_http.py
+++ b/packages/runtime/src/ferry_runtime/_http.py
@@ -18,6 +18,7 @@
 
 MAX_IDLE_CONNS = 4
 IDLE_REUSE_S = 8.0  # Servers commonly close idle connections after 10 s.
+USER_TIMEOUT_MS = 1_500  # Unacknowledged bytes end a connection.
 RECV_LIMIT_BYTES = 4 * 1024 * 1024  # Several values of a megabyte, encoded.
 
 
@@ -67,6 +68,7 @@
         self._stream = _streams.connect(loop, host, port)
         self._stream.on_data = self._receive
         self._stream.on_closed = self._lost
+        self._stream.keep_alive(USER_TIMEOUT_MS)
         self.used = loop.now()
 
     @property
