--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -358,9 +358,9 @@
         self, reply: _links.Reply | None, exc: BaseException | None
     ) -> float:
         """Returns how long to wait: not at all while members are untried."""
-        if isinstance(exc, decisions.RequestFailedError):
-            if exc.reason is decisions.NO_PRIMARY:
-                return NO_FLOOR_PAUSE_S
+        failure = exc if isinstance(exc, decisions.RequestFailedError) else None
+        if failure is not None and failure.reason is decisions.NO_PRIMARY:
+            return NO_FLOOR_PAUSE_S
         untried = self._job.group.pools.keys() - self._tried
         if reply is not None and untried and not self._job.is_primary_only:
             return 0.0
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -114,9 +114,12 @@
                 raise decisions.RequestFailedError(reason, "at the begin")
             if reason is decisions.NOT_PRIMARY:
                 yield decisions.settled(job.group.refresh())
+            if reason is decisions.NO_PRIMARY:
+                yield decisions.sleep(self._clock, _execution.NO_FLOOR_PAUSE_S)
+            else:
+                yield decisions.sleep(self._clock, _execution.RETRY_PAUSE_S)
             if not job.group.pools.keys() - tried:
                 tried.clear()
-                yield decisions.sleep(self._clock, _execution.RETRY_PAUSE_S)
 
     def _try_open(
         self, job: _jobs.Job, tried: set[str]
