--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -13,6 +13,8 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 
+MISSING_S = 0.5  # A member that is being promoted leads in 0.6 s, but its
+# claim is known meanwhile; this is for groups that nobody looks after.
 REFUSED_S = 0.25  # A crashed process refuses at once; one retry confirms it.
 VANISHED_S = 30.0  # A member that vanished may live on, cut off, for longer
 # than any partition that is known to have passed.
@@ -56,7 +58,7 @@
     if evidence.successors == 0:
         return None
     if not evidence.has_leader:
-        missing = evidence.leaderless_s >= policy.suspect_s
+        missing = evidence.leaderless_s >= MISSING_S
         return Cause.MISSING if missing else None
     if evidence.refused_s >= REFUSED_S:
         return Cause.REFUSED
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -91,7 +91,9 @@
         others = [
             r
             for n, r in reports.items()
-            if leader is not None and n != leader.member
+            if leader is not None
+            and n != leader.member
+            and r.follows(leader.term)
         ]
         self._stall.take(own, others, self._ctx.clock.boot_now())
 
@@ -153,18 +155,27 @@
         if still is not cause:
             return
         yield from self._ask_peers(cause)
+        if cause is _fencing.Cause.STALLED:
+            yield from self._confirm_stall()
         held, valid_until = yield from self._claim()
-        token = held.claim.token
-        self._log("claimed", token, "", cause.value)
+        self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_change()
-        reports, term = yield from self._fence(cause, token)
+        try:
+            yield from self._replace(cause, held.claim.token, valid_until)
+        finally:
+            decisions.start(self._finish(held))
+        self._ctx.note_promoted(cause.value, self._ctx.clock.now() - begun)
+
+    def _replace(
+        self, cause: _fencing.Cause, token: int, valid_until: float
+    ) -> "decisions.Flow[None]":
+        """Stops the old term and begins the next one."""
+        reports = yield from self._fence(cause, token)
         try:
             yield from self._promote(reports, token, valid_until)
         except ChangeAbandonedError:
             yield from self._resume(reports)
             raise
-        self._ctx.note_promoted(cause.value, self._ctx.clock.now() - begun)
-        yield from self._finish(held)
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes act."""
@@ -207,6 +218,22 @@
         if vetoed:
             raise ChangeAbandonedError("a peer hears the primary")
 
+    def _confirm_stall(self) -> "decisions.Flow[None]":
+        """Asks all members at once, before a primary that answers goes."""
+        futs = [
+            decisions.start(self._group.ask(pool, _links.Status()))
+            for pool in self._group.pools.values()
+        ]
+        yield decisions.settle_all(futs, lambda _: False)
+        reports = {
+            name: report
+            for name in self._group.pools
+            if (report := self._group.last_report(name)) is not None
+        }
+        self._watch_stall(reports)
+        if self._stall.stalled_s < self._ctx.policy.stall_s:
+            raise ChangeAbandonedError("a replica receives commits again")
+
     def _claim(
         self,
     ) -> "decisions.Flow[tuple[_catalogue.HeldClaim, float]]":
@@ -245,7 +272,7 @@
 
     def _fence(
         self, cause: _fencing.Cause, token: int
-    ) -> "decisions.Flow[tuple[dict[str, _members.Report], int]]":
+    ) -> "decisions.Flow[dict[str, _members.Report]]":
         """Stops the old primary and pauses its replicas.
 
         Raises:
@@ -254,29 +281,53 @@
         group = self._group
         old = group.leader.member if group.leader else group.last_leader
         yield from self._list_members()
-        term = self._next_term()
-        old_pool = group.pools.get(old)
-        if old_pool is not None and cause is not _fencing.Cause.MISSING:
-            stop = decisions.start(group.ask(old_pool, _links.StepDown(term)))
-            if cause in (_fencing.Cause.LEAVING, _fencing.Cause.STALLED):
-                yield decisions.settled(stop)
         others = {n: p for n, p in group.pools.items() if n != old}
+        # Members may go on serving others: nothing stops unless enough can be.
+        yield from self._check_reachable(others)
+        term = self._next_term()
+        if cause is _fencing.Cause.LEAVING:
+            yield from self._step_down(old, term)
         reports: dict[str, _members.Report] = {}
         futs = [
             decisions.start(self._pause(p, term, reports))
             for p in others.values()
         ]
         yield decisions.settle_all(futs, lambda _: False)
-        vanished = yield from self._pause_vanished(old, term)
+        unsure = yield from self._pause_vanished(old, term)
         needed = _fencing.fence_needed(
-            len(others), vanished, group.service.sync_replicas
+            len(others), unsure, group.service.sync_replicas
         )
         detail = f"{len(reports)} of {len(others)} paused, {needed} needed"
         self._log("fenced", token, old, detail)
         if len(reports) < needed or not reports:
             yield from self._resume(reports)
             raise ChangeAbandonedError(detail)
-        return reports, term
+        if cause is not _fencing.Cause.LEAVING:
+            decisions.start(self._step_down(old, term))
+        return reports
+
+    def _check_reachable(
+        self, others: "dict[str, _pools.Pool]"
+    ) -> "decisions.Flow[None]":
+        futs = [
+            decisions.start(self._group.ask(p, _links.Status()))
+            for p in others.values()
+        ]
+        settled = yield decisions.settle_all(futs, lambda _: False)
+        reached = sum(s.failure is None for s in settled)
+        needed = _fencing.fence_needed(
+            len(others), 0, self._group.service.sync_replicas
+        )
+        if reached < needed:
+            raise ChangeAbandonedError(f"{reached} reached, {needed} needed")
+
+    def _step_down(self, old: str, term: int) -> "decisions.Flow[None]":
+        """Asks the old primary to follow; a silent one is fenced anyway."""
+        pool = self._group.pools.get(old)
+        if pool is None:
+            return
+        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
+        yield decisions.settled(asked)
 
     def _list_members(self) -> "decisions.Flow[None]":
         """Reads the list anew: an unknown replica could acknowledge."""
@@ -299,10 +350,15 @@
         term: int,
         reports: dict[str, _members.Report],
     ) -> "decisions.Flow[None]":
+        group = self._group
         try:
-            report = yield from self._group.ask(pool, _links.Pause(term))
+            report = yield from group.ask(pool, _links.Pause(term))
         except decisions.RequestFailedError:
-            report = yield from self._group.ask(pool, _links.Pause(term))
+            report = yield from group.ask(pool, _links.Pause(term))
+        if report.role is _members.Role.PRIMARY and report.term < term:
+            # A primary of an earlier term that was cut off until now.
+            yield from group.ask(pool, _links.StepDown(term))
+            report = yield from group.ask(pool, _links.Pause(term))
         is_paused = report.paused_term >= term
         if report.role is _members.Role.REPLICA and is_paused:
             reports[pool.member.id] = report
@@ -399,7 +455,14 @@
         """Lets the next claim follow at once."""
         done = attrs.evolve(held.claim, done=True)
         key = _catalogue.CLAIM_PREFIX + self._group.service.name
-        item = yield self._ctx.store.put_if(key, done.encode(), held.revision)
+        try:
+            item = yield self._ctx.store.put_if(
+                key, done.encode(), held.revision
+            )
+        except _store.StoreUnavailableError as exc:
+            # The next claim waits until this one is too old to act on.
+            self._log("unreleased", held.claim.token, "", str(exc))
+            return
         if item is not None:
             self._ctx.catalogue.take((item,), "own claim")
 
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -22,6 +22,7 @@
 from ferry_proxy import _store
 from ferry_proxy import _surveys
 
+CHECK_S = 0.1  # How often the evidence on primaries is weighed.
 SYNC_S = 0.4  # How often peers are asked while the store does not answer.
 SYNC_WAIT_S = 0.4
 SYNC_PEERS = 2  # Peers asked at a time; one may be about to end.
@@ -117,6 +118,7 @@
         )
         self._timers = [
             decisions.PeriodicTimer(loop, policy.probe_s, self._probe),
+            decisions.PeriodicTimer(loop, CHECK_S, self._check_primaries),
             decisions.PeriodicTimer(loop, SYNC_S, self._sync),
             decisions.PeriodicTimer(loop, SWEEP_S, self._sweep),
         ]
@@ -278,9 +280,12 @@
     # -- periodic work ---------------------------------------------------
 
     def _probe(self) -> None:
-        for name, group in self._groups.items():
+        for group in self._groups.values():
             self._surveys.survey(group)
-            self._promoters[name].check()
+
+    def _check_primaries(self) -> None:
+        for promoter in self._promoters.values():
+            promoter.check()
 
     def _forgive(self, late_s: float) -> None:
         """A pause of this process is not held against the members."""
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -0,0 +1,489 @@
+"""A database group, a store and callers in virtual time."""
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _configuration
+from ferry_proxy import _execution
+from ferry_proxy import _groups
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _metrics
+from ferry_proxy import _policy
+from ferry_proxy import _promotions
+from ferry_proxy import _sessions
+from ferry_proxy import _statements
+from ferry_proxy import _store
+
+STATES = _statements.TransactionState
+NET_S = 0.001
+WORK_S = 0.01
+PROMOTE_S = 0.6
+APPLY_S = 0.02
+
+
+@attrs.define(eq=False)
+class FakeMember:
+    """A member: its log, and what goes wrong with it."""
+
+    id: str
+    cluster: "FakeCluster"
+    role: _members.Role
+    term: int = 1
+    paused_term: int = 0
+    log: list[tuple[int, str]] = attrs.field(factory=list)
+    draining: bool = False
+    dark: bool = False
+    crashed: bool = False
+    isolated: bool = False
+    lag_s: float = APPLY_S
+    busy: int = 0
+    lose_answers: int = 0
+    links: list["FakeLink"] = attrs.field(factory=list)
+    runs: list[tuple[str, str]] = attrs.field(factory=list)
+    opened: int = 0
+
+    @property
+    def end(self) -> decisions.Position:
+        term = self.log[-1][0] if self.log else 0
+        return decisions.Position(term, len(self.log))
+
+    def entry(self) -> _members.Member:
+        return _members.Member(
+            self.id,
+            "orders",
+            "h-" + self.id,
+            1,
+            "hall-" + self.id,
+            5,
+            draining=self.draining,
+            leads=self.role is _members.Role.PRIMARY,
+        )
+
+    def report(self) -> _members.Report:
+        return _members.Report(
+            self.role, self.term, self.end, self.paused_term, 0.0
+        )
+
+
+class FakeLink:
+    """A connection to a fake member; commands run one after another."""
+
+    def __init__(self, member: FakeMember) -> None:
+        self.member = member
+        self.lost = False
+        self.silent = False
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, _statements.Prepared] = {}
+        self.state = STATES.IDLE
+        self.writes: list[str] = []
+        self._pending: list[decisions.Future[_links.Reply]] = []
+        member.links.append(self)
+
+    def run(self, commands):
+        if self.lost:
+            lost = _links.LinkLostError("lost", handed=False)
+            return [decisions.failed(lost) for _ in commands]
+        clock = self.member.cluster.clock
+        futs = []
+        delay = NET_S
+        for command in commands:
+            fut: decisions.Future[_links.Reply] = decisions.Future()
+            self._pending.append(fut)
+            if isinstance(command, _links.Run):
+                delay += WORK_S
+            clock.after(delay, lambda c=command, f=fut: self._run(c, f))
+            futs.append(fut)
+        return futs
+
+    def close(self) -> None:
+        self.fail("closed")
+
+    def fail(self, detail: str) -> None:
+        if self.lost:
+            return
+        self.lost = True
+        pending, self._pending = self._pending, []
+        for fut in pending:
+            decisions.reject(fut, _links.LinkLostError(detail))
+
+    def _run(self, command, fut) -> None:
+        member = self.member
+        if self.lost or member.dark or member.crashed or self.silent:
+            return
+        reply = self._reply(command)
+        if reply is None:
+            return
+        is_run = isinstance(command, _links.Run)
+        if is_run and member.lose_answers:
+            member.lose_answers -= 1
+            self.silent = True
+            return
+        member.cluster.clock.after(NET_S, lambda: self._send(fut, reply))
+
+    def _send(self, fut, reply) -> None:
+        if not self.lost and not self.member.dark and not fut.done():
+            self._pending.remove(fut)
+            fut.set_result(reply)
+
+    def _reply(self, command):
+        member = self.member
+        match command:
+            case _links.Status():
+                return self._ok(report=member.report())
+            case _links.Pause(term):
+                if member.role is _members.Role.REPLICA:
+                    member.paused_term = max(member.paused_term, term)
+                return self._ok(report=member.report())
+            case _links.Resume():
+                member.paused_term = 0
+                return self._ok(report=member.report())
+            case _links.StepDown(term):
+                if member.term < term:
+                    member.role = _members.Role.REPLICA
+                return self._ok(report=member.report())
+            case _links.Reset():
+                self.values = {}
+                self.prepared = {}
+                return self._ok()
+            case _links.SetValue(name, value):
+                self.values[name] = value
+                return self._ok()
+            case _links.Prepare(name, prepared):
+                self.prepared[name] = prepared
+                return self._ok()
+            case _links.Rollback():
+                self.state = STATES.IDLE
+                self.writes = []
+                return self._ok()
+            case _links.Begin():
+                return self._begin(command)
+            case _links.Run():
+                return self._statement(command)
+        raise AssertionError(command)
+
+    def _ok(self, **fields):
+        position = self.member.end
+        return _links.Reply(self.state, position=position, **fields)
+
+    def _error(self, reason):
+        if self.state is STATES.OPEN and reason is not decisions.MEMBER_BUSY:
+            self.state = STATES.FAILED
+        return _links.Reply(self.state, reason=reason)
+
+    def _behind(self, floor) -> bool:
+        return (
+            floor is not None and self.member.cluster.shown(self.member) < floor
+        )
+
+    def _begin(self, command):
+        primary = self.member.role is _members.Role.PRIMARY
+        if not command.read_only and not primary:
+            return self._error(decisions.NOT_PRIMARY)
+        if self._behind(command.floor):
+            return self._error(decisions.BEHIND)
+        self.state = STATES.OPEN
+        self.writes = []
+        return self._ok()
+
+    def _statement(self, command):
+        member = self.member
+        statement = command.statement
+        if member.busy:
+            member.busy -= 1
+            return self._error(decisions.MEMBER_BUSY)
+        if self._behind(command.floor):
+            return self._error(decisions.BEHIND)
+        writes = statement.kind is _statements.Kind.WRITE
+        if statement.kind is _statements.Kind.EXECUTE:
+            prepared = self.prepared[command.prepared_as]
+            writes = prepared.writes
+            member.runs.append((statement.request_id, prepared.shape))
+        else:
+            member.runs.append((statement.request_id, statement.text))
+        member.cluster.seen_values[statement.request_id] = dict(self.values)
+        member.cluster.seen_floors[statement.request_id] = command.floor
+        if writes and member.role is not _members.Role.PRIMARY:
+            return self._error(decisions.NOT_PRIMARY)
+        if statement.kind is _statements.Kind.COMMIT:
+            self.state = STATES.IDLE
+            if self.writes:
+                return self._commit(statement.request_id)
+        elif writes and self.state is STATES.OPEN:
+            self.writes.append(statement.request_id)
+        elif writes:
+            return self._commit(statement.request_id)
+        return self._ok(rows=("row",), proof="proof-" + member.id)
+
+    def _commit(self, request_id):
+        member = self.member
+        if member.role is not _members.Role.PRIMARY:
+            return self._error(decisions.NOT_PRIMARY)
+        member.log.append((member.term, request_id))
+        if not member.cluster.replicate(member):
+            return None  # Never acknowledged.
+        member.cluster.acknowledged.append(request_id)
+        return self._ok(proof="proof-" + member.id)
+
+
+class FakeCluster:
+    """One group of three members, and the connector to it."""
+
+    def __init__(self, clock: decisions.VirtualTimers) -> None:
+        self.clock = clock
+        self.acknowledged: list[str] = []
+        self.seen_values: dict[str, dict[str, str]] = {}
+        self.seen_floors: dict[str, decisions.Position | None] = {}
+        self.promotions: list[tuple[str, int]] = []
+        roles = [_members.Role.PRIMARY, *[_members.Role.REPLICA] * 2]
+        self.members = {
+            name: FakeMember(name, self, role)
+            for name, role in zip("abc", roles, strict=True)
+        }
+
+    def entries(self) -> dict[str, _members.Member]:
+        return {n: m.entry() for n, m in self.members.items()}
+
+    def shown(self, member: FakeMember) -> decisions.Position:
+        return member.end
+
+    def replicate(self, primary: FakeMember) -> bool:
+        received = 0
+        for member in self.members.values():
+            follows = member.paused_term <= primary.term
+            reached = not (
+                member.dark
+                or member.crashed
+                or member.isolated
+                or primary.isolated
+            )
+            same = member.term == primary.term
+            if member is not primary and follows and reached and same:
+                member.log = list(primary.log)
+                received += 1
+        return received >= 1
+
+    def connect(self, member, timeout_s):
+        fake = self.members[member.id]
+        fut: decisions.Future[FakeLink] = decisions.Future()
+        if fake.crashed:
+            self.clock.after(NET_S, lambda: fut.set_exception(_refused()))
+        elif fake.dark:
+            self.clock.after(timeout_s, lambda: fut.set_exception(_silent()))
+        else:
+            fake.opened += 1
+            self.clock.after(0.012, lambda: fut.set_result(FakeLink(fake)))
+        return fut
+
+    def promote(self, service, member, holder, token):
+        self.promotions.append((member, token))
+        fake = self.members[member]
+        self.clock.after(PROMOTE_S, lambda: self._lead(fake))
+        return decisions.completed(None)
+
+    def _lead(self, fake: FakeMember) -> None:
+        term = max(m.term for m in self.members.values()) + 1
+        fake.role = _members.Role.PRIMARY
+        fake.term = term
+        fake.paused_term = 0
+        for member in self.members.values():
+            cut = member.dark or member.crashed or member.isolated
+            if member is not fake and not cut:
+                member.role = _members.Role.REPLICA
+                member.term = term
+                member.paused_term = 0
+                member.log = list(fake.log)
+
+    def crash(self, name: str) -> None:
+        member = self.members[name]
+        member.crashed = True
+        for link in member.links:
+            link.fail("crashed")
+
+
+def _refused():
+    return _links.ConnectFailedError(decisions.NO_CONNECTION, "", refused=True)
+
+
+def _silent():
+    return _links.ConnectFailedError(decisions.NO_CONNECTION, "silent")
+
+
+class FakeStore:
+    """A store in one process; calls may be lost, executed or not."""
+
+    def __init__(self, clock: decisions.VirtualTimers) -> None:
+        self.clock = clock
+        self.items: dict[str, _store.Item] = {}
+        self.revision = 0
+        self.down = False
+        self.lost_answers = 0
+        self.calls = 0
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        self.items[key] = _store.Item(key, value, self.revision)
+
+    def _answer(self, work):
+        self.calls += 1
+        fut = decisions.Future()
+
+        def finish() -> None:
+            if self.down:
+                fut.set_exception(_store.StoreUnavailableError("down"))
+                return
+            result = work()
+            if self.lost_answers:
+                self.lost_answers -= 1
+                fut.set_exception(_store.StoreUnavailableError("lost"))
+            else:
+                fut.set_result(result)
+
+        self.clock.after(0.004, finish)
+        return fut
+
+    def list(self, prefix):
+        return self._answer(
+            lambda: _store.Changes(
+                tuple(
+                    i
+                    for i in self.items.values()
+                    if i.key.startswith(prefix) and i.value is not None
+                ),
+                self.revision,
+            )
+        )
+
+    def changes(self, prefix, after, wait_s):
+        fut = decisions.Future()
+        until = self.clock.now() + wait_s
+
+        def look() -> None:
+            found = tuple(i for i in self.items.values() if i.revision > after)
+            if self.down:
+                fut.set_exception(_store.StoreUnavailableError("down"))
+            elif found or self.clock.now() >= until:
+                fut.set_result(_store.Changes(found, self.revision))
+            else:
+                self.clock.after(0.02, look)
+
+        self.clock.after(0.004, look)
+        return fut
+
+    def put_if(self, key, value, revision):
+        def work():
+            known = self.items.get(key)
+            present = known.revision if known and known.value else 0
+            if present != revision:
+                return None
+            self.put(key, value)
+            return self.items[key]
+
+        return self._answer(work)
+
+    def remove_if(self, key, revision):
+        raise AssertionError("not used")
+
+
+class FakeMesh:
+    """No peers."""
+
+    streams: list = []
+
+
+LAYOUT = _catalogue.Layout(
+    "config", "members/", lambda _: None, lambda name, _: name
+)
+
+
+class Lab:
+    """A group, its executor, sessions and a promoter in virtual time."""
+
+    def __init__(self, consistency=None, limit: int = 4, **policy) -> None:
+        self.clock = decisions.VirtualTimers()
+        self.cluster = FakeCluster(self.clock)
+        self.policy = _policy.Policy(**policy)
+        self.store = FakeStore(self.clock)
+        service = _configuration.Service("orders", 33, 1)
+        self.group = _groups.Group(
+            self.clock, service, "hall-b", self.cluster, self.policy
+        )
+        self.limit = limit
+        self.group.set_members(self.cluster.entries(), limit)
+        kind = consistency or _configuration.Consistency.SESSION
+        self.route = _configuration.Route(
+            "r", "db", "orders", kind, 1.0, 0.4, 1, 1.5
+        )
+        self.configuration = _configuration.Configuration(
+            1, {"db": self.route}, {"orders": service}, 3.0, 1 << 20
+        )
+        executor = _execution.Executor(self.clock, self.policy)
+        self.ctx = _sessions.SessionContext(
+            self.clock,
+            self.policy,
+            executor,
+            _metrics.Metrics(),
+            lambda: self.configuration,
+            lambda _: self.group,
+        )
+        self.catalogue = _catalogue.Catalogue(
+            self.clock, self.store, LAYOUT, self.policy
+        )
+        self.promoters: list[_promotions.Promoter] = []
+        decisions.PeriodicTimer(
+            self.clock, self.policy.probe_s, self.group.refresh, first=0.0
+        )
+        self.run(0.1)
+
+    def add_promoter(self, node: str = "n1") -> _promotions.Promoter:
+        ctx = _promotions.PromoterContext(
+            clock=self.clock,
+            policy=self.policy,
+            node=node,
+            catalogue=self.catalogue,
+            store=self.store,
+            promotions=self.cluster,
+            mesh=FakeMesh(),
+            note_promoted=lambda *_: None,
+            is_stopping=lambda: False,
+        )
+        promoter = _promotions.Promoter(ctx, self.group)
+        self.promoters.append(promoter)
+        decisions.PeriodicTimer(self.clock, 0.1, promoter.check)
+        return promoter
+
+    def run(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    def session(self) -> _sessions.Session:
+        return _sessions.Session(self.ctx, "db")
+
+    def do(self, session, statement, wait: float = 3.0):
+        fut = session.run(statement)
+        end = self.clock.now() + wait
+        while not fut.done() and self.clock.now() < end:
+            self.run(0.005)
+        assert fut.done(), f"{statement} is not answered"
+        return fut.result()
+
+
+_numbers = iter(range(1, 10**9))
+
+
+def statement(text: str, request_id: str = "") -> _statements.Statement:
+    """Returns the statement of a short text, as in the cases' tables."""
+    request_id = request_id or f"id{next(_numbers)}"
+    kinds = {k.value.upper(): k for k in _statements.Kind}
+    kinds["BEGIN READ"] = _statements.Kind.BEGIN_READ
+    if text in kinds:
+        return _statements.Statement(request_id, kinds[text], text)
+    word, *fields = text.split(" ")
+    kind = kinds[word]
+    prepared = None
+    if kind is _statements.Kind.PREPARE:
+        prepared = _statements.Prepared(fields[1] == "WRITE", fields[2])
+    value = fields[1] if len(fields) > 1 else ""
+    return _statements.Statement(
+        request_id, kind, text, fields[0], value, prepared
+    )
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -0,0 +1,300 @@
+"""Changes of primary: decisions in tables, then whole changes."""
+
+import ferry_decisions as decisions
+import pytest
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _configuration
+from ferry_proxy import _fencing
+from ferry_proxy import _freshness
+from ferry_proxy import _members
+from ferry_proxy import _policy
+from ferry_proxy.tests import fakes
+
+POLICY = _policy.Policy()
+CAUSE = _fencing.Cause
+PRIMARY = _members.Role.PRIMARY
+REPLICA = _members.Role.REPLICA
+
+
+def evidence(**changes):
+    fields = {
+        "has_leader": True,
+        "silence_s": 0.0,
+        "refused_s": 0.0,
+        "stalled_s": 0.0,
+        "leaderless_s": 0.0,
+        "is_draining": False,
+        "successors": 2,
+    }
+    return _fencing.Evidence(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, None),
+        ({"silence_s": 0.7}, None),
+        ({"silence_s": 0.9}, CAUSE.SILENT),
+        ({"refused_s": 0.3}, CAUSE.REFUSED),
+        ({"stalled_s": 0.9}, CAUSE.STALLED),
+        ({"is_draining": True}, CAUSE.LEAVING),
+        ({"is_draining": True, "successors": 0}, None),
+        ({"silence_s": 9.0, "successors": 0}, None),
+        ({"has_leader": False, "leaderless_s": 0.2}, None),
+        ({"has_leader": False, "leaderless_s": 1.0}, CAUSE.MISSING),
+    ],
+)
+def test_cause_of_change(changes, expected):
+    assert _fencing.cause_of_change(evidence(**changes), POLICY) is expected
+
+
+@pytest.mark.parametrize(
+    ("cause", "heard", "expected"),
+    [
+        (CAUSE.SILENT, [], False),
+        (CAUSE.SILENT, [-1.0, 5.0], False),
+        (CAUSE.SILENT, [5.0, 0.1], True),
+        (CAUSE.REFUSED, [0.1], True),
+        (CAUSE.STALLED, [0.1], False),
+        (CAUSE.LEAVING, [0.1], False),
+    ],
+)
+def test_veto_of_peers(cause, heard, expected):
+    assert _fencing.is_vetoed(cause, heard, POLICY) is expected
+
+
+@pytest.mark.parametrize(
+    ("replicas", "unsure", "sync", "expected"),
+    [
+        (2, 0, 1, 2),
+        (2, 1, 1, 3),
+        (1, 0, 1, 1),
+        (4, 0, 2, 3),
+        (2, 0, 0, 2),
+        (3, 0, 3, 1),
+    ],
+)
+def test_fence_meets_every_acknowledgement(replicas, unsure, sync, expected):
+    needed = _fencing.fence_needed(replicas, unsure, sync)
+    assert needed == expected
+    assert needed + _freshness.proof_size(sync) > replicas + unsure
+
+
+@pytest.mark.parametrize(
+    ("received", "draining", "expected"),
+    [
+        ({"b": (1, 5), "c": (1, 7)}, set(), "c"),
+        ({"b": (2, 1), "c": (1, 7)}, set(), "b"),
+        ({"b": (1, 5), "c": (1, 5)}, {"c"}, "b"),
+        ({"b": (1, 5), "c": (1, 6)}, {"c"}, "c"),
+    ],
+)
+def test_successor_holds_most(received, draining, expected):
+    lab = fakes.Lab()
+    members = {}
+    reports = {}
+    for name, (term, index) in received.items():
+        lab.cluster.members[name].draining = name in draining
+        members[name] = lab.cluster.members[name].entry()
+        position = decisions.Position(term, index)
+        reports[name] = _members.Report(REPLICA, 1, position, 2, 0.0)
+    assert _fencing.choose_successor(reports, members) == expected
+
+
+def report(role, index, asked_at, paused=0, term=1):
+    position = decisions.Position(term, index)
+    return _members.Report(role, term, position, paused, asked_at)
+
+
+@pytest.mark.parametrize(
+    ("replica", "expected"),
+    [
+        (report(REPLICA, 5, 10.0), decisions.Position(1, 7)),
+        (report(REPLICA, 5, 10.0, paused=2), None),
+        (report(REPLICA, 5, 10.0, term=2), None),
+        (report(PRIMARY, 5, 10.0), None),
+        (None, None),
+    ],
+)
+def test_a_floor_needs_the_primary_and_an_unpaused_replica(replica, expected):
+    leader = _members.Leader("a", 1)
+    reports = {"a": report(PRIMARY, 7, 11.0)}
+    if replica is not None:
+        reports["b"] = replica
+    sample = _freshness.sample_of(leader, reports, 1)
+    assert (sample.floor if sample else None) == expected
+    if sample is not None:
+        assert sample.at == 10.0
+
+
+def test_no_floor_from_replicas_alone():
+    """Days scale-1 and scale-2: a list that had lost a replica was believed."""
+    leader = _members.Leader("a", 1)
+    reports = {"b": report(REPLICA, 5, 10.0)}
+    assert _freshness.sample_of(leader, reports, 1) is None
+
+
+def test_floors_are_the_oldest_that_cover():
+    floors = _freshness.Floors()
+    for at in (1.0, 2.0, 3.0):
+        floor = decisions.Position(1, int(at))
+        floors.add(_freshness.Sample(at, floor), 1)
+    assert floors.covering(1.5) == decisions.Position(1, 2)
+    assert floors.covering(3.5) is None
+    floors.add(_freshness.Sample(4.0, decisions.Position(1, 2)), 2)
+    assert floors.covering(0.0) == decisions.Position(1, 2)
+
+
+def test_stall_is_seen_only_while_no_replica_receives():
+    watch = _fencing.StallWatch()
+    watch.take(report(PRIMARY, 7, 0.0), [report(REPLICA, 5, 0.0)], 0.0)
+    watch.take(report(PRIMARY, 8, 0.5), [report(REPLICA, 5, 0.5)], 0.5)
+    assert watch.stalled_s == pytest.approx(0.5)
+    watch.take(report(PRIMARY, 9, 1.0), [report(REPLICA, 5, 1.0)], 1.0)
+    assert watch.stalled_s == pytest.approx(1.0)
+    watch.take(report(PRIMARY, 9, 1.5), [report(REPLICA, 7, 1.5)], 1.5)
+    assert watch.stalled_s == 0.0
+
+
+def write(lab, name):
+    return lab.do(lab.session(), fakes.statement("WRITE x 1", name))
+
+
+def assert_nothing_lost(lab):
+    leader = lab.cluster.members[lab.group.leader.member]
+    held = {name for _, name in leader.log}
+    assert set(lab.cluster.acknowledged) <= held
+
+
+@pytest.mark.parametrize(
+    ("trouble", "longest_s"),
+    [("crash", 1.5), ("dark", 2.2), ("isolated", 2.6), ("draining", 1.2)],
+)
+def test_a_primary_is_replaced_and_nothing_lost(trouble, longest_s):
+    lab = fakes.Lab()
+    lab.add_promoter()
+    for number in range(5):
+        write(lab, f"w{number}")
+    old = lab.cluster.members["a"]
+    if trouble == "crash":
+        lab.cluster.crash("a")
+    elif trouble == "draining":
+        old.draining = True
+        lab.group.set_members(lab.cluster.entries(), lab.limit)
+    else:
+        setattr(old, trouble, True)
+    if trouble == "isolated":
+        lab.session().run(fakes.statement("WRITE x 1", "unacknowledged"))
+    begun = lab.clock.now()
+    while lab.group.leader is None or lab.group.leader.member == "a":
+        lab.run(0.02)
+        assert lab.clock.now() - begun < longest_s
+    assert lab.group.leader.term == 2
+    assert write(lab, "after").reason is None
+    assert_nothing_lost(lab)
+
+
+def test_no_change_while_a_replica_is_out_of_reach():
+    lab = fakes.Lab()
+    lab.add_promoter()
+    write(lab, "w")
+    lab.cluster.members["a"].dark = True
+    lab.cluster.members["c"].dark = True
+    lab.run(5.0)
+    assert lab.cluster.promotions == []
+    assert lab.cluster.members["b"].paused_term == 0
+
+
+def test_a_planned_change_stops_nothing_unless_all_can_be_reached():
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.cluster.members["c"].dark = True
+    lab.cluster.members["a"].draining = True
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+    lab.run(3.0)
+    assert lab.cluster.members["a"].role is PRIMARY
+    assert write(lab, "still").reason is None
+
+
+def test_no_change_without_the_store():
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.store.down = True
+    lab.cluster.crash("a")
+    lab.run(3.0)
+    assert lab.cluster.promotions == []
+    lab.store.down = False
+    lab.run(2.0)
+    assert len(lab.cluster.promotions) == 1
+
+
+def test_two_nodes_promote_once_and_tokens_grow():
+    lab = fakes.Lab()
+    lab.add_promoter("n1")
+    lab.add_promoter("n2")
+    for _ in range(2):
+        name = lab.group.leader.member
+        lab.cluster.crash(name)
+        lab.run(4.0)
+        lab.cluster.members[name].crashed = False
+        lab.cluster.members[name].role = REPLICA
+        lab.cluster.members[name].term = lab.group.term
+        lab.run(1.0)
+    tokens = [token for _, token in lab.cluster.promotions]
+    assert tokens == sorted(set(tokens))
+    assert len(tokens) == 2
+
+
+def test_another_nodes_claim_is_waited_out():
+    lab = fakes.Lab()
+    claim = _catalogue.Claim("n9", 7)
+    lab.store.put("ferry/claims/orders", claim.encode())
+    lab.catalogue.take(tuple(lab.store.items.values()), "store")
+    lab.add_promoter()
+    lab.cluster.crash("a")
+    lab.run(POLICY.claim_takeover_s - 0.3)
+    assert lab.cluster.promotions == []
+    lab.run(1.5)
+    assert [token for _, token in lab.cluster.promotions] == [8]
+
+
+def test_a_claim_without_an_answer_is_not_acted_upon():
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.store.lost_answers = 1
+    lab.cluster.crash("a")
+    lab.run(1.2)
+    assert lab.cluster.promotions == []
+
+
+def test_late_reports_of_an_earlier_term_depose_nobody():
+    """Day trouble-2: a report asked for before a promotion came after it."""
+    lab = fakes.Lab()
+    lab.group.note_leader(_members.Leader("b", 2))
+    lab.group._find_leader({"b": report(REPLICA, 3, 0.0, term=1)})
+    assert lab.group.leader == _members.Leader("b", 2)
+
+
+def test_one_late_replica_is_no_stall():
+    """Day trouble-2: a member that came back was taken for the whole group."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.cluster.members["c"].isolated = True
+    for number in range(20):
+        write(lab, f"w{number}")
+        lab.run(0.2)
+    assert lab.cluster.promotions == []
+
+
+@pytest.mark.parametrize("sync", [0, 1, 2])
+def test_proofs_need_as_many_replicas_as_acknowledge(sync):
+    lab = fakes.Lab()
+    lab.group.service = _configuration.Service("orders", 33, sync)
+    fut = lab.group.prove()
+    lab.run(1.0)
+    assert fut.exception() is None
+    lab.cluster.members["b"].paused_term = 2
+    fut = lab.group.prove()
+    lab.run(1.0)
+    assert (fut.exception() is None) == (sync < 2)
