--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -13,8 +13,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 
-MISSING_S = 0.5  # A member that is being promoted leads in 0.6 s, but its
-# claim is known meanwhile; this is for groups that nobody looks after.
+MISSING_S = 1.2  # Members that start together are listed within a heartbeat.
 REFUSED_S = 0.25  # A crashed process refuses at once; one retry confirms it.
 VANISHED_S = 30.0  # A member that vanished may live on, cut off, for longer
 # than any partition that is known to have passed.
@@ -39,7 +38,8 @@
         silence_s: Seconds since it was heard.
         refused_s: Seconds for which its machine has refused connections.
         stalled_s: Seconds for which no replica received its newest commit.
-        leaderless_s: Seconds for which no primary has been known.
+        leaderless_s: Seconds for which no primary has been known, and no
+            member has come or gone.
         is_draining: Whether it is about to leave.
         successors: Members that could lead: heard lately, not leaving.
     """
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -58,7 +58,7 @@
         self.floors = _freshness.Floors()
         self.last_leader = ""
         self.round_at = float("-inf")
-        self.leaderless_since = clock.now()
+        self.leaderless_since = self.changed_at = clock.now()
         self.vanished: dict[str, Vanished] = {}
         self._asking: set[str] = set()
         self._turn = 0
@@ -77,6 +77,8 @@
             members: All members, by id.
             limit: How many links to each this node may open.
         """
+        if self.pools.keys() != members.keys():
+            self.changed_at = self._clock.now()
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -112,7 +112,7 @@
             silence_s=pool.silence_s if pool else 0.0,
             refused_s=now - pool.refused_since if pool else 0.0,
             stalled_s=self._stalled_s(),
-            leaderless_s=now - group.leaderless_since,
+            leaderless_s=now - max(group.leaderless_since, group.changed_at),
             is_draining=pool is not None and pool.member.draining,
             successors=len(successors),
         )
@@ -171,11 +171,8 @@
     ) -> "decisions.Flow[None]":
         """Stops the old term and begins the next one."""
         reports = yield from self._fence(cause, token)
-        try:
-            yield from self._promote(reports, token, valid_until)
-        except ChangeAbandonedError:
-            yield from self._resume(reports)
-            raise
+        successor = yield from self._promote(reports, token, valid_until)
+        yield from self._await_leader(successor, token)
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes act."""
@@ -284,6 +281,7 @@
         others = {n: p for n, p in group.pools.items() if n != old}
         # Members may go on serving others: nothing stops unless enough can be.
         yield from self._check_reachable(others)
+        self._check_leader(others)
         term = self._next_term()
         if cause is _fencing.Cause.LEAVING:
             yield from self._step_down(old, term)
@@ -321,6 +319,17 @@
         if reached < needed:
             raise ChangeAbandonedError(f"{reached} reached, {needed} needed")
 
+    def _check_leader(self, others: "dict[str, _pools.Pool]") -> None:
+        """Follows a primary that this node had not heard of."""
+        group = self._group
+        for name in others:
+            report = group.last_report(name)
+            if report is None or report.role is not _members.Role.PRIMARY:
+                continue
+            if report.term > group.term or group.leader is None:
+                group.note_leader(_members.Leader(name, report.term))
+                raise ChangeAbandonedError(f"{name} leads already")
+
     def _step_down(self, old: str, term: int) -> "decisions.Flow[None]":
         """Asks the old primary to follow; a silent one is fenced anyway."""
         pool = self._group.pools.get(old)
@@ -399,12 +408,14 @@
         reports: dict[str, _members.Report],
         token: int,
         valid_until: float,
-    ) -> "decisions.Flow[None]":
+    ) -> "decisions.Flow[str]":
+        """Orders the promotion; returns the member that is to lead."""
         ctx = self._ctx
         group = self._group
         members = {n: p.member for n, p in group.pools.items()}
         successor = _fencing.choose_successor(reports, members)
         if ctx.clock.boot_now() >= valid_until:
+            yield from self._resume(reports)
             raise ChangeAbandonedError("the claim is too old to act on")
         detail = f"received {reports[successor].received}"
         self._log("promoting", token, successor, detail)
@@ -413,11 +424,14 @@
                 group.service.name, successor, ctx.node, token
             )
         except _store.PromotionRefusedError as exc:
+            yield from self._resume(reports)
             raise ChangeAbandonedError(str(exc)) from exc
         except _store.StoreUnavailableError as exc:
-            # It may have been taken: the member itself tells.
+            # It may have been taken, also later: the member itself tells, and
+            # the replicas stay paused, so that the old primary acknowledges
+            # nothing that the successor lacks.
             self._log("unanswered", token, successor, str(exc))
-        yield from self._await_leader(successor, token)
+        return successor
 
     def _await_leader(
         self, successor: str, token: int
