--- a/Makefile
+++ b/Makefile
@@ -19,14 +19,14 @@
 	$(BIN)/python -m pytest
 
 check: install
-	$(BIN)/ruff format --check packages tools
-	$(BIN)/ruff check packages tools
+	$(BIN)/ruff format --check packages platform tools
+	$(BIN)/ruff check packages platform tools
 	$(BIN)/mypy
 	$(BIN)/python tools/check_style.py
 
 format: install
-	$(BIN)/ruff format packages tools
-	$(BIN)/ruff check --fix packages tools
+	$(BIN)/ruff format packages platform tools
+	$(BIN)/ruff check --fix packages platform tools
 
 bench-path: install
 	tools/bench_path.sh --json
--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -6,6 +6,7 @@
 from ferry_proxy._configuration import Consistency
 from ferry_proxy._configuration import Route
 from ferry_proxy._configuration import Service
+from ferry_proxy._events import DependencyLost
 from ferry_proxy._events import EventLog
 from ferry_proxy._events import Ready
 from ferry_proxy._events import SettingsReloaded
@@ -14,6 +15,7 @@
 from ferry_proxy._links import Begin
 from ferry_proxy._links import Command
 from ferry_proxy._links import ConnectFailedError
+from ferry_proxy._links import Link
 from ferry_proxy._links import LinkLostError
 from ferry_proxy._links import Pause
 from ferry_proxy._links import Prepare
@@ -55,6 +57,7 @@
     "Configuration",
     "ConnectFailedError",
     "Consistency",
+    "DependencyLost",
     "EventLog",
     "HistoryLostError",
     "InvalidItemError",
@@ -62,6 +65,7 @@
     "Item",
     "Kind",
     "Layout",
+    "Link",
     "LinkLostError",
     "Member",
     "NOTICED_S",
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -14,6 +14,7 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
 from ferry_proxy import _events
+from ferry_proxy import _fences
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
 from ferry_proxy import _links
@@ -31,10 +32,6 @@
 POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
-class ChangeAbandonedError(Exception):
-    """A change of primary cannot go on; another try may follow."""
-
-
 @attrs.frozen(slots=True)
 class PromoterContext:
     """What a promoter works with.
@@ -71,6 +68,7 @@
         self._busy = False
         self._not_before = float("-inf")
         self._stall = _fencing.StallWatch()
+        self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
         group.on_round.append(self._take_round)
 
     @property
@@ -170,7 +168,7 @@
         self, cause: _fencing.Cause, token: int, valid_until: float
     ) -> "decisions.Flow[None]":
         """Stops the old term and begins the next one."""
-        reports = yield from self._fence(cause, token)
+        reports = yield from self._fence.raise_fence(cause, token)
         successor = yield from self._promote(reports, token, valid_until)
         yield from self._await_leader(successor, token)
 
@@ -213,7 +211,7 @@
             )
         )
         if vetoed:
-            raise ChangeAbandonedError("a peer hears the primary")
+            raise _fences.ChangeAbandonedError("a peer hears the primary")
 
     def _confirm_stall(self) -> "decisions.Flow[None]":
         """Asks all members at once, before a primary that answers goes."""
@@ -229,7 +227,9 @@
         }
         self._watch_stall(reports)
         if self._stall.stalled_s < self._ctx.policy.stall_s:
-            raise ChangeAbandonedError("a replica receives commits again")
+            raise _fences.ChangeAbandonedError(
+                "a replica receives commits again"
+            )
 
     def _claim(
         self,
@@ -244,7 +244,9 @@
             age = now - held.seen_at
             if age < ctx.policy.claim_takeover_s:
                 self._group.expect_change()
-                raise ChangeAbandonedError("another node holds the claim")
+                raise _fences.ChangeAbandonedError(
+                    "another node holds the claim"
+                )
         token = held.claim.token + 1 if held else 1
         revision = held.revision if held else 0
         claim = _catalogue.Claim(ctx.node, token)
@@ -252,7 +254,7 @@
         valid_until = now + ctx.policy.claim_valid_s
         item = yield ctx.store.put_if(key, claim.encode(), revision)
         if item is None:
-            raise ChangeAbandonedError("another node was faster")
+            raise _fences.ChangeAbandonedError("another node was faster")
         ctx.catalogue.take((item,), "own claim")
         mine = _catalogue.HeldClaim(claim, item.revision, now)
         return mine, valid_until
@@ -267,142 +269,6 @@
             return False
         return held.claim.holder != self._ctx.node
 
-    def _fence(
-        self, cause: _fencing.Cause, token: int
-    ) -> "decisions.Flow[dict[str, _members.Report]]":
-        """Stops the old primary and pauses its replicas.
-
-        Raises:
-            ChangeAbandonedError: Too few of them could be reached.
-        """
-        group = self._group
-        old = group.leader.member if group.leader else group.last_leader
-        yield from self._list_members()
-        others = {n: p for n, p in group.pools.items() if n != old}
-        # Members may go on serving others: nothing stops unless enough can be.
-        yield from self._check_reachable(others)
-        self._check_leader(others)
-        term = self._next_term()
-        if cause is _fencing.Cause.LEAVING:
-            yield from self._step_down(old, term)
-        reports: dict[str, _members.Report] = {}
-        futs = [
-            decisions.start(self._pause(p, term, reports))
-            for p in others.values()
-        ]
-        yield decisions.settle_all(futs, lambda _: False)
-        unsure = yield from self._pause_vanished(old, term)
-        needed = _fencing.fence_needed(
-            len(others), unsure, group.service.sync_replicas
-        )
-        detail = f"{len(reports)} of {len(others)} paused, {needed} needed"
-        self._log("fenced", token, old, detail)
-        if len(reports) < needed or not reports:
-            yield from self._resume(reports)
-            raise ChangeAbandonedError(detail)
-        if cause is not _fencing.Cause.LEAVING:
-            decisions.start(self._step_down(old, term))
-        return reports
-
-    def _check_reachable(
-        self, others: "dict[str, _pools.Pool]"
-    ) -> "decisions.Flow[None]":
-        futs = [
-            decisions.start(self._group.ask(p, _links.Status()))
-            for p in others.values()
-        ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        reached = sum(s.failure is None for s in settled)
-        needed = _fencing.fence_needed(
-            len(others), 0, self._group.service.sync_replicas
-        )
-        if reached < needed:
-            raise ChangeAbandonedError(f"{reached} reached, {needed} needed")
-
-    def _check_leader(self, others: "dict[str, _pools.Pool]") -> None:
-        """Follows a primary that this node had not heard of."""
-        group = self._group
-        for name in others:
-            report = group.last_report(name)
-            if report is None or report.role is not _members.Role.PRIMARY:
-                continue
-            if report.term > group.term or group.leader is None:
-                group.note_leader(_members.Leader(name, report.term))
-                raise ChangeAbandonedError(f"{name} leads already")
-
-    def _step_down(self, old: str, term: int) -> "decisions.Flow[None]":
-        """Asks the old primary to follow; a silent one is fenced anyway."""
-        pool = self._group.pools.get(old)
-        if pool is None:
-            return
-        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
-        yield decisions.settled(asked)
-
-    def _list_members(self) -> "decisions.Flow[None]":
-        """Reads the list anew: an unknown replica could acknowledge."""
-        prefix = self._ctx.catalogue.member_prefix
-        listed = yield self._ctx.store.list(prefix)
-        self._ctx.catalogue.take(listed.items, "store")
-
-    def _next_term(self) -> int:
-        group = self._group
-        terms = [group.term]
-        for name in group.pools:
-            report = group.last_report(name)
-            if report is not None:
-                terms += [report.term, report.paused_term]
-        return max(terms) + 1
-
-    def _pause(
-        self,
-        pool: _pools.Pool,
-        term: int,
-        reports: dict[str, _members.Report],
-    ) -> "decisions.Flow[None]":
-        group = self._group
-        try:
-            report = yield from group.ask(pool, _links.Pause(term))
-        except decisions.RequestFailedError:
-            report = yield from group.ask(pool, _links.Pause(term))
-        if report.role is _members.Role.PRIMARY and report.term < term:
-            # A primary of an earlier term that was cut off until now.
-            yield from group.ask(pool, _links.StepDown(term))
-            report = yield from group.ask(pool, _links.Pause(term))
-        is_paused = report.paused_term >= term
-        if report.role is _members.Role.REPLICA and is_paused:
-            reports[pool.member.id] = report
-
-    def _pause_vanished(self, old: str, term: int) -> "decisions.Flow[int]":
-        """Pauses members that are not listed any more but may still live.
-
-        Returns:
-            How many of them could neither be paused nor shown to be gone.
-        """
-        now = self._ctx.clock.now()
-        unsure = 0
-        for name, vanished in list(self._group.vanished.items()):
-            if name == old or now - vanished.at > _fencing.VANISHED_S:
-                continue
-            reports: dict[str, _members.Report] = {}
-            pool = self._group.open_pool(vanished.member)
-            paused = decisions.start(self._pause(pool, term, reports))
-            yield decisions.settled(paused)
-            is_gone = pool.is_refused
-            pool.close()
-            if not reports and not is_gone:
-                unsure += 1
-        return unsure
-
-    def _resume(
-        self, reports: dict[str, _members.Report]
-    ) -> "decisions.Flow[None]":
-        futs = [
-            decisions.start(self._group.ask(pool, _links.Resume()))
-            for name, pool in self._group.pools.items()
-            if name in reports
-        ]
-        yield decisions.settle_all(futs, lambda _: False)
-
     def _promote(
         self,
         reports: dict[str, _members.Report],
@@ -415,8 +281,8 @@
         members = {n: p.member for n, p in group.pools.items()}
         successor = _fencing.choose_successor(reports, members)
         if ctx.clock.boot_now() >= valid_until:
-            yield from self._resume(reports)
-            raise ChangeAbandonedError("the claim is too old to act on")
+            yield from self._fence.resume(reports)
+            raise _fences.ChangeAbandonedError("the claim is too old to act on")
         detail = f"received {reports[successor].received}"
         self._log("promoting", token, successor, detail)
         try:
@@ -424,13 +290,15 @@
                 group.service.name, successor, ctx.node, token
             )
         except _store.PromotionRefusedError as exc:
-            yield from self._resume(reports)
-            raise ChangeAbandonedError(str(exc)) from exc
+            yield from self._fence.resume(reports)
+            raise _fences.ChangeAbandonedError(str(exc)) from exc
         except _store.StoreUnavailableError as exc:
             # It may have been taken, also later: the member itself tells, and
             # the replicas stay paused, so that the old primary acknowledges
             # nothing that the successor lacks.
-            self._log("unanswered", token, successor, str(exc))
+            _fences.log_step(
+                self._group, "unanswered", token, successor, str(exc)
+            )
         return successor
 
     def _await_leader(
@@ -446,13 +314,15 @@
             try:
                 report = yield from group.ask(pool, _links.Status())
             except decisions.RequestFailedError as exc:
-                self._log("asked", token, successor, exc.reason.name)
+                _fences.log_step(
+                    self._group, "asked", token, successor, exc.reason.name
+                )
             else:
                 if report.role is _members.Role.PRIMARY:
                     self._announce(successor, report.term, token)
                     return
             yield decisions.sleep(ctx.clock, POLL_S)
-        raise ChangeAbandonedError(f"{successor} does not lead")
+        raise _fences.ChangeAbandonedError(f"{successor} does not lead")
 
     def _announce(self, successor: str, term: int, token: int) -> None:
         group = self._group
@@ -475,14 +345,12 @@
             )
         except _store.StoreUnavailableError as exc:
             # The next claim waits until this one is too old to act on.
-            self._log("unreleased", held.claim.token, "", str(exc))
+            _fences.log_step(
+                self._group, "unreleased", held.claim.token, "", str(exc)
+            )
             return
         if item is not None:
             self._ctx.catalogue.take((item,), "own claim")
 
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
-        _events.emit(
-            _events.PromotionStep(
-                self._group.service.name, step, token, member, detail
-            )
-        )
+        _fences.log_step(self._group, step, token, member, detail)
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -18,14 +18,13 @@
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _promotions
+from ferry_proxy import _registrar
 from ferry_proxy import _sessions
 from ferry_proxy import _store
 from ferry_proxy import _surveys
 
 CHECK_S = 0.1  # How often the evidence on primaries is weighed.
 SYNC_S = 0.4  # How often peers are asked while the store does not answer.
-SYNC_WAIT_S = 0.4
-SYNC_PEERS = 2  # Peers asked at a time; one may be about to end.
 SWEEP_S = 0.25  # How often idle transactions are looked for.
 NOTICED_S = 2.6  # A balancer asks once a second and goes by two misses.
 DEAD_NODE_S = 30.0  # A node that no peer reaches for so long is forgotten.
@@ -107,6 +106,9 @@
         )
         self._surveys = _surveys.Surveys(loop, identity.name, self.mesh)
         self.catalogue.on_change.append(self._apply)
+        self._registrar = _registrar.Registrar(
+            loop, self._own, platform.store, self.catalogue, self.mesh
+        )
         self._executor = _execution.Executor(loop, policy)
         self._ctx = _sessions.SessionContext(
             clock=loop,
@@ -119,11 +121,9 @@
         self._timers = [
             decisions.PeriodicTimer(loop, policy.probe_s, self._probe),
             decisions.PeriodicTimer(loop, CHECK_S, self._check_primaries),
-            decisions.PeriodicTimer(loop, SYNC_S, self._sync),
+            decisions.PeriodicTimer(loop, SYNC_S, self._look),
             decisions.PeriodicTimer(loop, SWEEP_S, self._sweep),
         ]
-        self._registering = False
-        self._newest_before = -1
         loop.on_late(self._forgive)
         self._add_gauges()
 
@@ -299,58 +299,9 @@
             for pool in group.pools.values():
                 pool.heard = min(now, pool.heard + late_s)
 
-    def _sync(self) -> None:
-        """Looks after this node's entry, and after what it has missed.
-
-        A change that peers know of comes from the store within a round trip;
-        where it did not by the next look, the watch is silent or the store
-        turns this node away, and the peers are asked.
-        """
-        if self.catalogue.is_connected:
-            self._register()
-        newest = self.catalogue.newest
-        ahead = [s for s in self.mesh.streams if s.newest > newest]
-        if newest != self._newest_before or not ahead:
-            self._newest_before = newest
-            return
-        question = _peer_messages.SyncRequest(newest)
-        for stream in ahead[:SYNC_PEERS]:
-            fut = decisions.within(
-                self._loop, SYNC_WAIT_S, stream.call(question)
-            )
-            fut.add_done_callback(self._take_sync)
-
-    def _take_sync(
-        self, fut: "decisions.Future[_peer_messages.Message]"
-    ) -> None:
-        if fut.exception() is not None:
-            return  # The next round asks again.
-        reply = fut.result()
-        if isinstance(reply, _peer_messages.SyncReply):
-            self.catalogue.take(reply.items, "peer")
-
-    def _register(self) -> None:
-        """Puts this node's entry into the store where it is missing."""
-        known = self.catalogue.nodes.get(self._identity.name)
-        if known == self._own or self._registering or self.stopping:
-            return
-        key = _catalogue.NODE_PREFIX + self._identity.name
-        item = self.catalogue.item(key)
-        self._registering = True
-        fut = self._platform.store.put_if(
-            key, self._own.encode(), item.revision if item else 0
-        )
-        fut.add_done_callback(self._registered)
-
-    def _registered(self, fut: "decisions.Future[_store.Item | None]") -> None:
-        self._registering = False
-        exc = fut.exception()
-        if exc is not None:
-            _events.emit(_events.DependencyLost("store", str(exc)))
-            return
-        item = fut.result()
-        if item is not None:
-            self.catalogue.take((item,), "own entry")
+    def _look(self) -> None:
+        if not self.stopping:
+            self._registrar.look()
 
     def _sweep(self) -> None:
         now = self._loop.now()
--- a/packages/runtime/src/ferry_runtime/_http.py
+++ b/packages/runtime/src/ferry_runtime/_http.py
@@ -33,11 +33,15 @@
     Attributes:
         method: GET, POST and so on.
         path: The target without its query.
+        query: The rest of the target, without the question mark.
+        headers: The header fields, by name in lower case.
         body: The whole body.
     """
 
     method: str
     path: str
+    query: str
+    headers: dict[str, str]
     body: bytes
 
 
@@ -210,7 +214,7 @@
         decisions.reject(out, HttpCallFailedError("no reply in time"))
 
 
-Handler = Callable[[HttpRequest], HttpReply]
+Handler = Callable[[HttpRequest], "HttpReply | decisions.Future[HttpReply]"]
 
 
 class _ServerConn:
@@ -226,7 +230,8 @@
 
     def _receive(self, data: bytes) -> None:
         try:
-            self._conn.receive_data(data)
+            if data:
+                self._conn.receive_data(data)
             while self._take(self._conn.next_event()):
                 pass
         except h11.RemoteProtocolError as exc:
@@ -250,10 +255,22 @@
         req = self._req
         if req is None:
             return
-        path = req.target.decode("ascii").partition("?")[0]
-        reply = self._handler(
-            HttpRequest(req.method.decode("ascii"), path, b"".join(self._body))
-        )
+        path, _, query = req.target.decode("ascii").partition("?")
+        headers = {
+            name.decode("ascii").lower(): value.decode("latin-1")
+            for name, value in req.headers
+        }
+        method = req.method.decode("ascii")
+        body = b"".join(self._body)
+        reply = self._handler(HttpRequest(method, path, query, headers, body))
+        if isinstance(reply, HttpReply):
+            self._send(reply)
+        else:
+            reply.add_done_callback(lambda fut: self._send(fut.result()))
+
+    def _send(self, reply: HttpReply) -> None:
+        if self._stream.closed:
+            return
         headers = [("Content-Length", str(len(reply.body)))]
         head = h11.Response(status_code=reply.status, headers=headers)
         out = self._conn.send(head) or b""
@@ -263,6 +280,7 @@
         self._stream.send(out)
         if self._conn.our_state is h11.DONE is self._conn.their_state:
             self._conn.start_next_cycle()
+            self._receive(b"")
         else:
             self._stream.close_when_sent()
 
--- /dev/null
+++ b/packages/runtime/src/ferry_runtime/tests/test_http.py
@@ -0,0 +1,81 @@
+"""The HTTP client and server, against each other and against broken ones."""
+
+import time
+
+import ferry_decisions as decisions
+import pytest
+
+import ferry_runtime as runtime
+
+LIMIT_S = 10.0  # Only ends a test that hangs.
+
+
+def finish(loop, fut):
+    """Runs the loop until a future is done."""
+    end = time.monotonic() + LIMIT_S
+    while not fut.done() and time.monotonic() < end:
+        loop.step()
+    return fut
+
+
+@pytest.fixture
+def loop():
+    made = runtime.EventLoop()
+    made.after(0.01, lambda: None)
+    return made
+
+
+def serve(loop, handler):
+    server = runtime.HttpServer(loop, "127.0.0.1", 0, handler)
+    return runtime.HttpClient(loop, "127.0.0.1", server.port)
+
+
+def test_calls_reuse_one_connection(loop):
+    seen = []
+
+    def handler(req):
+        seen.append((req.method, req.path, req.query, req.body))
+        return runtime.HttpReply(200, b"hello")
+
+    client = serve(loop, handler)
+    for method, body in (("GET", b""), ("POST", b"data"), ("GET", b"")):
+        fut = finish(loop, client.call(method, "/a?b=1", LIMIT_S, body=body))
+        assert fut.result() == runtime.HttpReply(200, b"hello")
+    assert seen[1] == ("POST", "/a", "b=1", b"data")
+    assert len(client._idle) == 1
+
+
+def test_a_late_reply_is_no_answer_to_the_next_call(loop):
+    late: decisions.Future[runtime.HttpReply] = decisions.Future()
+    replies = iter([late, runtime.HttpReply(200, b"second")])
+    client = serve(loop, lambda _: next(replies))
+    fut = finish(loop, client.call("GET", "/", 0.02))
+    assert isinstance(fut.exception(), runtime.HttpCallFailedError)
+    late.set_result(runtime.HttpReply(200, b"first"))
+    fut = finish(loop, client.call("GET", "/", LIMIT_S))
+    assert fut.result().body == b"second"
+
+
+@pytest.mark.parametrize(
+    "answer", [b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Le", b""]
+)
+def test_broken_servers_are_typed_failures(loop, answer):
+    def accept(stream):
+        def reply(_):
+            stream.send(answer)
+            stream.close_when_sent()
+
+        stream.on_data = reply
+
+    listener = runtime.Listener(loop, "127.0.0.1", 0, accept)
+    client = runtime.HttpClient(loop, "127.0.0.1", listener.port)
+    fut = finish(loop, client.call("GET", "/", LIMIT_S))
+    assert isinstance(fut.exception(), runtime.HttpCallFailedError)
+
+
+def test_nobody_listens(loop):
+    listener = runtime.Listener(loop, "127.0.0.1", 0, lambda _: None)
+    listener.close()
+    client = runtime.HttpClient(loop, "127.0.0.1", listener.port)
+    fut = finish(loop, client.call("GET", "/", LIMIT_S))
+    assert isinstance(fut.exception(), runtime.HttpCallFailedError)
