--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -33,7 +33,6 @@
 from ferry_proxy._policy import InvalidPolicyError
 from ferry_proxy._policy import Policy
 from ferry_proxy._policy import policy_from_file
-from ferry_proxy._proxy import NOTICED_S
 from ferry_proxy._proxy import NodeIdentity
 from ferry_proxy._proxy import Platform
 from ferry_proxy._proxy import Proxy
@@ -68,7 +67,6 @@
     "Link",
     "LinkLostError",
     "Member",
-    "NOTICED_S",
     "NodeIdentity",
     "Pause",
     "Platform",
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -1,6 +1,6 @@
 """A node: wires the catalogue, the groups, the peers and the sessions."""
 
-from collections.abc import Callable
+import typing
 
 import attrs
 import ferry_decisions as decisions
@@ -26,7 +26,7 @@
 CHECK_S = 0.1  # How often the evidence on primaries is weighed.
 SYNC_S = 0.4  # How often peers are asked while the store does not answer.
 SWEEP_S = 0.25  # How often idle transactions are looked for.
-NOTICED_S = 2.6  # A balancer asks once a second and goes by two misses.
+STOP_STEP_S = 0.05
 DEAD_NODE_S = 30.0  # A node that no peer reaches for so long is forgotten.
 MOST = 0.5  # Of the peers, or of the groups.
 MIN_LINKS = 1
@@ -75,6 +75,19 @@
     promotions: _store.Promotions
 
 
+class FrontControl(typing.Protocol):
+    """What a stop needs of the callers' side."""
+
+    def is_noticed(self) -> bool:
+        """Whether the balancer sends no new callers any more."""
+
+    def close_resting(self) -> None:
+        """Takes no more callers, and lets go those without a request."""
+
+    def is_empty(self) -> bool:
+        """Whether no caller is left."""
+
+
 class Proxy:
     """All parts of a node but its fronts."""
 
@@ -342,33 +355,25 @@
 
     # -- the end ---------------------------------------------------------
 
-    def stop(
-        self, close_idle: Callable[[], object], is_done: Callable[[], bool]
-    ) -> "decisions.Future[int]":
-        """Stops in order; the future tells how many sessions were cut.
-
-        Args:
-            close_idle: Closes the front's sessions that have no request.
-            is_done: Whether the front has no session left.
-        """
+    def stop(self, front: "FrontControl") -> "decisions.Future[int]":
+        """Stops in order; the future tells how many sessions were cut."""
         self.stopping = True
         _events.emit(_events.NodeStopping(self.session_count))
-        return decisions.start(self._stop(close_idle, is_done))
+        return decisions.start(self._stop(front))
 
-    def _stop(
-        self, close_idle: Callable[[], object], is_done: Callable[[], bool]
-    ) -> "decisions.Flow[int]":
+    def _stop(self, front: "FrontControl") -> "decisions.Flow[int]":
         loop = self._loop
         begun = loop.now()
         half = self._identity.grace_s / 2
         end = begun + self._identity.grace_s - END_MARGIN_S
-        yield decisions.sleep(loop, min(NOTICED_S, half))
-        while loop.now() < end and not (is_done() and self._is_calm):
-            close_idle()
+        while not front.is_noticed() and loop.now() - begun < half:
+            yield decisions.sleep(loop, STOP_STEP_S)
+        while loop.now() < end and not (front.is_empty() and self._is_calm):
+            front.close_resting()
             if loop.now() - begun >= half:
                 for session in list(self._sessions.values()):
                     session.end_transaction(decisions.TRANSACTION_LOST)
-            yield decisions.sleep(loop, 0.05)
+            yield decisions.sleep(loop, STOP_STEP_S)
         cut = self.session_count
         _events.emit(_events.NodeStopped(cut))
         return cut
