--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -130,6 +130,22 @@
             return float("inf")
         return self._clock.boot_now() - newest.at
 
+    @property
+    def is_bypassed(self) -> bool:
+        """Whether other nodes reach the primary, and this one does not."""
+        limit = self._policy.isolated_s
+        pool = self.leader_pool
+        if pool is not None and pool.troubled_s > limit > pool.silence_s:
+            return True
+        if self.floor_age_s < limit:
+            return False
+        known = self.leader.member if self.leader else self.last_leader
+        return any(
+            p.member.leads and p.troubled_s > limit
+            for n, p in self.pools.items()
+            if n != known
+        )
+
     def is_near(self, pool: _pools.Pool) -> bool:
         """Whether a member is in this node's data centre."""
         return pool.member.data_centre == self._data_centre
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -67,6 +67,7 @@
         self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
+        self._troubled_since: float | None = None
         self.is_replaced = False
         self.on_heard: Callable[[], object] = lambda: None
 
@@ -89,6 +90,13 @@
             return 0.0
         return now - max(min(sent), self.heard)
 
+    @property
+    def troubled_s(self) -> float:
+        """Seconds for which every contact with the member has failed."""
+        if self._troubled_since is None:
+            return 0.0
+        return self._clock.now() - self._troubled_since
+
     @property
     def silence_s(self) -> float:
         """Seconds since this node or a peer heard the member."""
@@ -156,6 +164,7 @@
 
     def discard(self, taken: PooledLink) -> None:
         """Closes a link that must not be used again."""
+        self._note_trouble()
         taken.link.close()
         self.release(taken)
 
@@ -170,6 +179,7 @@
         taken.heard = self.heard = now
         taken.sent_at = None
         self.refused_since = float("inf")
+        self._troubled_since = None
         if elapsed_s:
             self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
         self.on_heard()
@@ -183,6 +193,10 @@
         for _, _, waiter in self._waiters:
             decisions.reject(waiter.fut, _unavailable(self.member.id))
 
+    def _note_trouble(self) -> None:
+        if self._troubled_since is None:
+            self._troubled_since = self._clock.now()
+
     @property
     def _backing_off(self) -> bool:
         return self._clock.now() < self._backoff_until
@@ -255,6 +269,7 @@
 
     def _note_failure(self, exc: BaseException) -> None:
         now = self._clock.now()
+        self._note_trouble()
         self._backoff_until = now + self._policy.connect_backoff_s
         if isinstance(exc, _links.ConnectFailedError):
             self.is_replaced = exc.reason is decisions.WRONG_MEMBER
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -152,7 +152,7 @@
         cfg = self.catalogue.configuration
         if self.stopping or cfg is None or not self._groups:
             return False
-        if self.is_isolated:
+        if self.is_cut_off:
             return False
         return any(g.leader is not None for g in self._groups.values())
 
@@ -163,14 +163,20 @@
             return "stopping"
         if not self.has_configuration:
             return "no configuration yet"
-        return "isolated" if self.is_isolated else "members are known"
+        return "cut off" if self.is_cut_off else "members are known"
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether callers are better off at other nodes."""
+        bypassed = any(g.is_bypassed for g in self._groups.values())
+        return bypassed or self.is_isolated
 
     @property
     def is_isolated(self) -> bool:
-        """Whether callers are better off at other nodes.
+        """Whether this node is on the small side of a partition.
 
         So it is where most peers are silent and most groups have no recent
-        floor: this node is on the small side of a partition.
+        floor.
         """
         limit = self._policy.isolated_s
         if self.mesh.reached_share(limit) >= MOST:
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -338,3 +338,32 @@
         lab.group.set_members(lab.cluster.entries(), 4)
         lab.run(0.6)
     assert lab.cluster.promotions == []
+
+
+@pytest.mark.parametrize(
+    ("dark", "peer_hears", "expected"),
+    [(False, False, False), (True, False, False), (True, True, True)],
+)
+def test_a_node_that_alone_lost_the_primary_is_bypassed(
+    dark, peer_hears, expected
+):
+    """Day scale-1: callers of such a node are better off at another."""
+    lab = fakes.Lab()
+    lab.cluster.members["a"].dark = dark
+    for _ in range(30):
+        lab.run(0.1)
+        if peer_hears:
+            lab.group.pools["a"].reported = lab.clock.now()
+    assert lab.group.is_bypassed is expected
+
+
+def test_a_primary_that_others_chose_and_this_node_cannot_reach():
+    lab = fakes.Lab()
+    for name in "abc":
+        lab.cluster.members[name].dark = True
+    lab.run(2.0)
+    assert not lab.group.is_bypassed
+    lab.cluster.members["b"].role = PRIMARY
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+    lab.run(1.5)
+    assert lab.group.is_bypassed
