--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_explain.py
@@ -0,0 +1,132 @@
+"""`explain`: joins the logs of many nodes into the story of one thing.
+
+Each line holds one JSON object, perhaps after words of a collector. What is
+asked for is a request's id, or a service, for its changes of primary.
+"""
+
+from collections.abc import Iterator
+import json
+import pathlib
+import typing
+
+import attrs
+import click
+
+REQUEST = "RequestDone"
+LEFT_OUT = "LinesLeftOut"
+BEFORE_S = 2.0  # How long before a request its surroundings are shown.
+SURROUNDINGS = frozenset(
+    {
+        "LeaderFound",
+        "LeaderLost",
+        "PrimarySuspected",
+        "PromotionStep",
+        "MemberChanged",
+        "DependencyLost",
+        "DependencyBack",
+        "ConfigurationTaken",
+        "NodeStarted",
+        "NodeStopping",
+        "Ready",
+    }
+)
+OWN_FIELDS = frozenset({"at", "node", "event"})
+
+
+@attrs.frozen(slots=True)
+class Line:
+    """A line of a log.
+
+    Attributes:
+        at: The time of day, in seconds.
+        node: Who wrote it.
+        event: Its type.
+        fields: The rest.
+    """
+
+    at: float
+    node: str
+    event: str
+    fields: dict[str, typing.Any]
+
+    def shown(self, origin: float) -> str:
+        """Returns it for a reader, with the time since `origin`."""
+        words = " ".join(f"{k}={v}" for k, v in self.fields.items())
+        offset = self.at - origin
+        return f"{offset:+9.4f}  {self.node:<28} {self.event:<18} {words}"
+
+
+def parse(text: str) -> Line | None:
+    """Reads a line; None where it holds no event."""
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        raw = json.loads(text[start:])
+        fields = {k: v for k, v in raw.items() if k not in OWN_FIELDS}
+        return Line(float(raw["at"]), raw["node"], raw["event"], fields)
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def read(paths: tuple[str, ...]) -> list[Line]:
+    """Returns all events of the files, in order of time."""
+    lines: list[Line] = []
+    for path in paths:
+        text = pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+        lines += [p for p in map(parse, text.splitlines()) if p is not None]
+    return sorted(lines, key=lambda line: line.at)
+
+
+def story(lines: list[Line], name: str) -> Iterator[str]:
+    """Yields what the lines tell of a request's id or a service."""
+    requests = [
+        x
+        for x in lines
+        if x.event == REQUEST and x.fields.get("request") == name
+    ]
+    if requests:
+        yield from _request_story(lines, requests)
+        return
+    changes = [x for x in lines if x.fields.get("service") == name]
+    if changes:
+        yield from (x.shown(changes[0].at) for x in changes)
+        return
+    yield f"no line names {name}"
+    yield from _missing(lines)
+
+
+def _request_story(lines: list[Line], requests: list[Line]) -> Iterator[str]:
+    origin = requests[0].at
+    first = origin - float(requests[0].fields["elapsed_s"]) - BEFORE_S
+    nodes = {x.node for x in requests}
+    member = requests[0].fields["member"] or requests[0].fields["detail"]
+    for line in lines:
+        if not first <= line.at <= requests[-1].at:
+            continue
+        about = line.node in nodes or member in line.fields.values()
+        if line in requests or (line.event in SURROUNDINGS and about):
+            yield line.shown(origin)
+    yield from _missing([x for x in lines if x.node in nodes])
+
+
+def _missing(lines: list[Line]) -> Iterator[str]:
+    """Says how many lines the nodes left out."""
+    left = [x.fields for x in lines if x.event == LEFT_OUT]
+    if left:
+        kinds = ("requests", "failures", "blocked")
+        sums = {k: sum(f.get(k, 0) for f in left) for k in kinds}
+        words = ", ".join(f"{v} {k}" for k, v in sums.items())
+        yield f"lines left out by these nodes: {words}"
+
+
+@click.command()
+@click.argument("name")
+@click.argument("files", nargs=-1, required=True)
+def explain(name: str, files: tuple[str, ...]) -> None:
+    """Tells the story of a request (by id) or of a service's primary.
+
+    FILES are the nodes' logs, in any order.
+    """
+    for line in story(read(files), name):
+        click.echo(line)
--- a/packages/ctl/src/ferry_ctl/_main.py
+++ b/packages/ctl/src/ferry_ctl/_main.py
@@ -5,6 +5,7 @@
 from ferry_ctl import _bench
 from ferry_ctl import _contracts
 from ferry_ctl import _demo
+from ferry_ctl import _explain
 from ferry_ctl import _standins
 from ferry_ctl import _status
 
@@ -17,6 +18,7 @@
 main.add_command(_contracts.contract)
 main.add_command(_status.status)
 main.add_command(_demo.demo)
+main.add_command(_explain.explain)
 main.add_command(_bench.bench)
 main.add_command(_standins.stand_ins)
 
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -260,6 +260,7 @@
         self._tried: set[str] = set()
         self._running = 0
         self._hedges = 0
+        self._behind = 0
         self.outcome: decisions.Future[_links.Reply] = decisions.Future()
         clock.after(job.route.timeout_s, self._expire)
         self._launch()
@@ -361,6 +362,11 @@
         failure = exc if isinstance(exc, decisions.RequestFailedError) else None
         if failure is not None and failure.reason is decisions.NO_PRIMARY:
             return NO_FLOOR_PAUSE_S
+        if reply is not None and reply.reason is decisions.BEHIND:
+            self._behind += 1
+            if self._behind >= len(self._job.group.pools):
+                self._tried.clear()
+                return NO_FLOOR_PAUSE_S
         untried = self._job.group.pools.keys() - self._tried
         if reply is not None and untried and not self._job.is_primary_only:
             return 0.0
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -13,8 +13,8 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pools
+from ferry_proxy import _questions
 
-STATUS_PRIORITY = 0  # Control links go before all statements in any case.
 ROUND_S = 0.12  # Calm members answer in 5 ms; waiting readers need a floor.
 PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
 
@@ -47,6 +47,7 @@
         self._connector = connector
         self._policy = policy
         self._data_centre = data_centre
+        self._questions = _questions.Questions(clock, policy)
         self._proofs = decisions.SharedRounds(self._prove)
         self._rounds = decisions.SharedRounds(self._round)
         self._changed: decisions.Future[None] = decisions.Future()
@@ -131,20 +132,9 @@
         return self._clock.boot_now() - newest.at
 
     @property
-    def is_bypassed(self) -> bool:
-        """Whether other nodes reach the primary, and this one does not."""
-        limit = self._policy.isolated_s
-        pool = self.leader_pool
-        if pool is not None and pool.troubled_s > limit > pool.silence_s:
-            return True
-        if self.floor_age_s < limit:
-            return False
-        known = self.leader.member if self.leader else self.last_leader
-        return any(
-            p.member.leads and p.troubled_s > limit
-            for n, p in self.pools.items()
-            if n != known
-        )
+    def is_troubled(self) -> bool:
+        """Whether contact with a member failed and has not come back."""
+        return any(p.troubled_s > 0 for p in self.pools.values())
 
     def is_near(self, pool: _pools.Pool) -> bool:
         """Whether a member is in this node's data centre."""
@@ -185,26 +175,7 @@
         Raises:
             decisions.RequestFailedError: The member did not report.
         """
-        policy = self._policy
-        until = self._clock.now() + policy.probe_timeout_s
-        taken = yield pool.acquire(_pools.Use.CONTROL, STATUS_PRIORITY, until)
-        asked_at = self._clock.boot_now()
-        fut = taken.link.run([command])[0]
-        try:
-            reply: _links.Reply = yield decisions.within(
-                self._clock, policy.probe_timeout_s, fut
-            )
-        except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
-            pool.discard(taken)
-            raise decisions.RequestFailedError(
-                decisions.ANSWER_LOST, str(exc)
-            ) from exc
-        pool.note_heard(taken)
-        pool.release(taken)
-        if reply.report is None:
-            reason = reply.reason or decisions.PROTOCOL_VIOLATION
-            raise decisions.RequestFailedError(reason, reply.detail)
-        report = attrs.evolve(reply.report, asked_at=asked_at)
+        report = yield from self._questions.ask(pool, command)
         self._last_report[pool.member.id] = report
         return report
 
@@ -248,7 +219,7 @@
         asked = [leader] if leader in pools else []
         self._turn += 1
         late = self._clock.now() - self._policy.idle_probe_s
-        unheard = [p for p in others if p.heard < late]
+        unheard = [p for p in others if p.heard < late or p.troubled_s > 0]
         if responsive:
             asked.append(responsive[self._turn % len(responsive)])
         return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -18,6 +18,7 @@
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _promotions
+from ferry_proxy import _reach
 from ferry_proxy import _registrar
 from ferry_proxy import _sessions
 from ferry_proxy import _store
@@ -28,7 +29,6 @@
 SWEEP_S = 0.25  # How often idle transactions are looked for.
 STOP_STEP_S = 0.05
 DEAD_NODE_S = 30.0  # A node that no peer reaches for so long is forgotten.
-MOST = 0.5  # Of the peers, or of the groups.
 MIN_LINKS = 1
 SPARE_NODES = 1  # One more node may come while a leaving one still runs.
 END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
@@ -118,6 +118,7 @@
             loop, self._own, self._answer_peer, lambda: self.catalogue.newest
         )
         self._surveys = _surveys.Surveys(loop, identity.name, self.mesh)
+        self.reach = _reach.Reach(loop, policy, self.mesh, self._groups)
         self.catalogue.on_change.append(self._apply)
         self._registrar = _registrar.Registrar(
             loop, self._own, platform.store, self.catalogue, self.mesh
@@ -152,7 +153,7 @@
         cfg = self.catalogue.configuration
         if self.stopping or cfg is None or not self._groups:
             return False
-        if self.is_cut_off:
+        if self.reach.is_cut_off:
             return False
         return any(g.leader is not None for g in self._groups.values())
 
@@ -163,26 +164,7 @@
             return "stopping"
         if not self.has_configuration:
             return "no configuration yet"
-        return "cut off" if self.is_cut_off else "members are known"
-
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether callers are better off at other nodes."""
-        bypassed = any(g.is_bypassed for g in self._groups.values())
-        return bypassed or self.is_isolated
-
-    @property
-    def is_isolated(self) -> bool:
-        """Whether this node is on the small side of a partition.
-
-        So it is where most peers are silent and most groups have no recent
-        floor.
-        """
-        limit = self._policy.isolated_s
-        if self.mesh.reached_share(limit) >= MOST:
-            return False
-        stale = sum(g.floor_age_s > limit for g in self._groups.values())
-        return stale >= MOST * len(self._groups)
+        return "cut off" if self.reach.is_cut_off else "members are known"
 
     @property
     def has_configuration(self) -> bool:
@@ -303,6 +285,7 @@
             self._surveys.survey(group)
 
     def _check_primaries(self) -> None:
+        self.reach.judge()
         for promoter in self._promoters.values():
             promoter.check()
 
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_questions.py
@@ -0,0 +1,49 @@
+"""Questions to members: control commands that are answered by a report."""
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _policy
+from ferry_proxy import _pools
+
+STATUS_PRIORITY = 0  # Control links go before all statements in any case.
+
+
+class Questions:
+    """Asks members over links of their pools."""
+
+    def __init__(self, clock: _clocks.Clock, policy: _policy.Policy) -> None:
+        self._clock = clock
+        self._policy = policy
+
+    def ask(
+        self, pool: _pools.Pool, command: _links.Command
+    ) -> "decisions.Flow[_members.Report]":
+        """Sends a control command to a member and returns its report.
+
+        Raises:
+            decisions.RequestFailedError: The member did not report.
+        """
+        policy = self._policy
+        until = self._clock.now() + policy.probe_timeout_s
+        taken = yield pool.acquire(_pools.Use.CONTROL, STATUS_PRIORITY, until)
+        asked_at = self._clock.boot_now()
+        fut = taken.link.run([command])[0]
+        try:
+            reply: _links.Reply = yield decisions.within(
+                self._clock, policy.probe_timeout_s, fut
+            )
+        except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
+            pool.discard(taken)
+            raise decisions.RequestFailedError(
+                decisions.ANSWER_LOST, str(exc)
+            ) from exc
+        pool.note_heard(taken)
+        pool.release(taken)
+        if reply.report is None:
+            reason = reply.reason or decisions.PROTOCOL_VIOLATION
+            raise decisions.RequestFailedError(reason, reply.detail)
+        return attrs.evolve(reply.report, asked_at=asked_at)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_reach.py
@@ -0,0 +1,97 @@
+"""Whether a node's callers are better off at other nodes.
+
+Answers partitions: a node on the small side of one serves less than the others
+do, and the balancer sends callers elsewhere once it says so. A node must not
+say so for a trouble that all nodes share, such as a crashed primary, so each
+sign here also shows that others fare better.
+"""
+
+from ferry_proxy import _clocks
+from ferry_proxy import _groups
+from ferry_proxy import _peers
+from ferry_proxy import _policy
+
+MOST = 0.5  # Of the peers, or of the groups.
+CUT_OFF_S = 1.5  # Longer than a link takes to be opened and lost again.
+
+
+def is_bypassed(group: _groups.Group, limit_s: float) -> bool:
+    """Whether other nodes reach the primary, and this one does not.
+
+    Args:
+        group: The group.
+        limit_s: For how long, in seconds.
+    """
+    pool = group.leader_pool
+    if pool is not None and pool.troubled_s > limit_s > pool.silence_s:
+        return True
+    if group.floor_age_s < limit_s:
+        return False
+    known = group.leader.member if group.leader else group.last_leader
+    return any(
+        p.member.leads and p.troubled_s > limit_s
+        for n, p in group.pools.items()
+        if n != known
+    )
+
+
+def is_severed(group: _groups.Group, limit_s: float) -> bool:
+    """Whether this node reaches the primary, but none of its replicas.
+
+    Where peers are out of reach too, the replicas are with them, and they have
+    chosen another primary or will.
+
+    Args:
+        group: The group.
+        limit_s: For how long, in seconds.
+    """
+    leader = group.leader_pool
+    if leader is None or leader.troubled_s > 0:
+        return False
+    others = [p for p in group.pools.values() if p is not leader]
+    lost = all(p.troubled_s > limit_s for p in others)
+    return bool(others) and lost and group.floor_age_s > limit_s
+
+
+class Reach:
+    """The judgement of one node on what it reaches."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        policy: _policy.Policy,
+        mesh: _peers.Mesh,
+        groups: dict[str, _groups.Group],
+    ) -> None:
+        self._clock = clock
+        self._limit_s = policy.isolated_s
+        self._mesh = mesh
+        self._groups = groups
+        self._cut_off_until = float("-inf")
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether callers are better off at other nodes."""
+        return self._clock.now() < self._cut_off_until
+
+    def judge(self) -> None:
+        """Weighs the signs, a few times a second.
+
+        Once a node is cut off, it stays so for a while or until every group
+        has a fresh floor: what shows the trouble comes and goes as links do.
+        """
+        if self._shows_signs():
+            self._cut_off_until = self._clock.now() + CUT_OFF_S
+        elif all(g.floor_age_s < self._limit_s for g in self._groups.values()):
+            self._cut_off_until = float("-inf")
+
+    def _shows_signs(self) -> bool:
+        groups = self._groups.values()
+        limit = self._limit_s
+        if any(is_bypassed(g, limit) for g in groups):
+            return True
+        reached = self._mesh.reached_share(limit)
+        if reached < 1.0 and any(is_severed(g, limit) for g in groups):
+            return True
+        stale = sum(g.floor_age_s > limit for g in groups)
+        return reached < MOST and stale >= MOST * len(self._groups)
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -31,8 +31,10 @@
     def survey(self, group: _groups.Group) -> None:
         """Brings a group's floor up to date, by a round or by a peer."""
         stream = self._surveyor(group)
-        if stream is None:
+        if stream is None or group.is_troubled:
+            # Only this node's own question can end its own trouble.
             group.refresh()
+        if stream is None:
             return
         asked_at = self._clock.boot_now()
         question = _peer_messages.SurveyRequest(group.service.name)
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -196,6 +196,7 @@
             member.busy -= 1
             return self._error(decisions.MEMBER_BUSY)
         if self._behind(command.floor):
+            member.cluster.refused_behind += 1
             return self._error(decisions.BEHIND)
         writes = statement.kind is _statements.Kind.WRITE
         if statement.kind is _statements.Kind.EXECUTE:
@@ -239,6 +240,7 @@
         self.seen_floors: dict[str, decisions.Position | None] = {}
         self.promotions: list[tuple[str, int]] = []
         self.lost: list[str] = []
+        self.refused_behind = 0
         roles = [_members.Role.PRIMARY, *[_members.Role.REPLICA] * 2]
         self.members = {
             name: FakeMember(name, self, role)
@@ -438,9 +440,10 @@
             self.clock, self.store, LAYOUT, self.policy
         )
         self.promoters: list[_promotions.Promoter] = []
-        decisions.PeriodicTimer(
+        probes = decisions.PeriodicTimer(
             self.clock, self.policy.probe_s, self.group.refresh, first=0.0
         )
+        self.stop_probing = probes.stop
         self.run(0.1)
 
     def add_promoter(self, node: str = "n1") -> _promotions.Promoter:
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -8,7 +8,10 @@
 from ferry_proxy import _fencing
 from ferry_proxy import _freshness
 from ferry_proxy import _members
+from ferry_proxy import _peer_messages
 from ferry_proxy import _policy
+from ferry_proxy import _reach
+from ferry_proxy import _surveys
 from ferry_proxy.tests import fakes
 
 POLICY = _policy.Policy()
@@ -354,7 +357,7 @@
         lab.run(0.1)
         if peer_hears:
             lab.group.pools["a"].reported = lab.clock.now()
-    assert lab.group.is_bypassed is expected
+    assert _reach.is_bypassed(lab.group, POLICY.isolated_s) is expected
 
 
 def test_a_primary_that_others_chose_and_this_node_cannot_reach():
@@ -362,8 +365,55 @@
     for name in "abc":
         lab.cluster.members[name].dark = True
     lab.run(2.0)
-    assert not lab.group.is_bypassed
+    assert not _reach.is_bypassed(lab.group, POLICY.isolated_s)
     lab.cluster.members["b"].role = PRIMARY
     lab.group.set_members(lab.cluster.entries(), lab.limit)
     lab.run(1.5)
-    assert lab.group.is_bypassed
+    assert _reach.is_bypassed(lab.group, POLICY.isolated_s)
+
+
+@pytest.mark.parametrize(
+    ("dark", "expected"),
+    [("", False), ("b", False), ("a", False), ("bc", True)],
+)
+def test_a_node_with_the_primary_but_no_replica_is_severed(dark, expected):
+    """Incident inc-1442: half of the nodes were cut off with the primary."""
+    lab = fakes.Lab()
+    for name in dark:
+        lab.cluster.members[name].dark = True
+    lab.run(3.0)
+    assert _reach.is_severed(lab.group, POLICY.isolated_s) is expected
+
+
+def test_a_node_asks_itself_until_its_trouble_is_over():
+    """Day scale-1: a node stayed unready for 30 s after the cut had healed."""
+    lab = fakes.Lab()
+    lab.cluster.members["a"].dark = True
+    lab.run(2.0)
+    assert lab.group.is_troubled
+    lab.cluster.members["a"].dark = False
+    lab.stop_probing()
+    surveys = _surveys.Surveys(lab.clock, "n1", FakePeer(lab))
+    for _ in range(3):
+        surveys.survey(lab.group)
+        lab.run(POLICY.probe_s)
+    assert not lab.group.is_troubled
+
+
+class FakePeer:
+    """A mesh with one peer, which always asks in this node's place."""
+
+    def __init__(self, lab):
+        self.peer = ""
+        self.streams = [self]
+        self.clock = lab.clock
+        score = decisions.rendezvous_score("orders", "n1")
+        names = (f"n{number}" for number in range(2, 1000))
+        self.peer = next(
+            n for n in names if decisions.rendezvous_score("orders", n) < score
+        )
+
+    def call(self, _):
+        return decisions.completed(
+            _peer_messages.SurveyReply("a", 1, 1, 0, 0.0, 0.0)
+        )
