--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -53,6 +53,9 @@
         while True:
             reply = yield from self._write_once(job)
             if reply is not None:
+                if reply.reason is None:
+                    yield from self.confirm(job)
+                    return reply
                 if not reply.not_run or not self._retry_in_time(job, reply):
                     return reply
                 if reply.reason is decisions.NOT_PRIMARY:
@@ -80,6 +83,28 @@
                 raise
             return None
 
+    def confirm(self, job: _jobs.Job) -> "decisions.Flow[None]":
+        """Makes sure that an acknowledged commit is of a term that goes on.
+
+        A replica that joins a primary after the others were paused would let
+        it acknowledge what its successor lacks. So a commit that took long,
+        or that comes while no floor is fresh, counts only with a proof.
+
+        Raises:
+            decisions.RequestFailedError: Whether it is kept is unknown.
+        """
+        group = job.group
+        took_s = self._clock.now() - job.handed_at
+        fresh = group.floor_age_s < self._policy.suspect_s
+        if fresh and took_s < self._policy.doubt_s:
+            return
+        try:
+            yield group.prove()
+        except decisions.RequestFailedError as exc:
+            raise decisions.RequestFailedError(
+                decisions.NOT_CONFIRMED, exc.detail
+            ) from exc
+
     def primary(self, job: _jobs.Job) -> "decisions.Flow[_pools.Pool]":
         """Waits for a primary that may be reached.
 
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -153,6 +153,9 @@
     def _pause_vanished(self, old: str, term: int) -> "decisions.Flow[int]":
         """Pauses members that are not listed any more but may still live.
 
+        One that was leaving goes on for a while after it is unlisted; once it
+        is silent, it has left.
+
         Returns:
             How many of them could neither be paused nor shown to be gone.
         """
@@ -167,7 +170,8 @@
             yield decisions.settled(paused)
             is_gone = pool.is_refused
             pool.close()
-            if not reports and not is_gone:
+            has_left = is_gone or vanished.member.draining
+            if not reports and not has_left:
                 unsure += 1
         return unsure
 
--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -18,9 +18,17 @@
 from ferry_proxy import _members
 
 
-def proof_size(sync_replicas: int) -> int:
-    """Returns how many unpaused replicas prove that a term goes on."""
-    return max(1, sync_replicas)
+def proof_size(replicas: int, sync_replicas: int) -> int:
+    """Returns how many unpaused replicas prove that a term goes on.
+
+    All but one: a replica that joined a cut-off primary after the fence was
+    raised is not paused, and must not prove anything by itself.
+
+    Args:
+        replicas: How many the group has, without the primary.
+        sync_replicas: How many must receive a commit.
+    """
+    return max(1, sync_replicas, replicas - 1)
 
 
 def fence_size(replicas: int, sync_replicas: int) -> int:
@@ -30,7 +38,7 @@
         replicas: How many the group has, without the primary.
         sync_replicas: How many must receive a commit.
     """
-    return max(1, replicas - proof_size(sync_replicas) + 1)
+    return max(1, replicas - max(1, sync_replicas) + 1)
 
 
 @attrs.frozen(slots=True)
@@ -44,6 +52,7 @@
 def sample_of(
     leader: _members.Leader,
     reports: dict[str, _members.Report],
+    replicas: int,
     sync_replicas: int,
 ) -> Sample | None:
     """Returns what one round of reports proves; None where they do not.
@@ -54,6 +63,7 @@
     Args:
         leader: Who is believed to lead.
         reports: The answers of the round, by member.
+        replicas: How many the group has, without the primary.
         sync_replicas: How many must receive a commit.
     """
     own = reports.get(leader.member)
@@ -64,7 +74,7 @@
         for name, r in reports.items()
         if name != leader.member and r.follows(leader.term)
     ]
-    if len(following) < proof_size(sync_replicas):
+    if len(following) < proof_size(replicas, sync_replicas):
         return None
     return Sample(min(r.asked_at for r in [own, *following]), own.received)
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(slots=True)
 class Vanished:
-    """A member that is listed no more and had not said that it leaves.
+    """A member that is listed no more, and may live on all the same.
 
     Attributes:
         member: Its last entry.
@@ -104,8 +104,7 @@
         pool = self.pools.pop(name)
         pool.close()
         self._last_report.pop(name, None)
-        if not pool.member.draining:
-            self.vanished[name] = Vanished(pool.member, self._clock.now())
+        self.vanished[name] = Vanished(pool.member, self._clock.now())
         if self.leader is not None and self.leader.member == name:
             self._lose_leader()
 
@@ -118,6 +117,11 @@
         """The links to the primary, if one is known."""
         return self.pools.get(self.leader.member) if self.leader else None
 
+    @property
+    def replicas(self) -> int:
+        """How many members are listed besides the primary."""
+        return max(0, len(self.pools) - 1)
+
     @property
     def is_changing(self) -> bool:
         """Whether a change of primary is believed to be under way."""
@@ -220,8 +224,12 @@
         self._turn += 1
         late = self._clock.now() - self._policy.idle_probe_s
         unheard = [p for p in others if p.heard < late or p.troubled_s > 0]
-        if responsive:
-            asked.append(responsive[self._turn % len(responsive)])
+        wanted = _freshness.proof_size(
+            self.replicas, self.service.sync_replicas
+        )
+        for number in range(min(wanted, len(responsive))):
+            turn = (self._turn + number) % len(responsive)
+            asked.append(responsive[turn])
         return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
 
     def _ask_twice(
@@ -278,7 +286,7 @@
         if self.leader is None:
             return None
         return _freshness.sample_of(
-            self.leader, reports, self.service.sync_replicas
+            self.leader, reports, self.replicas, self.service.sync_replicas
         )
 
     def _find_leader(self, reports: dict[str, _members.Report]) -> None:
@@ -322,7 +330,9 @@
         leader = self.leader
         if leader is None:
             raise decisions.RequestFailedError(decisions.NO_PRIMARY)
-        wanted = _freshness.proof_size(self.service.sync_replicas)
+        wanted = _freshness.proof_size(
+            self.replicas, self.service.sync_replicas
+        )
         proofs: list[_members.Report] = []
         done: decisions.Future[None] = decisions.Future()
         replicas = self._proof_order(leader)
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -26,6 +26,7 @@
         member: The member that it was last handed to.
         attempts: How often it was handed to a member.
         offered_at: When it was first handed to a member.
+        handed_at: When it was last handed to a member.
     """
 
     statement: _statements.Statement
@@ -39,6 +40,7 @@
     member: str = ""
     attempts: int = 0
     offered_at: float = 0.0
+    handed_at: float = 0.0
 
     @property
     def deadline(self) -> float:
@@ -73,6 +75,7 @@
         """Takes in that it goes to a member now."""
         self.member = member
         self.attempts += 1
+        self.handed_at = now
         if not self.offered_at:
             self.offered_at = now
 
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -32,6 +32,8 @@
             costs 12 ms and a network trip 3 ms.
         suspect_s: Silence after which a primary is suspected: two probes.
         opinion_s: A peer that heard the primary within this speaks for it.
+        doubt_s: A commit that took longer is proved before it counts; twice
+            what slow members take in calm.
         stall_s: How long no replica may receive a primary's newest commit.
         claim_valid_s: How long a claim may be acted upon by its holder.
         claim_takeover_s: When others may take a claim over; longer than
@@ -62,6 +64,7 @@
     connect_timeout_s: float = attrs.field(default=0.4, validator=_positive)
     suspect_s: float = attrs.field(default=0.8, validator=_positive)
     opinion_s: float = attrs.field(default=0.6, validator=_positive)
+    doubt_s: float = attrs.field(default=0.25, validator=_positive)
     stall_s: float = attrs.field(default=0.8, validator=_positive)
     claim_valid_s: float = attrs.field(default=1.5, validator=_positive)
     claim_takeover_s: float = attrs.field(default=2.7, validator=_positive)
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -63,6 +63,8 @@
             self.fail(reply.reason)
         elif job.statement.kind is _statements.Kind.COMMIT:
             self._end(reply)
+            if self._wrote:
+                yield from self._executor.confirm(job)
         return reply
 
     def fail(self, reason: decisions.Reason) -> None:
