--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -88,7 +88,8 @@
 
         A replica that joins a primary after the others were paused would let
         it acknowledge what its successor lacks. So a commit that took long,
-        or that comes while no floor is fresh, counts only with a proof.
+        or that comes while no floor is fresh or members come and go, counts
+        only with a proof.
 
         Raises:
             decisions.RequestFailedError: Whether it is kept is unknown.
@@ -96,7 +97,7 @@
         group = job.group
         took_s = self._clock.now() - job.handed_at
         fresh = group.floor_age_s < self._policy.suspect_s
-        if fresh and took_s < self._policy.doubt_s:
+        if fresh and not group.is_in_flux and took_s < self._policy.doubt_s:
             return
         try:
             yield group.prove()
@@ -173,13 +174,18 @@
     def _choose(
         self, group: _groups.Group, tried: set[str]
     ) -> _pools.Pool | None:
+        """Returns the links to the best member; never to one that leaves.
+
+        Unless all leave: a request must not reach one that has long been
+        leaving, however many others were tried before.
+        """
+        listed = group.pools.values()
+        staying = [p for p in listed if not p.member.draining]
         pools = [
             p
-            for n, p in group.pools.items()
-            if n not in tried and not p.is_unreachable
+            for p in staying or listed
+            if p.member.id not in tried and not p.is_unreachable
         ]
-        staying = [p for p in pools if not p.member.draining]
-        pools = staying or pools
         leader = group.leader.member if group.leader else ""
         found = _routing.best(
             [self._candidate(group, p, leader) for p in pools]
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _questions
 
 ROUND_S = 0.12  # Calm members answer in 5 ms; waiting readers need a floor.
+FLUX_S = 10.0  # Members are replaced one after the other, seconds apart.
 PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
 
 
@@ -64,6 +65,7 @@
         self._asking: set[str] = set()
         self._turn = 0
         self.change_until = float("-inf")
+        self.joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_leader: list[Callable[[_members.Leader], object]] = []
 
@@ -78,8 +80,11 @@
             members: All members, by id.
             limit: How many links to each this node may open.
         """
+        now = self._clock.now()
         if self.pools.keys() != members.keys():
-            self.changed_at = self._clock.now()
+            self.changed_at = now
+        if self.pools and members.keys() - self.pools.keys():
+            self.joined_at = now
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -122,6 +127,13 @@
         """How many members are listed besides the primary."""
         return max(0, len(self.pools) - 1)
 
+    @property
+    def is_in_flux(self) -> bool:
+        """Whether members come and go; more may have come than are listed."""
+        if any(p.member.draining for p in self.pools.values()):
+            return True
+        return self._clock.now() - self.joined_at < FLUX_S
+
     @property
     def is_changing(self) -> bool:
         """Whether a change of primary is believed to be under way."""
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -480,3 +480,18 @@
     assert bool(lab.cluster.promotions) is expected
     if state == "alive":
         assert gone.paused_term == 2 or gone.term == 2
+
+
+def test_commits_are_proved_while_members_are_replaced():
+    """Day rough-48: the second replacement joined behind a partition."""
+    lab = fakes.Lab()
+    lab.cluster.members["b"].draining = True
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+    assert lab.group.is_in_flux
+    write(lab, "calm")
+    for name in "bc":
+        lab.cluster.members[name].paused_term = 2
+    joined = fakes.FakeMember("d", lab.cluster, REPLICA)
+    joined.log = list(lab.cluster.members["a"].log)
+    lab.cluster.members["d"] = joined
+    assert write(lab, "w").reason is decisions.NOT_CONFIRMED
--- a/packages/proxy/src/ferry_proxy/tests/test_sessions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_sessions.py
@@ -250,3 +250,15 @@
     answer = lab.do(lab.session(), fakes.statement("READ x", "late"))
     assert answer.reason is decisions.BEHIND
     assert lab.cluster.refused_behind <= 12
+
+
+def test_a_silent_read_is_not_asked_at_a_member_that_leaves():
+    """Day rough-42: a hedge went to a member that had left 7.8 s before."""
+    lab = fakes.Lab(CONSISTENCY.BOUNDED)
+    leaving = lab.cluster.members["c"]
+    leaving.draining = True
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+    for name in "ab":
+        lab.cluster.members[name].lose_answers = 2
+    lab.do(lab.session(), fakes.statement("READ x"))
+    assert leaving.runs == []
