--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
@@ -20,19 +19,6 @@
 PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
 
 
-@attrs.frozen(slots=True)
-class Vanished:
-    """A member that is listed no more, and may live on all the same.
-
-    Attributes:
-        member: Its last entry.
-        at: When it went, in the clock's seconds.
-    """
-
-    member: _members.Member
-    at: float
-
-
 class Group:
     """The members of one service, and what is known of them."""
 
@@ -61,7 +47,7 @@
         self.last_leader = ""
         self.round_at = float("-inf")
         self.leaderless_since = self.changed_at = clock.now()
-        self.vanished: dict[str, Vanished] = {}
+        self.vanished: dict[str, _members.Vanished] = {}
         self._asking: set[str] = set()
         self._turn = 0
         self.change_until = float("-inf")
@@ -109,7 +95,7 @@
         pool = self.pools.pop(name)
         pool.close()
         self._last_report.pop(name, None)
-        self.vanished[name] = Vanished(pool.member, self._clock.now())
+        self.vanished[name] = _members.Vanished(pool.member, self._clock.now())
         if self.leader is not None and self.leader.member == name:
             self._lose_leader()
 
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -74,3 +74,16 @@
 
     member: str
     term: int
+
+
+@attrs.frozen(slots=True)
+class Vanished:
+    """A member that is listed no more, and may live on all the same.
+
+    Attributes:
+        member: Its last entry.
+        at: When it went, in the clock's seconds.
+    """
+
+    member: Member
+    at: float
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_read_races.py
@@ -0,0 +1,160 @@
+"""Reads outside of transactions: asked at one member, at others if silent.
+
+Answers lost answers, silent links and slow members: a read may run at several
+members, so it is asked again where a member says nothing for a while.
+"""
+
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _execution
+from ferry_proxy import _jobs
+from ferry_proxy import _links
+from ferry_proxy import _policy
+from ferry_proxy import _pooled_links
+from ferry_proxy import _pools
+
+MAX_HEDGES = 2  # Further members that a read is asked at while one is silent.
+SILENT_LINK_S = 2.0  # A link without an answer for so long is closed.
+
+
+class ReadRace:
+    """A read asked at one member, and at others when that one is silent."""
+
+    def __init__(
+        self,
+        executor: _execution.Executor,
+        clock: _clocks.Clock,
+        policy: _policy.Policy,
+        job: _jobs.Job,
+    ) -> None:
+        self._executor = executor
+        self._clock = clock
+        self._policy = policy
+        self._job = job
+        self._tried: set[str] = set()
+        self._running = 0
+        self._hedges = 0
+        self._behind = 0
+        self.outcome: decisions.Future[_links.Reply] = decisions.Future()
+        clock.after(job.route.timeout_s, self._expire)
+        self._launch()
+
+    def _launch(self) -> None:
+        self._running += 1
+        fut = decisions.start(self._attempt())
+        fut.add_done_callback(self._take)
+
+    def _attempt(self) -> "decisions.Flow[_links.Reply]":
+        job = self._job
+        target = yield from self._executor.target(job, self._tried)
+        pool = target.pool
+        self._tried.add(pool.member.id)
+        taken = yield pool.acquire(
+            _pools.Use.STATEMENT,
+            job.route.priority,
+            job.hold_until(self._policy),
+            job.values,
+        )
+        if self.outcome.done():
+            pool.release(taken)
+            raise decisions.RequestFailedError(decisions.CANCELED)
+        hedge_s = job.route.target_s * self._policy.hedge_share
+        self._clock.after(hedge_s, self._hedge)
+        begun = self._clock.now()
+        fut = self._executor.send(job, pool, taken, target.floor)
+        self._close_if_silent(pool, taken, fut)
+        try:
+            reply: _links.Reply = yield fut
+        except _links.LinkLostError as exc:
+            pool.discard(taken)
+            raise decisions.RequestFailedError(
+                decisions.READ_CUT, str(exc)
+            ) from exc
+        pool.note_heard(taken, self._clock.now() - begun)
+        self._executor.give_back(pool, taken, reply)
+        return reply
+
+    def _close_if_silent(
+        self,
+        pool: _pools.Pool,
+        taken: _pooled_links.PooledLink,
+        fut: "decisions.Future[_links.Reply]",
+    ) -> None:
+        def check() -> None:
+            if not fut.done():
+                pool.discard(taken)
+
+        limit = max(SILENT_LINK_S, self._job.route.timeout_s)
+        timer = self._clock.after(limit, check)
+        fut.add_done_callback(lambda _: timer.cancel())
+
+    def _hedge(self) -> None:
+        """Asks one more member while the others are silent."""
+        if self.outcome.done() or not self._running:
+            return
+        if self._hedges < MAX_HEDGES:
+            self._hedges += 1
+            self._launch()
+
+    def _take(self, fut: "decisions.Future[_links.Reply]") -> None:
+        self._running -= 1
+        if self.outcome.done():
+            return
+        exc = fut.exception()
+        if exc is not None and not isinstance(
+            exc, decisions.RequestFailedError
+        ):
+            decisions.reject(self.outcome, exc)
+            return
+        reply = None if exc is not None else fut.result()
+        if reply is not None and reply.reason is None:
+            decisions.resolve(self.outcome, reply)
+        elif self._running:
+            return  # Another member may still answer.
+        elif self._may_retry(reply):
+            self._clock.after(self._pause(reply, exc), self._relaunch)
+        elif reply is not None:
+            decisions.resolve(self.outcome, reply)
+        else:
+            assert exc is not None
+            decisions.reject(self.outcome, exc)
+
+    def _may_retry(self, reply: _links.Reply | None) -> bool:
+        job = self._job
+        now = self._clock.now()
+        if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
+            return False
+        if job.offered_at:
+            limit = min(job.route.target_s, job.route.timeout_s)
+            return now < max(job.arrived + limit, job.hold_until(self._policy))
+        return now < job.hold_until(self._policy)
+
+    def _pause(
+        self, reply: _links.Reply | None, exc: BaseException | None
+    ) -> float:
+        """Returns how long to wait: not at all while members are untried."""
+        failure = exc if isinstance(exc, decisions.RequestFailedError) else None
+        if failure is not None and failure.reason is decisions.NO_PRIMARY:
+            return _execution.NO_FLOOR_PAUSE_S
+        if reply is not None and reply.reason is decisions.BEHIND:
+            self._behind += 1
+            if self._behind >= len(self._job.group.pools):
+                self._tried.clear()
+                return _execution.NO_FLOOR_PAUSE_S
+        untried = self._job.group.pools.keys() - self._tried
+        if reply is not None and untried and not self._job.is_primary_only:
+            return 0.0
+        self._tried.clear()
+        return _execution.RETRY_PAUSE_S
+
+    def _relaunch(self) -> None:
+        if not self.outcome.done():
+            self._launch()
+
+    def _expire(self) -> None:
+        reason = decisions.OVERLOADED
+        decisions.reject(
+            self.outcome,
+            decisions.RequestFailedError(reason, "no answer in time"),
+        )
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -19,6 +19,7 @@
 from ferry_proxy import _links
 from ferry_proxy import _metrics
 from ferry_proxy import _policy
+from ferry_proxy import _read_races
 from ferry_proxy import _statements
 from ferry_proxy import _transactions
 
@@ -254,7 +255,9 @@
             return (yield from transaction.run(job))
         if self._writes(job):
             return (yield from self._ctx.executor.write(job))
-        reply: _links.Reply = yield self._ctx.executor.read(job)
+        ctx = self._ctx
+        race = _read_races.ReadRace(ctx.executor, ctx.clock, ctx.policy, job)
+        reply: _links.Reply = yield race.outcome
         return reply
 
     def _writes(self, job: _jobs.Job) -> bool:
