--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -108,7 +108,8 @@
         """
         while True:
             pool = job.group.leader_pool
-            if pool is not None and not pool.is_unreachable:
+            usable = pool is not None and pool.may_take_work
+            if pool is not None and usable and not pool.is_unreachable:
                 return pool
             left = job.hold_until(self._policy) - self._clock.now()
             if left <= 0:
@@ -178,7 +179,9 @@
         pools = [
             p
             for p in staying or listed
-            if p.member.id not in tried and not p.is_unreachable
+            if p.member.id not in tried
+            and p.may_take_work
+            and not p.is_unreachable
         ]
         leader = group.leader.member if group.leader else ""
         found = _routing.best(
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -82,7 +82,7 @@
             if pool is None:
                 self.pools[name] = self.open_pool(member, limit)
             else:
-                pool.member = member
+                pool.note_entry(member)
                 pool.limit = limit
 
     def open_pool(self, member: _members.Member, limit: int = 1) -> _pools.Pool:
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -68,8 +68,10 @@
         self.refused_since = float("inf")
         self.latency_s = 0.0
         self._troubled_since: float | None = None
+        self._drains_since: float | None = None
         self.is_replaced = False
         self.on_heard: Callable[[], object] = lambda: None
+        self.note_entry(member)
 
     @property
     def in_flight(self) -> int:
@@ -90,6 +92,20 @@
             return 0.0
         return now - max(min(sent), self.heard)
 
+    def note_entry(self, member: _members.Member) -> None:
+        """Takes in how the member is listed now."""
+        self.member = member
+        if not member.draining:
+            self._drains_since = None
+        elif self._drains_since is None:
+            self._drains_since = self._clock.now()
+
+    @property
+    def may_take_work(self) -> bool:
+        """Whether it may get new statements, or has long been leaving."""
+        since = self._drains_since
+        return since is None or self._clock.now() - since < DRAIN_S
+
     @property
     def troubled_s(self) -> float:
         """Seconds for which every contact with the member has failed."""
@@ -285,6 +301,7 @@
             decisions.reject(waiter.fut, _unavailable(self.member.id))
 
 
+DRAIN_S = 6.0  # A second less than the shortest drain that sites set (7 s).
 LATENCY_WEIGHT = 0.2  # Of the newest sample in a moving mean; about 5 samples.
 
 
--- a/packages/proxy/src/ferry_proxy/_routing.py
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -8,7 +8,7 @@
 import attrs
 
 FAR_FACTOR = 1.5  # A far member costs a network trip of 2 ms and its bytes.
-PRIMARY_FACTOR = 3.0  # The primary keeps its slots for what only it can run.
+PRIMARY_FACTOR = 20.0  # Replicas take every read that they may, unless slow.
 UNRESPONSIVE_FACTOR = 1000.0  # Only where nobody else is left.
 FLOOR_LATENCY_S = 0.005  # Below this, differences of latency are noise.
 
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_routing.py
@@ -0,0 +1,43 @@
+"""Which member gets a read."""
+
+import attrs
+import pytest
+
+from ferry_proxy import _routing
+
+PRIMARY = _routing.Candidate("p", True, True, True, 0, 5, 0.02)
+NEAR = _routing.Candidate("near", False, True, True, 0, 5, 0.02)
+FAR = _routing.Candidate("far", False, False, True, 0, 5, 0.02)
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, "near"),
+        ({"near": {"in_flight": 2}}, "far"),
+        ({"near": {"latency_s": 0.1}}, "far"),
+        ({"near": {"is_responsive": False}}, "far"),
+        ({"near": {"in_flight": 9}, "far": {"in_flight": 9}}, "near"),
+        (
+            {
+                "near": {"is_responsive": False},
+                "far": {"is_responsive": False},
+            },
+            "p",
+        ),
+        ({"near": {"latency_s": 1.0}, "far": {"latency_s": 1.0}}, "p"),
+        ({"near": {"latency_s": 0.001}, "far": {"latency_s": 0.004}}, "near"),
+    ],
+)
+def test_best(changes, expected):
+    candidates = [
+        attrs.evolve(c, **changes.get(c.member, {}))
+        for c in (PRIMARY, NEAR, FAR)
+    ]
+    found = _routing.best(candidates)
+    assert found is not None
+    assert found.member == expected
+
+
+def test_nobody():
+    assert _routing.best([]) is None
--- a/packages/proxy/src/ferry_proxy/tests/test_sessions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_sessions.py
@@ -262,3 +262,13 @@
         lab.cluster.members[name].lose_answers = 2
     lab.do(lab.session(), fakes.statement("READ x"))
     assert leaving.runs == []
+
+
+@pytest.mark.parametrize(("text"), ["WRITE x 1", "READ x"])
+def test_a_primary_that_has_long_been_leaving_gets_nothing_new(text):
+    lab = fakes.Lab(CONSISTENCY.PRIMARY)
+    lab.cluster.members["a"].draining = True
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+    assert reasons(lab, lab.session(), text) == [""]
+    lab.run(7.0)
+    assert reasons(lab, lab.session(), text) == ["no_primary"]
