--- a/packages/standins/src/ferry_standins/_fleet.py
+++ b/packages/standins/src/ferry_standins/_fleet.py
@@ -22,6 +22,8 @@
 
 ADMIN_TOKEN = "demo-token"  # noqa: S105 - of a stand-in on loopback
 
+KILL_WAIT_S = 10.0  # Bounds a run that hangs.
+
 
 @attrs.frozen(slots=True)
 class FleetPlan:
@@ -102,9 +104,13 @@
         return started
 
     def kill_node(self, name: str) -> None:
-        """Ends a node at once, as the loss of its VM does."""
+        """Ends a node at once, as the loss of its VM does.
+
+        Returns once it has ended: nothing that is sent later reaches it.
+        """
         found = self.nodes.pop(name)
-        found.loop.call_soon(found.close)
+        closed = runtime.call_on(found.loop, lambda: _closed(found))
+        closed.result(KILL_WAIT_S)
         found.loop.stop()
 
     def stop_node(self, name: str) -> "concurrent.futures.Future[int]":
@@ -224,3 +230,9 @@
         """Runs work on the stand-ins' loop and waits for it."""
         fut = runtime.call_on(self.loop, lambda: decisions.completed(work()))
         fut.result(CALL_TIMEOUT_S)
+
+
+def _closed(found: node.Node) -> "decisions.Future[None]":
+    """Closes a node, on its own loop."""
+    found.close()
+    return decisions.completed(None)
--- a/packages/standins/src/ferry_standins/tests/test_failover.py
+++ b/packages/standins/src/ferry_standins/tests/test_failover.py
@@ -112,6 +112,8 @@
     idle = helpers.connect(fleet, 0)
     busy.execute("INSERT INTO orders VALUES (60, 'last')")
     stopped = fleet.stop_node(name)
+    # Before, a SELECT would wait for the open transaction's lock.
+    helpers.eventually(lambda: node.stopping)
     with pytest.raises(psycopg.errors.AdminShutdown):
         while True:
             idle.execute("SELECT 1")
