--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -5,7 +5,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import itertools
+import typing
 
 from absl import logging
 import ferry_decisions as decisions
@@ -27,6 +29,28 @@
 Handler = Callable[[_peer_messages.Message], "_peer_messages.Message | None"]
 
 
+class Peer(typing.Protocol):
+    """What questions to another node need of a stream to it."""
+
+    peer: str
+
+    def call(
+        self, body: _peer_messages.Message
+    ) -> "decisions.Future[_peer_messages.Message]":
+        """Sends a question; fails with `PeerLostError` without an answer."""
+
+    def tell(self, body: _peer_messages.Message) -> None:
+        """Sends a message that has no answer."""
+
+
+class Peers(typing.Protocol):
+    """The other nodes that are connected."""
+
+    @property
+    def streams(self) -> Sequence[Peer]:
+        """One stream for each."""
+
+
 class PeerStream:
     """One stream to another node."""
 
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -54,7 +54,7 @@
     catalogue: _catalogue.Catalogue
     store: _store.Store
     promotions: _store.Promotions
-    mesh: _peers.Mesh
+    mesh: _peers.Peers
     note_promoted: Callable[[str, float], object]
     is_stopping: Callable[[], bool]
 
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -22,7 +22,7 @@
     """The rounds of one node, its own and those of its peers."""
 
     def __init__(
-        self, clock: _clocks.Clock, node: str, mesh: _peers.Mesh
+        self, clock: _clocks.Clock, node: str, mesh: _peers.Peers
     ) -> None:
         self._clock = clock
         self._node = node
@@ -59,7 +59,7 @@
             pool.silence_s,
         )
 
-    def _surveyor(self, group: _groups.Group) -> _peers.PeerStream | None:
+    def _surveyor(self, group: _groups.Group) -> _peers.Peer | None:
         """Returns the stream to the node that asks; None for this node."""
         streams = {s.peer: s for s in self._mesh.streams}
         first = min(
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _metrics
+from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _promotions
 from ferry_proxy import _sessions
@@ -397,7 +398,7 @@
 class FakeMesh:
     """No peers."""
 
-    streams: list[object] = []
+    streams: list[_peers.Peer] = []
 
 
 def _no_document(*_):
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _freshness
 from ferry_proxy import _members
 from ferry_proxy import _peer_messages
+from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _reach
 from ferry_proxy import _surveys
@@ -232,6 +233,7 @@
     lab.add_promoter("n1")
     lab.add_promoter("n2")
     for _ in range(2):
+        assert lab.group.leader is not None
         name = lab.group.leader.member
         lab.cluster.crash(name)
         lab.run(4.0)
@@ -406,7 +408,7 @@
 
     def __init__(self, lab):
         self.peer = ""
-        self.streams = [self]
+        self.streams: list[_peers.Peer] = [self]
         self.clock = lab.clock
         score = decisions.rendezvous_score("orders", "n1")
         names = (f"n{number}" for number in range(2, 1000))
@@ -414,7 +416,10 @@
             n for n in names if decisions.rendezvous_score("orders", n) < score
         )
 
-    def call(self, _):
+    def tell(self, body):
+        raise AssertionError(body)
+
+    def call(self, body):
         return decisions.completed(
             _peer_messages.SurveyReply("a", 1, 1, 0, 0.0, 0.0)
         )
--- a/packages/proxy/src/ferry_proxy/tests/test_sessions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_sessions.py
@@ -167,6 +167,7 @@
             lab.run(1.5)
         if fut is not None:
             told.append(fut.result().reason)
+    assert told[-1] is not None
     assert told[-1].name == expected
 
 
