--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -36,7 +36,6 @@
 from ferry_proxy._proxy import NodeIdentity
 from ferry_proxy._proxy import Platform
 from ferry_proxy._proxy import Proxy
-from ferry_proxy._sessions import Answer
 from ferry_proxy._sessions import Session
 from ferry_proxy._statements import Kind
 from ferry_proxy._statements import Prepared
@@ -49,7 +48,6 @@
 from ferry_proxy._store import StoreUnavailableError
 
 __all__ = [
-    "Answer",
     "Begin",
     "Changes",
     "Command",
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -119,7 +119,12 @@
 
 
 class Catalogue:
-    """The items of the store, decoded."""
+    """The items of the store, decoded.
+
+    Attributes:
+        revision: The store's revision up to which its changes are known.
+        newest: The highest revision of an item, whatever its source.
+    """
 
     def __init__(
         self,
@@ -138,6 +143,7 @@
         self._is_lost = False
         self._stopped = False
         self.revision = 0
+        self.newest = 0
         self.configuration: _configuration.Configuration | None = None
         self.members: dict[str, _members.Member] = {}
         self.nodes: dict[str, NodeEntry] = {}
@@ -155,11 +161,6 @@
         limit = self._policy.watch_wait_s + self._policy.store_timeout_s
         return self._clock.now() - self._heard_at < limit
 
-    @property
-    def newest(self) -> int:
-        """The highest revision of an item."""
-        return max((i.revision for i in self._items.values()), default=0)
-
     @property
     def age_s(self) -> float:
         """Seconds since the store last answered."""
@@ -195,6 +196,7 @@
             if known is not None and known.revision >= item.revision:
                 continue
             self._items[item.key] = item
+            self.newest = max(self.newest, item.revision)
             self._apply(item, source)
             changed = True
         if changed:
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -224,10 +224,7 @@
         data = self._rest + json.dumps(fields, default=str).encode() + b"\n"
         try:
             sent = os.write(self._fd, data)
-        except BlockingIOError:
-            self._left_out["blocked"] += 1
-            return
-        except OSError:
+        except OSError:  # Most often: nobody reads, and the pipe is full.
             self._left_out["blocked"] += 1
             return
         # The rest of a half-written line goes before the next one.
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -233,7 +233,7 @@
             reason = lost if exc.handed else decisions.NO_CONNECTION
             raise decisions.RequestFailedError(reason, str(exc)) from exc
         pool.note_heard(taken, self._clock.now() - begun)
-        self.give_back(pool, taken, reply)
+        pool.give_back(taken, reply)
         return reply
 
     def send(
@@ -249,23 +249,11 @@
         job.note_handed(pool.member.id, self._clock.now())
         return taken.link.run([*commands, job.command(floor, name)])[-1]
 
-    def give_back(
-        self,
-        pool: _pools.Pool,
-        taken: _pooled_links.PooledLink,
-        reply: _links.Reply,
-    ) -> None:
-        """Gives a link back, or closes it if its state is not idle."""
-        if reply.state is _links.IDLE:
-            pool.release(taken)
-        else:
-            pool.discard(taken)
-
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
         """Whether what did not run may be tried again."""
         if reply.reason is decisions.UNKNOWN_PREPARED:
             return False
-        limit = min(job.route.target_s, job.route.timeout_s)
+        until = job.retry_until
         if job.group.is_changing:
-            limit = job.route.timeout_s * self._policy.failover_hold_share
-        return self._clock.now() < job.arrived + limit
+            until = job.hold_until(self._policy)
+        return self._clock.now() < until
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -178,6 +178,11 @@
     def resume(
         self, reports: dict[str, _members.Report]
     ) -> "decisions.Flow[None]":
+        """Lets paused members receive again; silent ones stay paused.
+
+        Args:
+            reports: What the paused members reported, by id.
+        """
         futs = [
             decisions.start(self._group.ask(pool, _links.Resume()))
             for name, pool in self._group.pools.items()
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -53,7 +53,6 @@
         self.change_until = float("-inf")
         self.joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
-        self.on_leader: list[Callable[[_members.Leader], object]] = []
 
     # -- members ---------------------------------------------------------
 
@@ -319,8 +318,6 @@
         )
         changed, self._changed = self._changed, decisions.Future()
         decisions.resolve(changed, None)
-        for callback in self.on_leader:
-            callback(leader)
 
     # -- proofs ----------------------------------------------------------
 
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -47,6 +47,19 @@
         """When its time limit is over."""
         return self.arrived + self.route.timeout_s
 
+    @property
+    def retry_until(self) -> float:
+        """Until when what a member did not run may be handed over again."""
+        limit_s = min(self.route.target_s, self.route.timeout_s)
+        return self.arrived + limit_s
+
+    @property
+    def writes(self) -> bool:
+        """Whether the statement writes."""
+        if self.prepared is not None:
+            return self.prepared.writes
+        return self.statement.kind is _statements.Kind.WRITE
+
     @property
     def moment(self) -> float:
         """The boot time whose earlier commits a read has to show."""
--- a/packages/proxy/src/ferry_proxy/_links.py
+++ b/packages/proxy/src/ferry_proxy/_links.py
@@ -107,10 +107,11 @@
 
 @attrs.frozen(slots=True)
 class Reply:
-    """The whole answer to a command.
+    """The whole answer to a command of ours, or to a caller's statement.
 
     Attributes:
-        state: Where the session at the member stands after it.
+        state: Where the session stands after it: at the member for a command,
+            for the caller where the reply is passed on.
         rows: The rows, as the member wrote them.
         proof: The member's token of a run, passed on to the caller as it is.
         reason: Why it failed; None for success.
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -128,6 +128,8 @@
     heard_ago_s: float
 
 
+NO_SURVEY = SurveyReply("", 0, 0, 0, -1.0, 0.0)
+
 Message = (
     Hello
     | SurveyRequest
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -98,8 +98,3 @@
     except cattrs.BaseValidationError as exc:
         mistakes = "; ".join(cattrs.transform_error(exc))
         raise InvalidPolicyError(f"{path}: {mistakes}") from exc
-
-
-def hold_until(arrived: float, limit_s: float, share: float) -> float:
-    """Returns until when a request may wait, given a share of a limit."""
-    return arrived + limit_s * share
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -5,7 +5,6 @@
 a link is kept for as long as it works.
 """
 
-from collections.abc import Callable
 import enum
 import heapq
 import itertools
@@ -63,14 +62,12 @@
         self._closed = False
         self.member = member
         self.limit = limit
-        self.opened = 0
         self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
         self._troubled_since: float | None = None
         self._drains_since: float | None = None
         self.is_replaced = False
-        self.on_heard: Callable[[], object] = lambda: None
         self.note_entry(member)
 
     @property
@@ -128,12 +125,6 @@
         """Whether its address answered that the member is not there."""
         return self.refused_since < float("inf") or self.is_replaced
 
-    @property
-    def is_spare(self) -> bool:
-        """Whether a statement would get a link without waiting."""
-        may_open = self.size < self.limit and not self._backing_off
-        return not self._waiters and bool(self._idle or may_open)
-
     def acquire(
         self,
         use: Use,
@@ -184,6 +175,34 @@
         taken.link.close()
         self.release(taken)
 
+    def exchange(
+        self, taken: PooledLink, command: _links.Command
+    ) -> "decisions.Flow[_links.Reply]":
+        """Runs a command of ours on a link; without an answer it is closed.
+
+        Raises:
+            decisions.RequestFailedError: No answer within `probe_timeout_s`.
+        """
+        fut = taken.link.run([command])[0]
+        try:
+            reply: _links.Reply = yield decisions.within(
+                self._clock, self._policy.probe_timeout_s, fut
+            )
+        except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
+            self.discard(taken)
+            raise decisions.RequestFailedError(
+                decisions.ANSWER_LOST, str(exc)
+            ) from exc
+        self.note_heard(taken)
+        return reply
+
+    def give_back(self, taken: PooledLink, reply: _links.Reply) -> None:
+        """Gives a link back, or closes it if its state is not idle."""
+        if reply.state is _links.IDLE:
+            self.release(taken)
+        else:
+            self.discard(taken)
+
     def note_heard(self, taken: PooledLink, elapsed_s: float = 0.0) -> None:
         """Takes in that the member answered.
 
@@ -198,7 +217,6 @@
         self._troubled_since = None
         if elapsed_s:
             self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
-        self.on_heard()
 
     def close(self) -> None:
         """Closes the idle links; those in use close as they come back."""
@@ -277,7 +295,6 @@
         if self._closed:
             link.close()
             return
-        self.opened += 1
         taken = PooledLink(link, self._clock.now())
         self._idle.append(taken)
         self.note_heard(taken)
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -28,15 +28,11 @@
 SYNC_S = 0.4  # How often peers are asked while the store does not answer.
 SWEEP_S = 0.25  # How often idle transactions are looked for.
 STOP_STEP_S = 0.05
-DEAD_NODE_S = 30.0  # A node that no peer reaches for so long is forgotten.
 MIN_LINKS = 1
 SPARE_NODES = 1  # One more node may come while a leaving one still runs.
 END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
 
 
-_NO_SURVEY = _peer_messages.SurveyReply("", 0, 0, 0, -1.0, 0.0)
-
-
 @attrs.frozen(slots=True)
 class NodeIdentity:
     """Who a node is and how it is stopped.
@@ -105,7 +101,6 @@
         self._groups: dict[str, _groups.Group] = {}
         self._promoters: dict[str, _promotions.Promoter] = {}
         self._sessions: dict[int, _sessions.Session] = {}
-        self._unreached: dict[str, float] = {}
         self._own = _catalogue.NodeEntry(
             identity.name, identity.host, identity.peer_port
         )
@@ -323,7 +318,9 @@
             return _peer_messages.SyncReply(rows)
         if isinstance(body, _peer_messages.SurveyRequest):
             group = self._groups.get(body.service)
-            return self._surveys.answer(group) if group else _NO_SURVEY
+            if group is None:
+                return _peer_messages.NO_SURVEY
+            return self._surveys.answer(group)
         if isinstance(body, _peer_messages.OpinionRequest):
             return self._opinion(body)
         if isinstance(body, _peer_messages.LeaderNotice):
--- a/packages/proxy/src/ferry_proxy/_questions.py
+++ b/packages/proxy/src/ferry_proxy/_questions.py
@@ -31,17 +31,7 @@
         until = self._clock.now() + policy.probe_timeout_s
         taken = yield pool.acquire(_pools.Use.CONTROL, STATUS_PRIORITY, until)
         asked_at = self._clock.boot_now()
-        fut = taken.link.run([command])[0]
-        try:
-            reply: _links.Reply = yield decisions.within(
-                self._clock, policy.probe_timeout_s, fut
-            )
-        except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
-            pool.discard(taken)
-            raise decisions.RequestFailedError(
-                decisions.ANSWER_LOST, str(exc)
-            ) from exc
-        pool.note_heard(taken)
+        reply = yield from pool.exchange(taken, command)
         pool.release(taken)
         if reply.report is None:
             reason = reply.reason or decisions.PROTOCOL_VIOLATION
--- a/packages/proxy/src/ferry_proxy/_read_races.py
+++ b/packages/proxy/src/ferry_proxy/_read_races.py
@@ -72,7 +72,7 @@
                 decisions.READ_CUT, str(exc)
             ) from exc
         pool.note_heard(taken, self._clock.now() - begun)
-        self._executor.give_back(pool, taken, reply)
+        pool.give_back(taken, reply)
         return reply
 
     def _close_if_silent(
@@ -126,8 +126,7 @@
         if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
             return False
         if job.offered_at:
-            limit = min(job.route.target_s, job.route.timeout_s)
-            return now < max(job.arrived + limit, job.hold_until(self._policy))
+            return now < max(job.retry_until, job.hold_until(self._policy))
         return now < job.hold_until(self._policy)
 
     def _pause(
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -1,7 +1,7 @@
 """A caller's session: its values, prepared names, transaction and commits.
 
 The same code serves every protocol: a front decodes requests to `Statement`
-and encodes `Answer`. Requests of a session run one after another.
+and encodes `_links.Reply`. Requests of a session run one after another.
 """
 
 from collections.abc import Callable
@@ -29,27 +29,6 @@
 _ids = itertools.count(1)
 
 
-@attrs.frozen(slots=True)
-class Answer:
-    """The whole answer to one request.
-
-    Attributes:
-        state: Where the session stands after it.
-        rows: The rows of the member, as they were.
-        proof: The member's token of the run; empty where no member ran it.
-        reason: Why it failed; None for success.
-        detail: Words for a reader.
-        position: The member's position, where one is known.
-    """
-
-    state: _statements.TransactionState
-    rows: tuple[str, ...] = ()
-    proof: str = ""
-    reason: decisions.Reason | None = None
-    detail: str = ""
-    position: decisions.Position | None = None
-
-
 @attrs.frozen(slots=True)
 class SessionContext:
     """What all sessions of a node share.
@@ -102,7 +81,7 @@
 
     def run(
         self, statement: _statements.Statement
-    ) -> "decisions.Future[Answer]":
+    ) -> "decisions.Future[_links.Reply]":
         """Runs a statement; one at a time."""
         self.busy = True
         fut = decisions.start(self._run(statement))
@@ -138,7 +117,7 @@
 
     def _run(
         self, statement: _statements.Statement
-    ) -> "decisions.Flow[Answer]":
+    ) -> "decisions.Flow[_links.Reply]":
         kind = statement.kind
         if kind is Kind.ROLLBACK:
             return self._roll_back()
@@ -150,27 +129,25 @@
             return self._change_state(statement)
         return (yield from self._run_remote(statement))
 
-    def _roll_back(self) -> Answer:
+    def _roll_back(self) -> _links.Reply:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
             transaction.roll_back()
-        return Answer(STATES.IDLE)
+        return _links.Reply(STATES.IDLE)
 
-    def _answer_failed(self, statement: _statements.Statement) -> Answer:
+    def _answer_failed(self, statement: _statements.Statement) -> _links.Reply:
         if statement.kind is Kind.COMMIT:
             self._roll_back()
-            return Answer(
-                STATES.IDLE,
-                reason=decisions.TRANSACTION_LOST,
-                detail="the transaction had failed and is rolled back",
+            return self._failed(
+                decisions.TRANSACTION_LOST,
+                "the transaction had failed and is rolled back",
             )
-        return Answer(
-            STATES.FAILED,
-            reason=decisions.IN_FAILED_TRANSACTION,
-            detail="the transaction has failed; end it",
+        return self._failed(
+            decisions.IN_FAILED_TRANSACTION,
+            "the transaction has failed; end it",
         )
 
-    def _begin(self, read_only: bool) -> Answer:
+    def _begin(self, read_only: bool) -> _links.Reply:
         if self._transaction is not None:
             return self._malformed("a transaction is open")
         route = self._find_route()
@@ -181,9 +158,9 @@
         self._transaction = _transactions.Transaction(
             ctx.clock, ctx.executor, ctx.policy, read_only
         )
-        return Answer(STATES.OPEN)
+        return _links.Reply(STATES.OPEN)
 
-    def _change_state(self, statement: _statements.Statement) -> Answer:
+    def _change_state(self, statement: _statements.Statement) -> _links.Reply:
         """Keeps values and prepared names; a member learns of them later."""
         name = statement.name
         full = max(len(self._values), len(self._prepared)) >= MAX_STATE
@@ -196,11 +173,11 @@
             self._values = {**self._values, name: statement.value}
         elif statement.prepared is not None:
             self._prepared[name] = statement.prepared
-        return Answer(self.state)
+        return _links.Reply(self.state)
 
     def _run_remote(
         self, statement: _statements.Statement
-    ) -> "decisions.Flow[Answer]":
+    ) -> "decisions.Flow[_links.Reply]":
         prepared = None
         if statement.kind is Kind.EXECUTE:
             prepared = self._prepared.get(statement.name)
@@ -253,38 +230,31 @@
     ) -> "decisions.Flow[_links.Reply]":
         if transaction is not None:
             return (yield from transaction.run(job))
-        if self._writes(job):
+        if job.writes:
             return (yield from self._ctx.executor.write(job))
         ctx = self._ctx
         race = _read_races.ReadRace(ctx.executor, ctx.clock, ctx.policy, job)
         reply: _links.Reply = yield race.outcome
         return reply
 
-    def _writes(self, job: _jobs.Job) -> bool:
-        if job.prepared is not None:
-            return job.prepared.writes
-        return job.statement.kind is Kind.WRITE
-
     def _take(
         self,
         job: _jobs.Job,
         transaction: _transactions.Transaction | None,
         reply: _links.Reply,
-    ) -> Answer:
+    ) -> _links.Reply:
         is_commit = job.statement.kind is Kind.COMMIT
         if is_commit:
             self._transaction = None
         if reply.reason is not None:
-            return Answer(self.state, reason=reply.reason, detail=reply.detail)
-        wrote = transaction.wrote if transaction else self._writes(job)
+            return self._failed(reply.reason, reply.detail)
+        wrote = transaction.wrote if transaction else job.writes
         ended = transaction is None or is_commit
         if wrote and ended and reply.position is not None:
             self._note_commit(job.route.service, reply.position)
         if self._closed and transaction is not None and not is_commit:
             transaction.roll_back()
-        return Answer(
-            self.state, reply.rows, reply.proof, position=reply.position
-        )
+        return attrs.evolve(reply, state=self.state)
 
     def _note_commit(self, service: str, position: decisions.Position) -> None:
         known = self._commits.get(service)
@@ -293,34 +263,29 @@
 
     # -- answers ---------------------------------------------------------
 
-    def _refused(self, reason: decisions.Reason, detail: str) -> Answer:
+    def _refused(self, reason: decisions.Reason, detail: str) -> _links.Reply:
         transaction = self._transaction
         if transaction is not None:
             transaction.fail(reason)
-        return Answer(self.state, reason=reason, detail=detail)
+        return self._failed(reason, detail)
 
-    def _malformed(self, detail: str) -> Answer:
-        return Answer(
-            self.state, reason=decisions.PROTOCOL_VIOLATION, detail=detail
-        )
+    def _failed(self, reason: decisions.Reason, detail: str) -> _links.Reply:
+        return _links.Reply(self.state, reason=reason, detail=detail)
 
-    def _unknown_prepared(self, name: str) -> Answer:
-        return Answer(
-            self.state, reason=decisions.UNKNOWN_PREPARED, detail=name
-        )
+    def _malformed(self, detail: str) -> _links.Reply:
+        return self._failed(decisions.PROTOCOL_VIOLATION, detail)
 
-    def _unknown_database(self) -> Answer:
-        return Answer(
-            self.state,
-            reason=decisions.UNKNOWN_DATABASE,
-            detail=self._database,
-        )
+    def _unknown_prepared(self, name: str) -> _links.Reply:
+        return self._failed(decisions.UNKNOWN_PREPARED, name)
+
+    def _unknown_database(self) -> _links.Reply:
+        return self._failed(decisions.UNKNOWN_DATABASE, self._database)
 
     def _find_route(self) -> _configuration.Route | None:
         cfg = self._ctx.configuration()
         return cfg.routes.get(self._database) if cfg else None
 
-    def _record(self, job: _jobs.Job, answer: Answer) -> None:
+    def _record(self, job: _jobs.Job, answer: _links.Reply) -> None:
         now = self._ctx.clock.now()
         outcome = answer.reason.name if answer.reason else "ran"
         offered = job.offered_at or now
--- a/packages/proxy/src/ferry_proxy/_store.py
+++ b/packages/proxy/src/ferry_proxy/_store.py
@@ -67,9 +67,6 @@
         The result is None where it has another.
         """
 
-    def remove_if(self, key: str, revision: int) -> "decisions.Future[bool]":
-        """Removes a key that still has `revision`."""
-
 
 class Promotions(typing.Protocol):
     """The platform's call that makes a member the primary."""
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -49,7 +49,7 @@
         pool = group.leader_pool
         sample = group.floors.newest
         if leader is None or pool is None or sample is None:
-            return _peer_messages.SurveyReply("", 0, 0, 0, -1.0, 0.0)
+            return _peer_messages.NO_SURVEY
         return _peer_messages.SurveyReply(
             leader.member,
             leader.term,
@@ -76,12 +76,9 @@
     ) -> None:
         exc = fut.exception()
         reply = None if exc is not None else fut.result()
-        if not isinstance(reply, _peer_messages.SurveyReply):
+        if not isinstance(reply, _peer_messages.SurveyReply) or reply.age_s < 0:
             group.refresh()  # That peer is of no use: ask the members.
             return
-        if reply.age_s < 0:
-            group.refresh()
-            return
         leader = _members.Leader(reply.member, reply.term)
         # The answer was sent after the question, so the floor is no older.
         sample = _freshness.Sample(
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -88,22 +88,17 @@
         self, pool: _pools.Pool, taken: _pooled_links.PooledLink
     ) -> "decisions.Flow[None]":
         """A link is used again only once it is known to be idle."""
-        fut = taken.link.run([_links.Rollback()])[0]
         try:
-            reply = yield decisions.within(
-                self._clock, self._policy.probe_timeout_s, fut
-            )
-        except (decisions.TimeoutExpiredError, _links.LinkLostError):
-            pool.discard(taken)
-            return
-        pool.note_heard(taken)
-        self._executor.give_back(pool, taken, reply)
+            reply = yield from pool.exchange(taken, _links.Rollback())
+        except decisions.RequestFailedError:
+            return  # The link is closed, and the member rolls back.
+        pool.give_back(taken, reply)
 
     def _end(self, reply: _links.Reply) -> None:
         pool, taken = self._pool, self._taken
         self._pool = self._taken = None
         if pool is not None and taken is not None:
-            self._executor.give_back(pool, taken, reply)
+            pool.give_back(taken, reply)
 
     def _open(self, job: _jobs.Job) -> "decisions.Flow[None]":
         """Begins at a member; until a statement ran, any other may do."""
@@ -156,17 +151,12 @@
     ) -> "decisions.Flow[decisions.Reason]":
         begin = _links.Begin(self._read_only, target.floor)
         job.offered_at = job.offered_at or self._clock.now()
-        fut = taken.link.run([begin])[0]
         try:
-            reply = yield decisions.within(
-                self._clock, self._policy.probe_timeout_s, fut
-            )
-        except (decisions.TimeoutExpiredError, _links.LinkLostError):
-            target.pool.discard(taken)
+            reply = yield from target.pool.exchange(taken, begin)
+        except decisions.RequestFailedError:
             return decisions.NO_CONNECTION
-        target.pool.note_heard(taken)
         if reply.reason is not None or reply.state is not STATES.OPEN:
-            self._executor.give_back(target.pool, taken, reply)
+            target.pool.give_back(taken, reply)
             return reply.reason or decisions.PROTOCOL_VIOLATION
         self._pool, self._taken = target.pool, taken
         return decisions.NO_CONNECTION
@@ -182,8 +172,7 @@
             still_open = reply.state is STATES.OPEN
             if not (busy and still_open):
                 return reply
-            limit = job.arrived + min(job.route.target_s, job.route.timeout_s)
-            if self._clock.now() >= limit:
+            if self._clock.now() >= job.retry_until:
                 return reply
             yield decisions.sleep(self._clock, _execution.RETRY_PAUSE_S)
 
@@ -192,8 +181,7 @@
         if pool is None or taken is None or taken.link.lost:
             raise decisions.RequestFailedError(decisions.TRANSACTION_LOST)
         is_commit = job.statement.kind is _statements.Kind.COMMIT
-        writes = job.prepared.writes if job.prepared else False
-        if job.statement.kind is _statements.Kind.WRITE or writes:
+        if job.writes:
             self._wrote = True
         unsure = is_commit and self._wrote
         lost = decisions.ANSWER_LOST if unsure else decisions.TRANSACTION_LOST
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -391,9 +391,6 @@
 
         return self._answer(work)
 
-    def remove_if(self, key, revision):
-        raise AssertionError("not used")
-
 
 class FakeMesh:
     """No peers."""
