--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -53,15 +53,19 @@
         name: Its name.
         host: Its IP number.
         port: The port that its peers connect to.
+        data_centre: Where it runs.
     """
 
     name: str
     host: str
     port: int
+    data_centre: str = ""
 
     def encode(self) -> bytes:
         """Returns the entry's value in the store."""
-        return json.dumps({"host": self.host, "port": self.port}).encode()
+        fields = attrs.asdict(self)
+        del fields["name"]  # It is the key.
+        return json.dumps(fields).encode()
 
     @classmethod
     def decode(cls, name: str, value: bytes) -> "NodeEntry":
@@ -72,8 +76,9 @@
         """
         try:
             raw = json.loads(value)
-            return cls(name, str(raw["host"]), int(raw["port"]))
-        except (ValueError, KeyError, TypeError) as exc:
+            data_centre = str(raw.get("data_centre", ""))
+            return cls(name, str(raw["host"]), int(raw["port"]), data_centre)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
             raise InvalidItemError(f"node {name}: {exc!r}") from exc
 
 
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -139,7 +139,10 @@
 
 @attrs.frozen(slots=True)
 class RequestDone:
-    """The outcome of a request, and what decided it."""
+    """The outcome of a request, and what decided it.
+
+    `via` names the serving node that it was forwarded to, if it was.
+    """
 
     request: str
     session: int
@@ -147,12 +150,27 @@
     kind: str
     outcome: str
     detail: str
+    via: str
     member: str
     elapsed_s: float
     waited_s: float
     attempts: int
 
 
+@attrs.frozen(slots=True)
+class RequestServed:
+    """What a serving node did for a request of another node, its entry."""
+
+    request: str
+    entry: str
+    service: str
+    outcome: str
+    detail: str
+    member: str
+    elapsed_s: float
+    attempts: int
+
+
 @attrs.frozen(slots=True)
 class LinesLeftOut:
     """How many lines were left out since the last such line."""
@@ -162,6 +180,9 @@
     blocked: int
 
 
+_BOUNDED = (RequestDone, RequestServed)
+
+
 class _Budget:
     """A number of lines a second."""
 
@@ -197,7 +218,7 @@
 
     def write(self, event: attrs.AttrsInstance) -> None:
         """Writes an event, if its budget allows."""
-        if isinstance(event, RequestDone) and not self._allowed(event):
+        if isinstance(event, _BOUNDED) and not self._allowed(event):
             return
         now = time.monotonic()
         if any(self._left_out.values()) and now >= self._report_at:
@@ -206,7 +227,7 @@
             self._line(LinesLeftOut(**counts))
         self._line(event)
 
-    def _allowed(self, event: RequestDone) -> bool:
+    def _allowed(self, event: RequestDone | RequestServed) -> bool:
         went_well = event.outcome == "ran"
         budget = self._requests if went_well else self._failures
         if budget.take():
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -65,7 +65,7 @@
             decisions.RequestFailedError: No answer, or no time is left.
         """
         pool = yield from self.primary(job)
-        hold = job.hold_until(self._policy)
+        hold = job.hold_end(self._policy)
         try:
             taken = yield pool.acquire(
                 _pools.Use.STATEMENT, job.route.priority, hold, job.values
@@ -89,7 +89,7 @@
             decisions.RequestFailedError: Whether it is kept is unknown.
         """
         group = job.group
-        took_s = self._clock.now() - job.handed_at
+        took_s = self._clock.now() - job.progress.handed_at
         fresh = group.floor_age_s < self._policy.suspect_s
         if fresh and not group.is_in_flux and took_s < self._policy.doubt_s:
             return
@@ -111,7 +111,7 @@
             usable = pool is not None and pool.may_take_work
             if pool is not None and usable and not pool.is_unreachable:
                 return pool
-            left = job.hold_until(self._policy) - self._clock.now()
+            left = job.hold_end(self._policy) - self._clock.now()
             if left <= 0:
                 raise decisions.RequestFailedError(decisions.NO_PRIMARY)
             wait = min(left, self._policy.connect_backoff_s)
@@ -255,5 +255,5 @@
             return False
         until = job.retry_until
         if job.group.is_changing:
-            until = job.hold_until(self._policy)
+            until = job.hold_end(self._policy)
         return self._clock.now() < until
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_forward_messages.py
@@ -0,0 +1,253 @@
+"""Statements between nodes: an entry node asks, a serving node answers.
+
+Fields are plain, as `msgpack` carries them; `of` and the methods beside it
+turn them from and into the proxy's types.
+"""
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _configuration
+from ferry_proxy import _links
+from ferry_proxy import _peer_messages
+from ferry_proxy import _requests
+from ferry_proxy import _statements
+
+NOT_OFFERED = -1.0
+NO_INDEX = -1
+
+
+@_peer_messages.message("run?")
+@attrs.frozen(slots=True)
+class RunRequest:
+    """Asks a serving node to run a statement.
+
+    Attributes:
+        route: The name of the route that the entry applies.
+        service: The group that serves it.
+        consistency: What its reads have to show.
+        priority: Its place in queues.
+        timeout_s: The time limit of the statement, in seconds.
+        target_s: The latency that the operation aims at, in seconds.
+        max_staleness_s: How old the state may be that a read shows.
+        waited_s: How long the entry has had the statement.
+        request_id: The caller's id of it.
+        kind: What it does.
+        text: The statement as the caller wrote it.
+        name: The prepared statement that it names.
+        value: The arguments of EXECUTE.
+        prepared_writes: Whether the prepared statement writes.
+        prepared_shape: The prepared statement's text; None for others.
+        values: The session's values.
+        floor_term: The term of the session's own last commit.
+        floor_index: Its index; negative where there is none.
+        transaction: The entry's number of the transaction; 0 for none.
+        begins: Whether it is the transaction's first statement.
+        read_only: Whether the transaction only reads.
+    """
+
+    route: str
+    service: str
+    consistency: str
+    priority: int
+    timeout_s: float
+    target_s: float
+    max_staleness_s: float
+    waited_s: float
+    request_id: str
+    kind: str
+    text: str
+    name: str
+    value: str
+    prepared_writes: bool
+    prepared_shape: str | None
+    values: dict[str, str]
+    floor_term: int
+    floor_index: int
+    transaction: int = 0
+    begins: bool = False
+    read_only: bool = False
+
+    @classmethod
+    def of(
+        cls,
+        request: _requests.Request,
+        now: float,
+        transaction: int = 0,
+        begins: bool = False,
+        read_only: bool = False,
+    ) -> "RunRequest":
+        """Returns the message for a request."""
+        route = request.route
+        statement = request.statement
+        prepared = request.prepared
+        floor = request.session_floor
+        return cls(
+            route=route.name,
+            service=route.service,
+            consistency=route.consistency.value,
+            priority=route.priority,
+            timeout_s=route.timeout_s,
+            target_s=route.target_s,
+            max_staleness_s=route.max_staleness_s,
+            waited_s=now - request.arrived,
+            request_id=statement.request_id,
+            kind=statement.kind.value,
+            text=statement.text,
+            name=statement.name,
+            value=statement.value,
+            prepared_writes=prepared.writes if prepared else False,
+            prepared_shape=prepared.shape if prepared else None,
+            values=request.values,
+            floor_term=floor.term if floor else 0,
+            floor_index=floor.index if floor else NO_INDEX,
+            transaction=transaction,
+            begins=begins,
+            read_only=read_only,
+        )
+
+    def request(self, clock: _clocks.Clock) -> _requests.Request:
+        """Returns the request, dated by this node's clocks.
+
+        Raises:
+            ValueError: A field has a value that no node sends.
+        """
+        shape = self.prepared_shape
+        return _requests.Request(
+            statement=_statements.Statement(
+                self.request_id,
+                _statements.Kind(self.kind),
+                self.text,
+                self.name,
+                self.value,
+            ),
+            prepared=(
+                None
+                if shape is None
+                else _statements.Prepared(self.prepared_writes, shape)
+            ),
+            route=self._route(),
+            values=self.values,
+            arrived=clock.now() - self.waited_s,
+            # Later than at the entry: a read shows at least what it must.
+            arrived_boot=clock.boot_now(),
+            session_floor=_position(self.floor_term, self.floor_index),
+        )
+
+    def _route(self) -> _configuration.Route:
+        return _configuration.Route(
+            name=self.route,
+            database="",
+            service=self.service,
+            consistency=_configuration.Consistency(self.consistency),
+            timeout_s=self.timeout_s,
+            target_s=self.target_s,
+            priority=self.priority,
+            max_staleness_s=self.max_staleness_s,
+        )
+
+
+@_peer_messages.message("ran")
+@attrs.frozen(slots=True)
+class RunReply:
+    """What became of a statement at a serving node.
+
+    Attributes:
+        state: Where the session stands.
+        rows: The rows, as the member wrote them.
+        proof: The member's token of the run.
+        reason: The name of the reason of a failure; empty for success.
+        detail: Words on a failure.
+        position_term: The term of the member's position.
+        position_index: Its index; negative where there is none.
+        member: The member that it was last handed to.
+        at_replica: Whether that was a replica.
+        attempts: How often it was handed to a member.
+        offered_after_s: Seconds from its arrival here until it was first
+            handed to a member; negative for never.
+    """
+
+    state: str
+    rows: list[str]
+    proof: str
+    reason: str
+    detail: str
+    position_term: int
+    position_index: int
+    member: str
+    at_replica: bool
+    attempts: int
+    offered_after_s: float
+
+    @classmethod
+    def of(
+        cls, reply: _links.Reply, progress: _requests.Progress, received: float
+    ) -> "RunReply":
+        """Returns the message for a reply.
+
+        Args:
+            reply: The reply.
+            progress: What became of the request.
+            received: When this node got it, in the clock's seconds.
+        """
+        position = reply.position
+        offered = progress.offered_at
+        return cls(
+            state=reply.state.value,
+            rows=list(reply.rows),
+            proof=reply.proof,
+            reason=reply.reason.name if reply.reason else "",
+            detail=reply.detail,
+            position_term=position.term if position else 0,
+            position_index=position.index if position else NO_INDEX,
+            member=progress.member,
+            at_replica=progress.at_replica,
+            attempts=progress.attempts,
+            offered_after_s=offered - received if offered else NOT_OFFERED,
+        )
+
+    def reply(self) -> _links.Reply:
+        """Returns the reply; an unknown reason may have run."""
+        reason = None
+        if self.reason:
+            reason = decisions.BY_NAME.get(
+                self.reason, decisions.STATEMENT_FAILED
+            )
+        return _links.Reply(
+            state=_statements.TransactionState(self.state),
+            rows=tuple(self.rows),
+            proof=self.proof,
+            reason=reason,
+            detail=self.detail,
+            position=_position(self.position_term, self.position_index),
+        )
+
+    def note_progress(
+        self, progress: _requests.Progress, sent: float, via: str
+    ) -> None:
+        """Takes over what became of the request.
+
+        Args:
+            progress: The entry's own record of it.
+            sent: When it was sent to the serving node, in clock seconds.
+            via: The serving node.
+        """
+        progress.via = via
+        progress.member = self.member
+        progress.at_replica = self.at_replica
+        progress.attempts += self.attempts
+        if self.offered_after_s >= 0:
+            progress.note_offered(sent + self.offered_after_s)
+
+
+@_peer_messages.message("end")
+@attrs.frozen(slots=True)
+class EndTransaction:
+    """Tells that a transaction has ended; what is open is rolled back."""
+
+    transaction: int
+
+
+def _position(term: int, index: int) -> decisions.Position | None:
+    return decisions.Position(term, index) if index >= 0 else None
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -0,0 +1,123 @@
+"""What a node answers to its peers."""
+
+from collections.abc import Callable
+import typing
+
+import ferry_decisions as decisions
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _clocks
+from ferry_proxy import _forward_messages
+from ferry_proxy import _members
+from ferry_proxy import _peer_messages
+from ferry_proxy import _peers
+from ferry_proxy import _served_groups
+from ferry_proxy import _serving
+
+M = typing.TypeVar("M", bound=_peer_messages.Message)
+Answer = "_peer_messages.Message | decisions.Future[typing.Any] | None"
+Handler = Callable[["PeerDesk", _peers.PeerStream, typing.Any], typing.Any]
+_handlers: dict[type[typing.Any], Handler] = {}
+
+
+def _handles(body: type[M]) -> Callable[[Handler], Handler]:
+    """Returns a decorator that registers the handler of a message type."""
+
+    def register(handler: Handler) -> Handler:
+        _handlers[body] = handler
+        return handler
+
+    return register
+
+
+class PeerDesk:
+    """Answers the messages of other nodes."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        catalogue: _catalogue.Catalogue,
+        groups: _served_groups.ServedGroups,
+        serving: _serving.Serving,
+    ) -> None:
+        self.clock = clock
+        self.catalogue = catalogue
+        self.groups = groups
+        self.serving = serving
+
+    def describe(self) -> _peer_messages.Ping:
+        """Returns what the peers should know of this node now."""
+        well = [n for n in self.groups.plans if self.groups.serves_well(n)]
+        return _peer_messages.Ping(self.catalogue.newest, sorted(well))
+
+    def answer(
+        self, stream: _peers.PeerStream, body: _peer_messages.Message
+    ) -> "_peer_messages.Message | decisions.Future[typing.Any] | None":
+        """Takes a message; returns its answer, now or later, or None."""
+        handler = _handlers.get(type(body))
+        return None if handler is None else handler(self, stream, body)
+
+    def forget(self, stream: _peers.PeerStream) -> None:
+        """Takes in that a stream has ended."""
+        self.serving.forget(stream)
+
+
+@_handles(_peer_messages.SyncRequest)
+def _sync(
+    desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.SyncRequest
+) -> _peer_messages.SyncReply:
+    return _peer_messages.SyncReply(
+        [
+            (i.key, i.value, i.revision)
+            for i in desk.catalogue.newer_than(body.after)
+        ]
+    )
+
+
+@_handles(_peer_messages.SurveyRequest)
+def _survey(
+    desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.SurveyRequest
+) -> _peer_messages.SurveyReply:
+    served = desk.groups.find(body.service)
+    if served is None:
+        return _peer_messages.NO_SURVEY
+    return served.surveys.answer(served.group)
+
+
+@_handles(_peer_messages.OpinionRequest)
+def _opinion(
+    desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.OpinionRequest
+) -> _peer_messages.OpinionReply:
+    served = desk.groups.find(body.service)
+    pool = served.group.pools.get(body.member) if served else None
+    if pool is None:
+        return _peer_messages.OpinionReply(-1.0)
+    return _peer_messages.OpinionReply(desk.clock.now() - pool.heard)
+
+
+@_handles(_peer_messages.LeaderNotice)
+def _leader(
+    desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.LeaderNotice
+) -> None:
+    served = desk.groups.find(body.service)
+    if served is not None:
+        served.group.note_leader(_members.Leader(body.member, body.term))
+        served.group.refresh()
+
+
+@_handles(_forward_messages.RunRequest)
+def _run(
+    desk: PeerDesk,
+    stream: _peers.PeerStream,
+    body: _forward_messages.RunRequest,
+) -> "decisions.Future[_forward_messages.RunReply]":
+    return desk.serving.run(stream, body)
+
+
+@_handles(_forward_messages.EndTransaction)
+def _end(
+    desk: PeerDesk,
+    stream: _peers.PeerStream,
+    body: _forward_messages.EndTransaction,
+) -> None:
+    desk.serving.end(stream, body.transaction)
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -15,15 +15,36 @@
     """Bytes from a peer are no message."""
 
 
-T = typing.TypeVar("T")
-_types: dict[str, type[typing.Any]] = {}
+Message = attrs.AttrsInstance
+T = typing.TypeVar("T", bound=Message)
+
+
+@attrs.frozen(slots=True)
+class _Format:
+    """How a type of message is written.
+
+    Attributes:
+        name: What stands for the type on the wire.
+        cls: The type.
+        fields: The names of its fields, in their order.
+    """
+
+    name: str
+    cls: type[typing.Any]
+    fields: tuple[str, ...]
+
+
+_by_name: dict[str, _Format] = {}
+_by_type: dict[type[typing.Any], _Format] = {}
 
 
 def message(name: str) -> Callable[[type[T]], type[T]]:
     """Returns a decorator that registers a message type under `name`."""
 
     def register(cls: type[T]) -> type[T]:
-        _types[name] = cls
+        fields = tuple(f.name for f in attrs.fields(cls))
+        found = _Format(name, cls, fields)
+        _by_name[name] = _by_type[cls] = found
         return cls
 
     return register
@@ -44,9 +65,11 @@
 
     Attributes:
         newest: The highest revision of its items.
+        services: The groups whose statements it can run well now.
     """
 
     newest: int
+    services: list[str]
 
 
 @message("sync")
@@ -130,18 +153,6 @@
 
 NO_SURVEY = SurveyReply("", 0, 0, 0, -1.0, 0.0)
 
-Message = (
-    Hello
-    | SurveyRequest
-    | SurveyReply
-    | Ping
-    | SyncRequest
-    | SyncReply
-    | OpinionRequest
-    | OpinionReply
-    | LeaderNotice
-)
-
 
 @attrs.frozen(slots=True)
 class Envelope:
@@ -153,9 +164,9 @@
 
 def encode(number: int, body: Message) -> bytes:
     """Returns the bytes of a message."""
-    name = next(n for n, cls in _types.items() if cls is type(body))
-    fields = attrs.astuple(body, recurse=False)
-    return typing.cast(bytes, msgpack.packb([name, number, *fields]))
+    found = _by_type[type(body)]
+    fields = [getattr(body, name) for name in found.fields]
+    return typing.cast(bytes, msgpack.packb([found.name, number, *fields]))
 
 
 class Decoder:
@@ -184,4 +195,4 @@
 
 def _envelope(raw: typing.Any) -> Envelope:
     name, number, *fields = raw
-    return Envelope(int(number), _types[name](*fields))
+    return Envelope(int(number), _by_name[name].cls(*fields))
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
 import typing
@@ -23,10 +25,46 @@
 
 
 class PeerLostError(Exception):
-    """The stream ended before the answer."""
+    """The stream ended before the answer.
 
+    Attributes:
+        sent: Whether the question may have reached the peer.
+    """
+
+    def __init__(self, detail: str, sent: bool = True) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class Desk(typing.Protocol):
+    """What a node does with what its peers send."""
+
+    def describe(self) -> _peer_messages.Ping:
+        """Returns what the peers should know of this node now."""
+
+    def answer(
+        self, stream: "PeerStream", body: _peer_messages.Message
+    ) -> "_peer_messages.Message | decisions.Future[typing.Any] | None":
+        """Takes a message; returns its answer, now or later, or None."""
+
+    def forget(self, stream: "PeerStream") -> None:
+        """Takes in that a stream has ended."""
 
-Handler = Callable[[_peer_messages.Message], "_peer_messages.Message | None"]
+
+class NoDesk:
+    """Answers nothing: for a mesh that is not open yet."""
+
+    def describe(self) -> _peer_messages.Ping:
+        """Returns that nothing is known or served."""
+        return _peer_messages.Ping(0, [])
+
+    def answer(
+        self, stream: "PeerStream", body: _peer_messages.Message
+    ) -> None:
+        """Answers nothing."""
+
+    def forget(self, stream: "PeerStream") -> None:
+        """Holds nothing that could be dropped."""
 
 
 class Peer(typing.Protocol):
@@ -51,6 +89,30 @@
         """One stream for each."""
 
 
+class Streams(Peers, typing.Protocol):
+    """The other nodes that are connected, by name."""
+
+    @property
+    def by_name(self) -> Mapping[str, Peer]:
+        """The open streams by the names of the peers."""
+
+
+class Among:
+    """Those of the connected nodes that are of some set."""
+
+    def __init__(
+        self, mesh: Streams, names: Callable[[], Collection[str]]
+    ) -> None:
+        self._mesh = mesh
+        self._names = names
+
+    @property
+    def streams(self) -> Sequence[Peer]:
+        """One stream for each node of the set that is connected."""
+        streams = self._mesh.by_name
+        return [streams[n] for n in self._names() if n in streams]
+
+
 class PeerStream:
     """One stream to another node."""
 
@@ -59,23 +121,25 @@
         loop: runtime.EventLoop,
         stream: runtime.Stream,
         node: str,
-        handler: Handler,
-        newest: Callable[[], int],
+        desk: Desk,
     ) -> None:
         self._loop = loop
-        self._newest = newest
         self._stream = stream
-        self._handler = handler
+        self._desk = desk
         self._decoder = _peer_messages.Decoder()
         self._calls: dict[int, decisions.Future[_peer_messages.Message]] = {}
         self._numbers = itertools.count(1)
         self._heard = loop.now()
         self.peer = ""
         self.newest = 0
+        self.services: frozenset[str] = frozenset()
+        self.held = 0
+        self._forgotten = False
         stream.on_data = self._receive
         stream.on_closed = lambda exc: self._fail(str(exc))
         stream.keep_alive(USER_TIMEOUT_MS)
         self.tell(_peer_messages.Hello(node))
+        self.tell(desk.describe())
 
     @property
     def closed(self) -> bool:
@@ -87,12 +151,22 @@
         """Seconds since the peer was heard."""
         return self._loop.now() - self._heard
 
+    @property
+    def waiting(self) -> int:
+        """Questions to the peer that have no answer yet."""
+        return len(self._calls)
+
+    @property
+    def is_used(self) -> bool:
+        """Whether an answer or a transaction depends on the stream."""
+        return bool(self._calls or self.held)
+
     def call(
         self, body: _peer_messages.Message
     ) -> "decisions.Future[_peer_messages.Message]":
         """Sends a question; fails with `PeerLostError` without an answer."""
         if self.closed:
-            return decisions.failed(PeerLostError(self.peer))
+            return decisions.failed(PeerLostError(self.peer, sent=False))
         fut: decisions.Future[_peer_messages.Message] = decisions.Future()
         number = next(self._numbers)
         self._calls[number] = fut
@@ -103,12 +177,16 @@
         """Sends a message that has no answer."""
         self._stream.send(_peer_messages.encode(0, body))
 
-    def tick(self) -> None:
-        """Shows life, and ends a stream that shows none."""
-        if self._loop.now() - self._heard > SILENT_S:
+    def tick(self, ping: bytes) -> None:
+        """Shows life, and ends a stream that shows none.
+
+        Args:
+            ping: The encoded message that shows it.
+        """
+        if self.silence_s > SILENT_S:
             self._fail("silent")
         elif not self.closed:
-            self.tell(_peer_messages.Ping(self._newest()))
+            self._stream.send(ping)
 
     def close(self) -> None:
         """Closes the stream."""
@@ -129,21 +207,36 @@
             self.peer = body.node
         elif isinstance(body, _peer_messages.Ping):
             self.newest = body.newest
+            self.services = frozenset(body.services)
         elif envelope.number < 0:
             fut = self._calls.pop(-envelope.number, None)
             if fut is not None:
                 decisions.resolve(fut, body)
         else:
-            answer = self._handler(body)
-            if answer is not None and envelope.number:
-                data = _peer_messages.encode(-envelope.number, answer)
-                self._stream.send(data)
+            self._answer(envelope.number, self._desk.answer(self, body))
+
+    def _answer(
+        self,
+        number: int,
+        answer: "_peer_messages.Message | decisions.Future[typing.Any] | None",
+    ) -> None:
+        if answer is None or not number:
+            return
+        if isinstance(answer, decisions.Future):
+            answer.add_done_callback(
+                lambda fut: self._answer(number, fut.result())
+            )
+            return
+        self._stream.send(_peer_messages.encode(-number, answer))
 
     def _fail(self, detail: str) -> None:
         self._stream.close()
         calls, self._calls = self._calls, {}
         for fut in calls.values():
             decisions.reject(fut, PeerLostError(f"{self.peer}: {detail}"))
+        if not self._forgotten:
+            self._forgotten = True
+            self._desk.forget(self)
 
 
 class Mesh:
@@ -153,35 +246,45 @@
         self,
         loop: runtime.EventLoop,
         own: _catalogue.NodeEntry,
-        handler: Handler,
-        newest: Callable[[], int],
     ) -> None:
-        """Begins to listen.
+        """Makes a mesh without streams; `open` begins to listen.
 
         Args:
             loop: The event loop.
             own: This node.
-            handler: Answers the peers' questions.
-            newest: Returns the highest revision that this node knows.
         """
         self._loop = loop
-        self._newest = newest
         self._own = own
-        self._handler = handler
+        self._desk: Desk = NoDesk()
         self._out: dict[tuple[str, int], PeerStream] = {}
         self._in: list[PeerStream] = []
         self._wanted: set[tuple[str, int]] = set()
         self._dialled: dict[tuple[str, int], float] = {}
+        self._listener: runtime.Listener | None = None
+        self._ticker: decisions.PeriodicTimer | None = None
+
+    def open(self, desk: Desk) -> None:
+        """Begins to listen.
+
+        Args:
+            desk: Answers the peers' questions.
+        """
+        self._desk = desk
         self._listener = runtime.Listener(
-            loop, own.host, own.port, self._accept
+            self._loop, self._own.host, self._own.port, self._accept
         )
-        self._ticker = decisions.PeriodicTimer(loop, PING_S, self._tick)
+        self._ticker = decisions.PeriodicTimer(self._loop, PING_S, self._tick)
 
     @property
     def streams(self) -> list[PeerStream]:
         """The open streams, one for each peer that has said who it is."""
-        found = {s.peer: s for s in [*self._in, *self._out.values()]}
-        return [s for n, s in found.items() if n and not s.closed]
+        return list(self.by_name.values())
+
+    @property
+    def by_name(self) -> dict[str, PeerStream]:
+        """The open streams by the names of the peers."""
+        found = [*self._in, *self._out.values()]
+        return {s.peer: s for s in found if s.peer and not s.closed}
 
     def reached_share(self, limit_s: float) -> float:
         """Returns the share of the wanted peers that were heard lately.
@@ -205,33 +308,55 @@
         return {s.peer for s in self.streams}
 
     def want(
-        self, nodes: list[_catalogue.NodeEntry], seeds: list[tuple[str, int]]
+        self,
+        nodes: list[_catalogue.NodeEntry],
+        seeds: list[tuple[str, int]],
+        extra: list[_catalogue.NodeEntry],
     ) -> None:
-        """Sets which nodes there are; connects to some of them."""
+        """Sets which nodes there are; connects to some of them.
+
+        Args:
+            nodes: All nodes.
+            seeds: Where to connect to while no other node is known.
+            extra: Nodes that this one wants to speak to besides.
+        """
         names = sorted(n.name for n in nodes)
-        by_name = {n.name: (n.host, n.port) for n in nodes}
+        addresses = {n.name: (n.host, n.port) for n in nodes}
         chosen = neighbours(self._own.name, names)
-        wanted = {by_name[n] for n in chosen} or set(seeds)
+        wanted = {addresses[n] for n in chosen} or set(seeds)
+        wanted |= {(n.host, n.port) for n in extra}
         wanted.discard((self._own.host, self._own.port))
         self._wanted = wanted
         self._dial()
 
+    def announce(self) -> None:
+        """Tells all peers at once what they should know of this node."""
+        ping = self._ping()
+        for stream in self.streams:
+            stream.tick(ping)
+
+    def _ping(self) -> bytes:
+        return _peer_messages.encode(0, self._desk.describe())
+
     def close(self) -> None:
         """Closes all streams."""
-        self._ticker.stop()
-        self._listener.close()
+        if self._ticker is not None and self._listener is not None:
+            self._ticker.stop()
+            self._listener.close()
         for stream in [*self._in, *self._out.values()]:
             stream.close()
 
     def _tick(self) -> None:
         self._in = [s for s in self._in if not s.closed]
+        ping = self._ping()
         for stream in [*self._in, *self._out.values()]:
-            stream.tick()
+            stream.tick(ping)
         self._dial()
 
     def _dial(self) -> None:
         for address in list(self._out.keys() - self._wanted):
-            self._out.pop(address).close()
+            if not self._out[address].is_used:
+                self._out.pop(address).close()
         now = self._loop.now()
         for address in self._wanted:
             stream = self._out.get(address)
@@ -247,9 +372,7 @@
         self._in.append(self._wrap(raw))
 
     def _wrap(self, raw: runtime.Stream) -> PeerStream:
-        return PeerStream(
-            self._loop, raw, self._own.name, self._handler, self._newest
-        )
+        return PeerStream(self._loop, raw, self._own.name, self._desk)
 
 
 def neighbours(own: str, names: list[str]) -> list[str]:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 
 import attrs
 import ferry_decisions as decisions
@@ -40,6 +41,7 @@
         clock: The clock.
         policy: The tunables.
         node: This node's name.
+        nodes: Returns the names of the nodes that serve the group.
         catalogue: The copy of the store.
         store: The store.
         promotions: The platform's call.
@@ -51,6 +53,7 @@
     clock: _clocks.Clock
     policy: _policy.Policy
     node: str
+    nodes: Callable[[], Collection[str]]
     catalogue: _catalogue.Catalogue
     store: _store.Store
     promotions: _store.Promotions
@@ -66,6 +69,7 @@
         self._ctx = ctx
         self._group = group
         self._busy = False
+        self._stopped = False
         self._not_before = float("-inf")
         self._stall = _fencing.StallWatch()
         self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
@@ -76,6 +80,10 @@
         """Whether a change is under way."""
         return self._busy
 
+    def stop(self) -> None:
+        """Begins no more changes: this node serves the group no longer."""
+        self._stopped = True
+
     # -- evidence --------------------------------------------------------
 
     def _take_round(self, reports: dict[str, _members.Report]) -> None:
@@ -125,8 +133,9 @@
 
     def check(self) -> None:
         """Begins a change if the evidence asks for one."""
-        now = self._ctx.clock.now()
-        if self._busy or now < self._not_before or self._ctx.is_stopping():
+        if self._busy or self._stopped or self._ctx.is_stopping():
+            return
+        if self._ctx.clock.now() < self._not_before:
             return
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
@@ -174,7 +183,7 @@
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes act."""
-        names = sorted({*self._ctx.catalogue.nodes, self._ctx.node})
+        names = sorted({*self._ctx.nodes(), self._ctx.node})
         service = self._group.service.name
         ranked = sorted(
             names, key=lambda n: decisions.rendezvous_score(service, n)
--- a/packages/proxy/src/ferry_proxy/_reach.py
+++ b/packages/proxy/src/ferry_proxy/_reach.py
@@ -7,9 +7,11 @@
 """
 
 from ferry_proxy import _clocks
+from ferry_proxy import _forwarding
 from ferry_proxy import _groups
 from ferry_proxy import _peers
 from ferry_proxy import _policy
+from ferry_proxy import _served_groups
 
 MOST = 0.5  # Of the peers, or of the groups.
 CUT_OFF_S = 1.5  # Longer than a link takes to be opened and lost again.
@@ -61,12 +63,14 @@
         clock: _clocks.Clock,
         policy: _policy.Policy,
         mesh: _peers.Mesh,
-        groups: dict[str, _groups.Group],
+        groups: _served_groups.ServedGroups,
+        forwarder: _forwarding.Forwarder,
     ) -> None:
         self._clock = clock
         self._limit_s = policy.isolated_s
         self._mesh = mesh
         self._groups = groups
+        self._forwarder = forwarder
         self._cut_off_until = float("-inf")
 
     @property
@@ -80,18 +84,29 @@
         Once a node is cut off, it stays so for a while or until every group
         has a fresh floor: what shows the trouble comes and goes as links do.
         """
-        if self._shows_signs():
+        unserved = self._unserved()
+        if unserved and self._shows_signs(unserved):
             self._cut_off_until = self._clock.now() + CUT_OFF_S
-        elif all(g.floor_age_s < self._limit_s for g in self._groups.values()):
+        elif not unserved:
             self._cut_off_until = float("-inf")
 
-    def _shows_signs(self) -> bool:
-        groups = self._groups.values()
+    def _unserved(self) -> list[str]:
+        """Returns the groups that neither this node nor a peer serves well."""
+        return [
+            name
+            for name in self._groups.plans
+            if not self._groups.serves_well(name)
+            and not self._forwarder.is_served(name)
+        ]
+
+    def _shows_signs(self, unserved: list[str]) -> bool:
+        found = self._groups.groups
+        groups = [found[n] for n in unserved if n in found]
         limit = self._limit_s
         if any(is_bypassed(g, limit) for g in groups):
             return True
         reached = self._mesh.reached_share(limit)
         if reached < 1.0 and any(is_severed(g, limit) for g in groups):
             return True
-        stale = sum(g.floor_age_s > limit for g in groups)
-        return reached < MOST and stale >= MOST * len(self._groups)
+        known = len(self._groups.plans)
+        return reached < MOST and len(unserved) >= MOST * known
--- a/packages/proxy/src/ferry_proxy/_read_races.py
+++ b/packages/proxy/src/ferry_proxy/_read_races.py
@@ -53,7 +53,7 @@
         taken = yield pool.acquire(
             _pools.Use.STATEMENT,
             job.route.priority,
-            job.hold_until(self._policy),
+            job.hold_end(self._policy),
             job.values,
         )
         if self.outcome.done():
@@ -125,9 +125,9 @@
         now = self._clock.now()
         if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
             return False
-        if job.offered_at:
-            return now < max(job.retry_until, job.hold_until(self._policy))
-        return now < job.hold_until(self._policy)
+        if job.progress.offered_at:
+            return now < max(job.retry_until, job.hold_end(self._policy))
+        return now < job.hold_end(self._policy)
 
     def _pause(
         self, reply: _links.Reply | None, exc: BaseException | None
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -0,0 +1,272 @@
+"""The groups that this node serves, kept in line with the store."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import attrs
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _clocks
+from ferry_proxy import _configuration
+from ferry_proxy import _execution
+from ferry_proxy import _groups
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _metrics
+from ferry_proxy import _peers
+from ferry_proxy import _policy
+from ferry_proxy import _promotions
+from ferry_proxy import _runners
+from ferry_proxy import _serving_plan
+from ferry_proxy import _store
+from ferry_proxy import _surveys
+
+
+@attrs.frozen(slots=True)
+class GroupsContext:
+    """What the groups of a node work with.
+
+    Attributes:
+        clock: The clock.
+        policy: The tunables.
+        own: This node.
+        catalogue: The copy of the store.
+        store: The store.
+        connector: Opens links to members.
+        promotions: The call that makes a member the primary.
+        mesh: The streams to other nodes.
+        metrics: Counts what happens.
+        is_stopping: Whether this node is about to end.
+    """
+
+    clock: _clocks.Clock
+    policy: _policy.Policy
+    own: _catalogue.NodeEntry
+    catalogue: _catalogue.Catalogue
+    store: _store.Store
+    connector: _links.Connector
+    promotions: _store.Promotions
+    mesh: "_peers.Streams"
+    metrics: _metrics.Metrics
+    is_stopping: Callable[[], bool]
+
+
+@attrs.define(slots=True, eq=False)
+class Served:
+    """A group that this node serves, and what works on it.
+
+    Attributes:
+        group: The members.
+        promoter: Replaces its primary when it has to be.
+        surveys: Keeps its floor up to date.
+        runner: Runs its statements.
+    """
+
+    group: _groups.Group
+    promoter: _promotions.Promoter
+    surveys: _surveys.Surveys
+    runner: _runners.LocalRunner
+
+
+class ServedGroups:
+    """All groups' plans, and the groups that this node serves."""
+
+    def __init__(self, ctx: GroupsContext) -> None:
+        self._ctx = ctx
+        self._executor = _execution.Executor(ctx.clock, ctx.policy)
+        self._served: dict[str, Served] = {}
+        self._plans: dict[str, _serving_plan.ServingPlan] = {}
+
+    @property
+    def plans(self) -> Mapping[str, _serving_plan.ServingPlan]:
+        """Who serves which group."""
+        return self._plans
+
+    @property
+    def groups(self) -> dict[str, _groups.Group]:
+        """The groups that this node serves, by name."""
+        return {n: s.group for n, s in self._served.items()}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a change of primary is under way here."""
+        return any(s.promoter.is_busy for s in self._served.values())
+
+    def find(self, service: str) -> Served | None:
+        """Returns a group that this node serves."""
+        return self._served.get(service)
+
+    def serves_well(self, service: str) -> bool:
+        """Whether this node reaches a primary that is known to lead."""
+        served = self._served.get(service)
+        if served is None or self._ctx.is_stopping():
+            return False
+        return is_well(served.group, self._ctx.policy.isolated_s)
+
+    def peers(self) -> list[_catalogue.NodeEntry]:
+        """Returns the nodes that serve a group together with this one."""
+        found = {
+            node.name: node
+            for service in self._served
+            for node in self._plans[service].nodes.values()
+        }
+        found.pop(self._ctx.own.name, None)
+        return list(found.values())
+
+    # -- what the catalogue says -----------------------------------------
+
+    def apply(self, cfg: _configuration.Configuration) -> None:
+        """Brings all groups in line with the catalogue."""
+        by_service: dict[str, dict[str, _members.Member]] = {}
+        for member in self._ctx.catalogue.members.values():
+            by_service.setdefault(member.service, {})[member.id] = member
+        self._make_plans(cfg)
+        for name, service in cfg.services.items():
+            if self._ctx.own.name in self._plans[name].nodes:
+                self._apply_service(service, by_service.get(name, {}))
+        for name in [n for n in self._served if not self._is_mine(n)]:
+            self._drop(name)
+        self._expect_changes()
+
+    def _is_mine(self, service: str) -> bool:
+        plan = self._plans.get(service)
+        return plan is not None and self._ctx.own.name in plan.nodes
+
+    def _make_plans(self, cfg: _configuration.Configuration) -> None:
+        own = self._ctx.own
+        nodes = {**self._ctx.catalogue.nodes, own.name: own}
+        self._plans = {
+            name: _serving_plan.make_plan(
+                name, nodes.values(), service.max_connections
+            )
+            for name, service in cfg.services.items()
+        }
+
+    def _apply_service(
+        self,
+        service: _configuration.Service,
+        members: dict[str, _members.Member],
+    ) -> None:
+        served = self._served.get(service.name) or self._add(service)
+        group = served.group
+        before = set(group.pools)
+        led = {n for n, p in group.pools.items() if p.member.leads}
+        group.service = service
+        group.set_members(members, self._plans[service.name].links)
+        leads = {n for n, m in members.items() if m.leads}
+        if before != members.keys() or leads != led:
+            group.refresh()
+        served.promoter.check()
+
+    def _add(self, service: _configuration.Service) -> Served:
+        ctx = self._ctx
+        name = service.name
+        group = _groups.Group(
+            ctx.clock, service, ctx.own.data_centre, ctx.connector, ctx.policy
+        )
+        mesh = _peers.Among(ctx.mesh, lambda: self._names(name))
+        promoter = _promotions.Promoter(
+            self._promoter_context(name, mesh), group
+        )
+        served = Served(
+            group,
+            promoter,
+            _surveys.Surveys(ctx.clock, ctx.own.name, mesh),
+            _runners.LocalRunner(ctx.clock, ctx.policy, self._executor, group),
+        )
+        self._served[name] = served
+        ctx.metrics.gauge(
+            "connections",
+            lambda: _open_links(self._served.get(name)),
+            service=name,
+        )
+        return served
+
+    def _promoter_context(
+        self, service: str, mesh: _peers.Peers
+    ) -> _promotions.PromoterContext:
+        ctx = self._ctx
+        return _promotions.PromoterContext(
+            clock=ctx.clock,
+            policy=ctx.policy,
+            node=ctx.own.name,
+            nodes=lambda: self._names(service),
+            catalogue=ctx.catalogue,
+            store=ctx.store,
+            promotions=ctx.promotions,
+            mesh=mesh,
+            note_promoted=self._note_promoted,
+            is_stopping=ctx.is_stopping,
+        )
+
+    def _names(self, service: str) -> set[str]:
+        """Returns the names of a group's serving nodes."""
+        plan = self._plans.get(service)
+        return set(plan.nodes) if plan else set()
+
+    def _drop(self, service: str) -> None:
+        """Ceases to serve a group; links in use close as they come back."""
+        served = self._served.pop(service)
+        served.promoter.stop()
+        served.group.set_members({}, 0)
+
+    def _expect_changes(self) -> None:
+        ctx = self._ctx
+        for service, held in ctx.catalogue.claims.items():
+            served = self._served.get(service)
+            age = ctx.clock.boot_now() - held.seen_at
+            fresh = age < ctx.policy.claim_valid_s
+            if served is not None and not held.claim.done and fresh:
+                served.group.expect_change()
+
+    def _note_promoted(self, cause: str, elapsed_s: float) -> None:
+        self._ctx.metrics.count("promotions_total", cause=cause)
+
+    # -- periodic work ---------------------------------------------------
+
+    def survey(self) -> None:
+        """Brings the floors of all groups up to date."""
+        for served in self._served.values():
+            served.surveys.survey(served.group)
+
+    def check_primaries(self) -> None:
+        """Weighs the evidence on all primaries."""
+        for served in self._served.values():
+            served.promoter.check()
+
+    def forgive(self, late_s: float) -> None:
+        """A pause of this process is not held against the members."""
+        policy = self._ctx.policy
+        if late_s < policy.probe_timeout_s:
+            return
+        now = self._ctx.clock.now()
+        for served in self._served.values():
+            group = served.group
+            group.leaderless_since = max(
+                group.leaderless_since, now - policy.probe_s
+            )
+            for pool in group.pools.values():
+                pool.heard = min(now, pool.heard + late_s)
+
+    def close(self) -> None:
+        """Closes all links."""
+        for served in self._served.values():
+            served.group.set_members({}, 0)
+
+
+def is_well(group: _groups.Group, limit_s: float) -> bool:
+    """Whether a group's primary is reached and known to lead.
+
+    Args:
+        group: The group.
+        limit_s: How old a sign may be, in seconds.
+    """
+    pool = group.leader_pool
+    if pool is None or pool.troubled_s > limit_s:
+        return False
+    return group.floor_age_s < limit_s
+
+
+def _open_links(served: Served | None) -> float:
+    pools = served.group.pools.values() if served else ()
+    return float(sum(p.size for p in pools))
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -13,15 +13,11 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _events
-from ferry_proxy import _execution
-from ferry_proxy import _groups
-from ferry_proxy import _jobs
 from ferry_proxy import _links
 from ferry_proxy import _metrics
-from ferry_proxy import _policy
-from ferry_proxy import _read_races
+from ferry_proxy import _requests
+from ferry_proxy import _runners
 from ferry_proxy import _statements
-from ferry_proxy import _transactions
 
 Kind = _statements.Kind
 STATES = _statements.TransactionState
@@ -35,19 +31,16 @@
 
     Attributes:
         clock: The clock.
-        policy: The tunables.
-        executor: Runs statements.
-        metrics: Counts them.
+        metrics: Counts statements.
         configuration: Returns the configuration in force.
-        group: Returns the members of a service; None for an unknown one.
+        runner: Returns who runs a service's statements; None for an unknown
+            service.
     """
 
     clock: _clocks.Clock
-    policy: _policy.Policy
-    executor: _execution.Executor
     metrics: _metrics.Metrics
     configuration: Callable[[], _configuration.Configuration | None]
-    group: Callable[[str], _groups.Group | None]
+    runner: Callable[[str], _runners.Runner | None]
 
 
 class Session:
@@ -58,7 +51,7 @@
         self._database = database
         self._values: dict[str, str] = {}
         self._prepared: dict[str, _statements.Prepared] = {}
-        self._transaction: _transactions.Transaction | None = None
+        self._transaction: _runners.OpenTransaction | None = None
         self._route: _configuration.Route | None = None
         self._commits: dict[str, decisions.Position] = {}
         self._closed = False
@@ -153,11 +146,11 @@
         route = self._find_route()
         if route is None:
             return self._unknown_database()
+        runner = self._ctx.runner(route.service)
+        if runner is None:
+            return self._refused(decisions.NO_PRIMARY, "no members are known")
         self._route = route
-        ctx = self._ctx
-        self._transaction = _transactions.Transaction(
-            ctx.clock, ctx.executor, ctx.policy, read_only
-        )
+        self._transaction = runner.begin(read_only)
         return _links.Reply(STATES.OPEN)
 
     def _change_state(self, statement: _statements.Statement) -> _links.Reply:
@@ -187,36 +180,31 @@
             return self._malformed("no transaction is open")
         transaction = self._transaction
         route = self._route if transaction else self._find_route()
-        group = self._ctx.group(route.service) if route else None
         if route is None:
             return self._unknown_database()
-        if group is None:
-            return self._refused(decisions.NO_PRIMARY, "no members are known")
-        job = self._job(statement, prepared, route, group)
+        request = self._request(statement, prepared, route)
         try:
-            reply = yield from self._dispatch(job, transaction)
+            reply = yield from self._dispatch(request, transaction)
         except decisions.RequestFailedError as exc:
             if statement.kind is Kind.COMMIT:
                 self._transaction = None
             answer = self._refused(exc.reason, exc.detail)
         else:
-            answer = self._take(job, transaction, reply)
-        self._record(job, answer)
+            answer = self._take(request, transaction, reply)
+        self._record(request, answer)
         return answer
 
-    def _job(
+    def _request(
         self,
         statement: _statements.Statement,
         prepared: _statements.Prepared | None,
         route: _configuration.Route,
-        group: _groups.Group,
-    ) -> _jobs.Job:
+    ) -> _requests.Request:
         reads_own = route.consistency is _configuration.Consistency.SESSION
-        return _jobs.Job(
+        return _requests.Request(
             statement=statement,
             prepared=prepared,
             route=route,
-            group=group,
             values=self._values,
             arrived=self._ctx.clock.now(),
             arrived_boot=self._ctx.clock.boot_now(),
@@ -226,32 +214,34 @@
         )
 
     def _dispatch(
-        self, job: _jobs.Job, transaction: _transactions.Transaction | None
+        self,
+        request: _requests.Request,
+        transaction: _runners.OpenTransaction | None,
     ) -> "decisions.Flow[_links.Reply]":
         if transaction is not None:
-            return (yield from transaction.run(job))
-        if job.writes:
-            return (yield from self._ctx.executor.write(job))
-        ctx = self._ctx
-        race = _read_races.ReadRace(ctx.executor, ctx.clock, ctx.policy, job)
-        reply: _links.Reply = yield race.outcome
-        return reply
+            return (yield from transaction.run(request))
+        runner = self._ctx.runner(request.route.service)
+        if runner is None:
+            raise decisions.RequestFailedError(
+                decisions.NO_PRIMARY, "no members are known"
+            )
+        return (yield from runner.run(request))
 
     def _take(
         self,
-        job: _jobs.Job,
-        transaction: _transactions.Transaction | None,
+        request: _requests.Request,
+        transaction: _runners.OpenTransaction | None,
         reply: _links.Reply,
     ) -> _links.Reply:
-        is_commit = job.statement.kind is Kind.COMMIT
+        is_commit = request.statement.kind is Kind.COMMIT
         if is_commit:
             self._transaction = None
         if reply.reason is not None:
             return self._failed(reply.reason, reply.detail)
-        wrote = transaction.wrote if transaction else job.writes
+        wrote = transaction.wrote if transaction else request.writes
         ended = transaction is None or is_commit
         if wrote and ended and reply.position is not None:
-            self._note_commit(job.route.service, reply.position)
+            self._note_commit(request.route.service, reply.position)
         if self._closed and transaction is not None and not is_commit:
             transaction.roll_back()
         return attrs.evolve(reply, state=self.state)
@@ -285,30 +275,30 @@
         cfg = self._ctx.configuration()
         return cfg.routes.get(self._database) if cfg else None
 
-    def _record(self, job: _jobs.Job, answer: _links.Reply) -> None:
+    def _record(self, request: _requests.Request, answer: _links.Reply) -> None:
         now = self._ctx.clock.now()
+        progress = request.progress
         outcome = answer.reason.name if answer.reason else "ran"
-        offered = job.offered_at or now
-        leader = job.group.leader
-        at_replica = leader is None or leader.member != job.member
+        offered = progress.offered_at or now
         self._ctx.metrics.note_request(
-            job.route.name,
-            job.statement.kind,
+            request.route.name,
+            request.statement.kind,
             outcome,
-            now - job.arrived,
-            at_replica and not answer.reason,
+            now - request.arrived,
+            progress.at_replica and not answer.reason,
         )
         _events.emit(
             _events.RequestDone(
-                request=job.statement.request_id,
+                request=request.statement.request_id,
                 session=self.id,
-                route=job.route.name,
-                kind=job.statement.kind.value,
+                route=request.route.name,
+                kind=request.statement.kind.value,
                 outcome=outcome,
                 detail=answer.detail,
-                member=job.member,
-                elapsed_s=round(now - job.arrived, 4),
-                waited_s=round(offered - job.arrived, 4),
-                attempts=job.attempts,
+                via=progress.via,
+                member=progress.member,
+                elapsed_s=round(now - request.arrived, 4),
+                waited_s=round(offered - request.arrived, 4),
+                attempts=progress.attempts,
             )
         )
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -4,11 +4,13 @@
 
 from ferry_proxy import _clocks
 from ferry_proxy import _execution
+from ferry_proxy import _groups
 from ferry_proxy import _jobs
 from ferry_proxy import _links
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
 from ferry_proxy import _pools
+from ferry_proxy import _requests
 from ferry_proxy import _statements
 
 STATES = _statements.TransactionState
@@ -22,11 +24,13 @@
         clock: _clocks.Clock,
         executor: _execution.Executor,
         policy: _policy.Policy,
+        group: _groups.Group,
         read_only: bool,
     ) -> None:
         self._clock = clock
         self._executor = executor
         self._policy = policy
+        self._group = group
         self._read_only = read_only
         self._pool: _pools.Pool | None = None
         self._taken: _pooled_links.PooledLink | None = None
@@ -44,13 +48,14 @@
         """Whether a member holds it."""
         return self._taken is not None
 
-    def run(self, job: _jobs.Job) -> "decisions.Flow[_links.Reply]":
+    def run(self, request: _requests.Request) -> "decisions.Flow[_links.Reply]":
         """Runs a statement of it, its COMMIT included.
 
         Raises:
             decisions.RequestFailedError: No reply; the transaction has failed
                 and nothing of it is kept, unless the reason is unknown.
         """
+        job = _jobs.Job.of(request, self._group)
         try:
             if self._taken is None:
                 yield from self._open(job)
@@ -127,7 +132,7 @@
             taken = yield target.pool.acquire(
                 _pools.Use.TRANSACTION,
                 job.route.priority,
-                job.hold_until(self._policy),
+                job.hold_end(self._policy),
                 job.values,
             )
         except decisions.RequestFailedError as exc:
@@ -150,7 +155,7 @@
         taken: _pooled_links.PooledLink,
     ) -> "decisions.Flow[decisions.Reason]":
         begin = _links.Begin(self._read_only, target.floor)
-        job.offered_at = job.offered_at or self._clock.now()
+        job.progress.note_offered(self._clock.now())
         try:
             reply = yield from target.pool.exchange(taken, begin)
         except decisions.RequestFailedError:
@@ -162,7 +167,7 @@
         return decisions.NO_CONNECTION
 
     def _may_retry(self, job: _jobs.Job) -> bool:
-        return self._clock.now() < job.hold_until(self._policy)
+        return self._clock.now() < job.hold_end(self._policy)
 
     def _hand_over(self, job: _jobs.Job) -> "decisions.Flow[_links.Reply]":
         """Runs a statement, again while the member is too busy for it."""
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -15,6 +15,7 @@
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _promotions
+from ferry_proxy import _runners
 from ferry_proxy import _sessions
 from ferry_proxy import _statements
 from ferry_proxy import _store
@@ -427,13 +428,14 @@
             1, {"db": self.route}, {"orders": service}, 3.0, 1 << 20
         )
         executor = _execution.Executor(self.clock, self.policy)
+        self.runner: _runners.Runner = _runners.LocalRunner(
+            self.clock, self.policy, executor, self.group
+        )
         self.ctx = _sessions.SessionContext(
             self.clock,
-            self.policy,
-            executor,
             _metrics.Metrics(),
             lambda: self.configuration,
-            lambda _: self.group,
+            lambda _: self.runner,
         )
         self.catalogue = _catalogue.Catalogue(
             self.clock, self.store, LAYOUT, self.policy
@@ -450,6 +452,7 @@
             clock=self.clock,
             policy=self.policy,
             node=node,
+            nodes=lambda: self.catalogue.nodes,
             catalogue=self.catalogue,
             store=self.store,
             promotions=self.cluster,
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -0,0 +1,338 @@
+"""Callers of a node whose group other nodes serve, in virtual time."""
+
+import functools
+
+import ferry_decisions as decisions
+import pytest
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _configuration
+from ferry_proxy import _forward_messages
+from ferry_proxy import _forwarding
+from ferry_proxy import _peer_messages
+from ferry_proxy import _peers
+from ferry_proxy import _serving
+from ferry_proxy import _serving_plan
+from ferry_proxy import _statements
+from ferry_proxy.tests import fakes
+
+STATES = _statements.TransactionState
+NET_S = 0.001
+
+
+class FakeStream:
+    """A stream to a serving node; messages pass through the codec."""
+
+    def __init__(self, clock, peer: str, serving: _serving.Serving) -> None:
+        self._clock = clock
+        self._serving = serving
+        self._calls: dict[int, decisions.Future[object]] = {}
+        self._number = 0
+        self.peer = peer
+        self.services = frozenset({"orders"})
+        self.held = 0
+        self.closed = False
+        self.silence_s = 0.0
+        self.mute = False
+        self.sent: list[object] = []
+
+    @property
+    def waiting(self) -> int:
+        return len(self._calls)
+
+    def call(self, body):
+        if self.closed:
+            lost = _peers.PeerLostError(self.peer, sent=False)
+            return decisions.failed(lost)
+        self._number += 1
+        number = self._number
+        fut: decisions.Future[object] = decisions.Future()
+        self._calls[number] = fut
+        self._clock.after(
+            NET_S, functools.partial(self._run, number, coded(body))
+        )
+        return fut
+
+    def tell(self, body) -> None:
+        self.sent.append(body)
+        message = coded(body)
+        assert isinstance(message, _forward_messages.EndTransaction)
+        self._clock.after(
+            NET_S, lambda: self._serving.end(self, message.transaction)
+        )
+
+    def fail(self) -> None:
+        """Ends the stream at both sides."""
+        self.closed = True
+        calls, self._calls = self._calls, {}
+        for fut in calls.values():
+            fut.set_exception(_peers.PeerLostError(self.peer))
+        self._serving.forget(self)
+
+    def _run(self, number, body) -> None:
+        if self.closed:
+            return
+        self.sent.append(body)
+        answer = self._serving.run(self, body)
+        answer.add_done_callback(lambda fut: self._answer(number, fut))
+
+    def _answer(self, number, fut) -> None:
+        reply = coded(fut.result())
+        if not self.mute:
+            self._clock.after(NET_S, lambda: self._take(number, reply))
+
+    def _take(self, number, reply) -> None:
+        waiting = self._calls.pop(number, None)
+        if waiting is not None:
+            waiting.set_result(reply)
+
+
+def coded(body):
+    """Returns a message as it comes out of the codec."""
+    data = _peer_messages.encode(1, body)
+    return _peer_messages.Decoder().feed(data)[0].body
+
+
+class FakeMesh:
+    def __init__(self) -> None:
+        self.by_name: dict[str, FakeStream] = {}
+
+
+class EntryLab(fakes.Lab):
+    """An entry node in hall-b; one near and one far serving node."""
+
+    def __init__(self, consistency=None, **policy) -> None:
+        super().__init__(consistency, **policy)
+        self.mesh = FakeMesh()
+        self.servings = {}
+        for name in ("near", "far"):
+            serving = _serving.Serving(self.clock, self._serve)
+            self.servings[name] = serving
+            self.mesh.by_name[name] = FakeStream(self.clock, name, serving)
+        places = {"near": "hall-b", "far": "hall-c"}
+        entries = {
+            n: _catalogue.NodeEntry(n, "h", 1, p) for n, p in places.items()
+        }
+        self.plan = _serving_plan.ServingPlan(entries, 4)
+        own = _catalogue.NodeEntry("entry", "h", 1, "hall-b")
+        self.forwarder = _forwarding.Forwarder(
+            self.clock, self.policy, own, self.mesh, lambda _: self.plan
+        )
+        self.local, self.runner = (
+            self.runner,
+            _forwarding.RemoteRunner(self.forwarder, "orders"),
+        )
+
+    def _serve(self, service):
+        return self.local if service == "orders" else None
+
+    @property
+    def near(self) -> FakeStream:
+        return self.mesh.by_name["near"]
+
+    @property
+    def far(self) -> FakeStream:
+        return self.mesh.by_name["far"]
+
+    def open_links(self) -> int:
+        links = [k for m in self.cluster.members.values() for k in m.links]
+        return sum(k.state is STATES.OPEN and not k.lost for k in links)
+
+    def results(self, session, *texts):
+        answers = [self.do(session, fakes.statement(t)) for t in texts]
+        return [a.reason.name if a.reason else "" for a in answers]
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [
+        (["READ x", "WRITE x 1", "READ x"], ["", "", ""]),
+        (["SET tz UTC", "PREPARE p WRITE q", "EXECUTE p x"], ["", "", ""]),
+        (["BEGIN", "WRITE x 1", "READ x", "COMMIT"], ["", "", "", ""]),
+        (["BEGIN READ", "READ x", "READ y", "COMMIT"], ["", "", "", ""]),
+        (["BEGIN", "WRITE x 1", "ROLLBACK", "READ x"], ["", "", "", ""]),
+        (["BEGIN", "COMMIT"], ["", ""]),
+        (["BEGIN READ", "WRITE x 1", "READ x", "ROLLBACK"],
+         ["", "not_primary", "in_failed_transaction", ""]),
+        (["EXECUTE p x"], ["unknown_prepared"]),
+    ],
+)  # fmt: skip
+def test_conversations_are_the_same_through_a_serving_node(texts, expected):
+    lab = EntryLab()
+    session = lab.session()
+    assert lab.results(session, *texts) == expected
+    lab.run(0.5)
+    assert lab.open_links() == 0
+    assert all(s.is_idle for s in lab.servings.values())
+    assert [s.held for s in lab.mesh.by_name.values()] == [0, 0]
+
+
+def test_values_and_shapes_go_with_the_statement():
+    lab = EntryLab()
+    session = lab.session()
+    lab.results(session, "SET tz UTC", "PREPARE p WRITE q")
+    lab.do(session, fakes.statement("EXECUTE p x", "e1"))
+    assert lab.cluster.seen_values["e1"] == {"tz": "UTC"}
+    assert ("e1", "q") in lab.cluster.members["a"].runs
+
+
+def test_a_session_reads_its_own_commit_through_another_node():
+    lab = EntryLab()
+    session = lab.session()
+    wrote = lab.do(session, fakes.statement("WRITE x 1"))
+    lab.near.fail()
+    lab.do(session, fakes.statement("READ x", "r1"))
+    assert lab.cluster.seen_floors["r1"] >= wrote.position
+
+
+def test_the_near_serving_node_goes_first():
+    lab = EntryLab()
+    session = lab.session()
+    assert lab.results(session, "READ x", "READ y") == ["", ""]
+    assert (len(lab.near.sent), len(lab.far.sent)) == (2, 0)
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        lambda s: setattr(s, "services", frozenset()),
+        lambda s: setattr(s, "silence_s", 5.0),
+        lambda s: s.fail(),
+    ],
+    ids=["lost its members", "silent", "gone"],
+)
+def test_the_far_one_serves_while_the_near_one_cannot(trouble):
+    lab = EntryLab()
+    trouble(lab.near)
+    if lab.near.closed:
+        del lab.mesh.by_name["near"]
+    session = lab.session()
+    assert lab.results(session, "READ x", "WRITE x 1") == ["", ""]
+
+
+def test_what_a_stopping_node_refused_runs_elsewhere():
+    lab = EntryLab()
+    lab.servings["near"]._runner = lambda _: None
+    session = lab.session()
+    assert lab.results(session, "WRITE x 1") == [""]
+    assert lab.results(session, "BEGIN", "WRITE x 2", "COMMIT") == [""] * 3
+
+
+@pytest.mark.parametrize(
+    ("texts", "expected"),
+    [
+        (["WRITE x 1"], "answer_lost"),
+        (["READ x"], "no_serving_node"),
+        (["BEGIN", "WRITE x 1"], "transaction_lost"),
+        (["BEGIN", "WRITE x 1", "COMMIT"], "answer_lost"),
+        (["BEGIN", "READ x", "COMMIT"], "transaction_lost"),
+    ],
+)
+def test_a_stream_that_ends_under_way(texts, expected):
+    """Only what may have run is unknown; a write is not sent twice."""
+    lab = EntryLab()
+    del lab.mesh.by_name["far"]
+    session = lab.session()
+    *before, last = texts
+    assert lab.results(session, *before) == [""] * len(before)
+    fut = session.run(fakes.statement(last, "last"))
+    lab.run(0.004)
+    lab.near.fail()
+    del lab.mesh.by_name["near"]
+    lab.run(1.0)
+    reason = fut.result().reason
+    assert reason is not None
+    assert reason.name == expected
+    lab.run(1.0)
+    assert lab.open_links() == 0
+    runs = [r for m in lab.cluster.members.values() for r, _ in m.runs]
+    assert runs.count("last") <= 1
+
+
+def test_a_read_that_is_cut_is_asked_elsewhere():
+    lab = EntryLab()
+    fut = lab.session().run(fakes.statement("READ x"))
+    lab.run(0.004)
+    lab.near.fail()
+    lab.run(0.2)
+    assert fut.result().reason is None
+
+
+def test_an_answer_that_does_not_come_is_unknown_for_a_write():
+    lab = EntryLab()
+    lab.near.mute = True
+    session = lab.session()
+    assert lab.results(session, "WRITE x 1") == ["answer_lost"]
+    assert len(lab.cluster.acknowledged) == 1
+
+
+def test_without_a_serving_node_callers_are_refused_soon():
+    lab = EntryLab()
+    lab.mesh.by_name.clear()
+    began = lab.clock.now()
+    assert lab.results(lab.session(), "WRITE x 1") == ["no_serving_node"]
+    assert lab.clock.now() - began < 0.2
+
+
+def test_an_entry_that_is_gone_leaves_no_transaction():
+    lab = EntryLab()
+    session = lab.session()
+    lab.results(session, "BEGIN", "WRITE x 1")
+    assert lab.open_links() == 1
+    lab.near.fail()
+    lab.run(0.1)
+    assert lab.open_links() == 0
+    assert lab.results(session, "COMMIT") == ["transaction_lost"]
+    assert lab.cluster.acknowledged == []
+
+
+def test_an_entry_that_goes_during_a_statement_leaves_none_either():
+    lab = EntryLab()
+    session = lab.session()
+    lab.results(session, "BEGIN", "WRITE x 1")
+    session.run(fakes.statement("WRITE x 2"))
+    lab.run(0.004)
+    lab.near.fail()
+    lab.run(0.5)
+    assert lab.open_links() == 0
+
+
+def test_a_stopping_serving_node_ends_resting_transactions():
+    lab = EntryLab()
+    session = lab.session()
+    lab.results(session, "BEGIN", "WRITE x 1")
+    assert not lab.servings["near"].is_idle
+    lab.servings["near"].end_transactions(decisions.TRANSACTION_LOST)
+    lab.run(0.1)
+    assert lab.servings["near"].is_idle
+    assert lab.open_links() == 0
+    assert lab.results(session, "WRITE x 2") == ["transaction_lost"]
+
+
+def test_reads_of_primary_routes_are_proved_at_the_serving_node():
+    lab = EntryLab(_configuration.Consistency.PRIMARY)
+    answer = lab.do(lab.session(), fakes.statement("READ x"))
+    assert answer.proof == "proof-a"
+
+
+def test_streams_are_kept_to_near_nodes_and_to_all_in_need():
+    lab = EntryLab()
+    assert [n.name for n in lab.forwarder.wanted("orders")] == ["near"]
+    lab.near.services = frozenset()
+    assert len(lab.forwarder.wanted("orders")) == 2
+    assert lab.forwarder.is_served("orders")
+
+
+@pytest.mark.parametrize(
+    "field", ["kind", "consistency"], ids=["kind", "consistency"]
+)
+def test_a_request_that_makes_no_sense_is_refused(field):
+    lab = EntryLab()
+    good = _forward_messages.RunRequest(
+        "r", "orders", "session", 1, 1.0, 0.4, 1.5, 0.0,
+        "id", "read", "READ x", "x", "", False, None, {}, 0, -1,
+    )  # fmt: skip
+    bad = coded(good)
+    object.__setattr__(bad, field, "nonsense")
+    fut = lab.servings["near"].run(lab.near, bad)
+    assert fut.result().reason == "protocol_violation"
