Each node sends a member its part only; replicas that lag are passed over

Change: a node keeps at most its part of twice the member's slots under way; the rest waits at the node by priority, and who would wait for longer than it may hears so at once. A replica that lacked a position in the last 0.1 s is asked only when nobody else is left.

Ruled out: longer holds (the work is the same), refusing by the member's own BUSY (it comes when the queue is full, that is when all are late).

Tests play the load: without the change the urgent wait behind the rest, and each read asks both replicas.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -132,11 +132,20 @@
         if job.is_primary_only:
             return (yield from self._proved_primary(job))
         floor = yield from self.floor(job)
-        pool = self._choose(job.group, tried)
+        pool = self._choose(job.group, tried, floor)
         if pool is None:
             raise decisions.RequestFailedError(decisions.NO_CONNECTION)
         return Target(pool, floor)
 
+    def has_other(self, job: _jobs.Job, tried: set[str]) -> bool:
+        """Whether a member is left that is likely to run a read now."""
+        if job.is_primary_only:
+            return False
+        floor = job.group.floors.covering(job.moment)
+        return any(
+            not p.is_behind(floor) for p in self._untried(job.group, tried)
+        )
+
     def _proved_primary(self, job: _jobs.Job) -> "decisions.Flow[Target]":
         yield from self.primary(job)
         leader = yield job.group.prove()
@@ -167,36 +176,51 @@
         return group.leader is not None and not recent
 
     def _choose(
-        self, group: _groups.Group, tried: set[str]
+        self,
+        group: _groups.Group,
+        tried: set[str],
+        floor: decisions.Position,
     ) -> _pools.Pool | None:
-        """Returns the links to the best member; never to one that leaves.
+        leader = group.leader.member if group.leader else ""
+        found = _routing.best(
+            [
+                self._candidate(group, p, leader, floor)
+                for p in self._untried(group, tried)
+            ]
+        )
+        return group.pools[found.member] if found else None
+
+    def _untried(
+        self, group: _groups.Group, tried: set[str]
+    ) -> list[_pools.Pool]:
+        """Returns the members that a read may go to; none that leaves.
 
         Unless all leave: a request must not reach one that has long been
         leaving, however many others were tried before.
         """
         listed = group.pools.values()
         staying = [p for p in listed if not p.member.draining]
-        pools = [
+        return [
             p
             for p in staying or listed
             if p.member.id not in tried
             and p.may_take_work
             and not p.is_unreachable
         ]
-        leader = group.leader.member if group.leader else ""
-        found = _routing.best(
-            [self._candidate(group, p, leader) for p in pools]
-        )
-        return group.pools[found.member] if found else None
 
     def _candidate(
-        self, group: _groups.Group, pool: _pools.Pool, leader: str
+        self,
+        group: _groups.Group,
+        pool: _pools.Pool,
+        leader: str,
+        floor: decisions.Position,
     ) -> _routing.Candidate:
         return _routing.Candidate(
             member=pool.member.id,
             is_primary=pool.member.id == leader,
             is_near=group.is_near(pool),
             is_responsive=group.is_responsive(pool),
+            is_behind=pool.is_behind(floor),
             in_flight=pool.in_flight,
             slots=pool.member.slots,
             latency_s=pool.latency_s,
@@ -246,7 +270,8 @@
         """Sends a statement with the session state that it needs."""
         commands = taken.align(job.values, job.prepared)
         name = taken.prepared[job.prepared] if job.prepared else ""
-        job.note_handed(pool.member.id, self._clock.now())
+        taken.sent_at = self._clock.now()
+        job.note_handed(pool.member.id, taken.sent_at)
         return taken.link.run([*commands, job.command(floor, name)])[-1]
 
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -13,6 +13,7 @@
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _questions
+from ferry_proxy import _queueing
 
 ROUND_S = 0.12  # Calm members answer in 5 ms; waiting readers need a floor.
 FLUX_S = 10.0  # Members are replaced one after the other, seconds apart.
@@ -57,13 +58,17 @@
     # -- members ---------------------------------------------------------
 
     def set_members(
-        self, members: dict[str, _members.Member], limit: int
+        self,
+        members: dict[str, _members.Member],
+        limit: int,
+        nodes: int = 1,
     ) -> None:
         """Takes in which members the group has.
 
         Args:
             members: All members, by id.
             limit: How many links to each this node may open.
+            nodes: How many nodes send them statements.
         """
         now = self._clock.now()
         if self.pools.keys() != members.keys():
@@ -79,10 +84,11 @@
                 pool = None
             self.vanished.pop(name, None)
             if pool is None:
-                self.pools[name] = self.open_pool(member, limit)
+                pool = self.pools[name] = self.open_pool(member, limit)
             else:
                 pool.note_entry(member)
                 pool.limit = limit
+            pool.parallel = _queueing.parallel_statements(member.slots, nodes)
 
     def open_pool(self, member: _members.Member, limit: int = 1) -> _pools.Pool:
         """Returns new links to a member, listed or not."""
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -17,6 +17,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
+from ferry_proxy import _queueing
 
 PooledLink = _pooled_links.PooledLink
 
@@ -62,6 +63,9 @@
         self._closed = False
         self.member = member
         self.limit = limit
+        self.parallel = limit
+        self.shown: decisions.Position | None = None
+        self._shown_at = float("-inf")
         self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
@@ -145,13 +149,15 @@
         fut: decisions.Future[PooledLink] = decisions.Future()
         if self._closed or self.is_unreachable:
             return decisions.failed(_unavailable(self.member.id))
+        rank = -1 if use is Use.CONTROL else priority
+        left = max(0.0, until - self._clock.now())
+        if use is not Use.CONTROL and self._expected_wait_s(rank) > left:
+            return decisions.failed(_overloaded(self.member.id))
         timer = self._clock.after(
-            until - self._clock.now(),
-            lambda: decisions.reject(fut, _overloaded(self.member.id)),
+            left, lambda: decisions.reject(fut, _overloaded(self.member.id))
         )
         fut.add_done_callback(lambda _: timer.cancel())
         waiter = _Waiter(use, values or {}, fut, timer)
-        rank = -1 if use is Use.CONTROL else priority
         heapq.heappush(self._waiters, (rank, next(self._order), waiter))
         self._serve()
         return fut
@@ -194,10 +200,12 @@
                 decisions.ANSWER_LOST, str(exc)
             ) from exc
         self.note_heard(taken)
+        self._note_position(reply.position)
         return reply
 
     def give_back(self, taken: PooledLink, reply: _links.Reply) -> None:
         """Gives a link back, or closes it if its state is not idle."""
+        self._note_position(reply.position)
         if reply.state is _links.IDLE:
             self.release(taken)
         else:
@@ -217,6 +225,8 @@
         self._troubled_since = None
         if elapsed_s:
             self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
+        if self._waiters:
+            self._serve()
 
     def close(self) -> None:
         """Closes the idle links; those in use close as they come back."""
@@ -227,6 +237,28 @@
         for _, _, waiter in self._waiters:
             decisions.reject(waiter.fut, _unavailable(self.member.id))
 
+    def is_behind(self, floor: decisions.Position | None) -> bool:
+        """Whether the member lacked a position a moment ago."""
+        if floor is None or self.shown is None or self.shown >= floor:
+            return False
+        return self._clock.now() - self._shown_at < RECHECK_S
+
+    def _note_position(self, position: decisions.Position | None) -> None:
+        if position is not None:
+            self.shown = position
+            self._shown_at = self._clock.now()
+
+    @property
+    def _running(self) -> int:
+        """Statements under way at the member."""
+        return sum(t.sent_at is not None for t in self._used)
+
+    def _expected_wait_s(self, rank: int) -> float:
+        if self._running < self.parallel:
+            return 0.0
+        ahead = sum(w[0] <= rank and not w[2].fut.done() for w in self._waiters)
+        return _queueing.expected_wait_s(ahead, self.parallel, self.latency_s)
+
     def _note_trouble(self) -> None:
         if self._troubled_since is None:
             self._troubled_since = self._clock.now()
@@ -239,24 +271,30 @@
         """Gives links to those who wait, in order."""
         self._idle = [t for t in self._idle if not t.link.lost]
         held: list[tuple[int, int, _Waiter]] = []
+        lacking = 0
         while self._waiters:
             entry = heapq.heappop(self._waiters)
             waiter = entry[2]
             if waiter.fut.done():
                 continue
-            if not self._may_take(waiter.use):
-                held.append(entry)
+            if self._may_take(waiter.use) and self._idle:
+                self._give(waiter)
                 continue
-            if not self._idle:
-                held.append(entry)
-                break
-            self._give(waiter)
+            held.append(entry)
+            if self._may_take(waiter.use):
+                lacking += 1
+            elif waiter.use is not Use.TRANSACTION:
+                break  # All others that wait want to run statements, too.
         for entry in held:
             heapq.heappush(self._waiters, entry)
-        self._open_more(len(held))
+        self._open_more(lacking)
 
     def _may_take(self, use: Use) -> bool:
-        if use is not Use.TRANSACTION:
+        if use is Use.CONTROL:
+            return True
+        if self._running >= self.parallel:
+            return False
+        if use is Use.STATEMENT:
             return True
         taken = sum(t.for_transaction for t in self._used)
         return taken < max(1, self.limit - self._policy.transaction_reserve)
@@ -319,6 +357,7 @@
 
 
 DRAIN_S = 6.0  # A second less than the shortest drain that sites set (7 s).
+RECHECK_S = 0.1  # A replica that lacked a position shows it this much later.
 LATENCY_WEIGHT = 0.2  # Of the newest sample in a moving mean; about 5 samples.
 
 
--- a/packages/proxy/src/ferry_proxy/_read_races.py
+++ b/packages/proxy/src/ferry_proxy/_read_races.py
@@ -112,7 +112,7 @@
             decisions.resolve(self.outcome, reply)
         elif self._running:
             return  # Another member may still answer.
-        elif self._may_retry(reply):
+        elif self._may_retry(reply, exc):
             self._clock.after(self._pause(reply, exc), self._relaunch)
         elif reply is not None:
             decisions.resolve(self.outcome, reply)
@@ -120,8 +120,12 @@
             assert exc is not None
             decisions.reject(self.outcome, exc)
 
-    def _may_retry(self, reply: _links.Reply | None) -> bool:
+    def _may_retry(
+        self, reply: _links.Reply | None, exc: BaseException | None
+    ) -> bool:
         job = self._job
+        if _is_overloaded(exc):
+            return self._executor.has_other(job, self._tried)
         now = self._clock.now()
         if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
             return False
@@ -157,3 +161,8 @@
             self.outcome,
             decisions.RequestFailedError(reason, "no answer in time"),
         )
+
+
+def _is_overloaded(exc: BaseException | None) -> bool:
+    failure = exc if isinstance(exc, decisions.RequestFailedError) else None
+    return failure is not None and failure.reason is decisions.OVERLOADED
--- a/packages/proxy/src/ferry_proxy/_routing.py
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -1,8 +1,9 @@
 """Which member gets a read.
 
 Answers the load of ordinary days: many short reads, some members slow, and
-traffic between data centres that costs money. A pure function of what is
-known of the members, so it is tested without a network.
+traffic between data centres that costs money; and that of days on which both
+replicas lag, when asking them costs time and the primary a queue. A pure
+function of what is known of the members, so it is tested without a network.
 """
 
 import attrs
@@ -22,6 +23,7 @@
         is_primary: Whether it leads.
         is_near: Whether it is in this node's data centre.
         is_responsive: Whether it answered a short while ago.
+        is_behind: Whether it lacked what the read needs a moment ago.
         in_flight: This node's statements there, waiting ones included.
         slots: Statements that it runs at the same time.
         latency_s: The mean time of a statement there, lately.
@@ -31,6 +33,7 @@
     is_primary: bool
     is_near: bool
     is_responsive: bool
+    is_behind: bool
     in_flight: int
     slots: int
     latency_s: float
@@ -51,4 +54,6 @@
 
 def best(candidates: list[Candidate]) -> Candidate | None:
     """Returns the member to ask; None without candidates."""
-    return min(candidates, key=lambda c: (cost(c), c.member), default=None)
+    return min(
+        candidates, key=lambda c: (c.is_behind, cost(c), c.member), default=None
+    )
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -153,7 +153,8 @@
         before = set(group.pools)
         led = {n for n, p in group.pools.items() if p.member.leads}
         group.service = service
-        group.set_members(members, self._plans[service.name].links)
+        plan = self._plans[service.name]
+        group.set_members(members, plan.links, len(plan.nodes))
         leads = {n for n, m in members.items() if m.leads}
         if before != members.keys() or leads != led:
             group.refresh()
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -112,7 +112,7 @@
             reason = yield from self._try_open(job, tried)
             if self._taken is not None:
                 return
-            if not self._may_retry(job):
+            if not self._may_retry(job, reason, tried):
                 raise decisions.RequestFailedError(reason, "at the begin")
             if reason is decisions.NOT_PRIMARY:
                 yield decisions.settled(job.group.refresh())
@@ -166,7 +166,13 @@
         self._pool, self._taken = target.pool, taken
         return decisions.NO_CONNECTION
 
-    def _may_retry(self, job: _jobs.Job) -> bool:
+    def _may_retry(
+        self, job: _jobs.Job, reason: decisions.Reason, tried: set[str]
+    ) -> bool:
+        if reason is decisions.OVERLOADED and not (
+            self._read_only and self._executor.has_other(job, tried)
+        ):
+            return False
         return self._clock.now() < job.hold_end(self._policy)
 
     def _hand_over(self, job: _jobs.Job) -> "decisions.Flow[_links.Reply]":
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -48,6 +48,20 @@
     links: list["FakeLink"] = attrs.field(factory=list)
     runs: list[tuple[str, str]] = attrs.field(factory=list)
     opened: int = 0
+    slots: int = 0
+    free_at: list[float] = attrs.field(factory=list)
+
+    def work_delay(self) -> float:
+        """Returns how long one takes that comes now, its queue included."""
+        if not self.slots:
+            return WORK_S
+        now = self.cluster.clock.now()
+        if len(self.free_at) < self.slots:
+            self.free_at += [now] * (self.slots - len(self.free_at))
+        self.free_at.sort()
+        begins = max(now, self.free_at[0])
+        self.free_at[0] = begins + WORK_S
+        return self.free_at[0] - now
 
     @property
     def end(self) -> decisions.Position:
@@ -97,7 +111,7 @@
             fut: decisions.Future[_links.Reply] = decisions.Future()
             self._pending.append(fut)
             if isinstance(command, _links.Run):
-                delay += WORK_S
+                delay += self.member.work_delay()
             clock.after(delay, functools.partial(self._run, command, fut))
             futs.append(fut)
         return futs
@@ -169,13 +183,14 @@
         raise AssertionError(command)
 
     def _ok(self, **fields):
-        position = self.member.end
+        position = self.member.cluster.shown(self.member)
         return _links.Reply(self.state, position=position, **fields)
 
     def _error(self, reason):
         if self.state is STATES.OPEN and reason is not decisions.MEMBER_BUSY:
             self.state = STATES.FAILED
-        return _links.Reply(self.state, reason=reason)
+        position = self.member.cluster.shown(self.member)
+        return _links.Reply(self.state, reason=reason, position=position)
 
     def _behind(self, floor) -> bool:
         return (
@@ -245,6 +260,7 @@
         self.lost: list[str] = []
         self.refused_behind = 0
         self.showing: decisions.Position | None = None
+        self.behind: set[str] = set()
         roles = [_members.Role.PRIMARY, *[_members.Role.REPLICA] * 2]
         self.members = {
             name: FakeMember(name, self, role)
@@ -255,6 +271,8 @@
         return {n: m.entry() for n, m in self.members.items()}
 
     def shown(self, member: FakeMember) -> decisions.Position:
+        if member.id in self.behind:
+            return decisions.Position(0, 0)
         return member.end if self.showing is None else self.showing
 
     def replicate(self, primary: FakeMember) -> bool:
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_overload.py
@@ -0,0 +1,121 @@
+"""More load than the members can run: who is served, and who waits."""
+
+import attrs
+import pytest
+
+from ferry_proxy import _configuration
+from ferry_proxy import _queueing
+from ferry_proxy.tests import fakes
+
+
+@pytest.mark.parametrize(
+    ("slots", "nodes", "expected"),
+    [(6, 6, 2), (5, 10, 2), (5, 7, 2), (3, 6, 2), (6, 1, 12), (6, 2, 6)],
+)
+def test_parallel_statements(slots, nodes, expected):
+    assert _queueing.parallel_statements(slots, nodes) == expected
+
+
+@pytest.mark.parametrize(
+    ("ahead", "parallel", "latency_s", "expected"),
+    [(0, 2, 0.1, 0.05), (3, 2, 0.1, 0.2), (0, 1, 0.0, 0.0), (1, 0, 0.1, 0.2)],
+)
+def test_expected_wait(ahead, parallel, latency_s, expected):
+    found = _queueing.expected_wait_s(ahead, parallel, latency_s)
+    assert found == pytest.approx(expected)
+
+
+class Load(fakes.Lab):
+    """Reads of two routes that only a primary with two slots can run."""
+
+    def __init__(self) -> None:
+        super().__init__(_configuration.Consistency.SESSION, limit=7)
+        for member in self.cluster.members.values():
+            member.slots = 2
+            member.lag_s = 10.0
+        entries = {
+            n: attrs.evolve(e, slots=2)
+            for n, e in self.cluster.entries().items()
+        }
+        self.group.set_members(entries, 7, nodes=1)
+        self.do(self.session(), fakes.statement("WRITE x 1"))
+        self.run(3.0)  # All floors cover the write now.
+        self.urgent = attrs.evolve(self.route, name="u", priority=0)
+        self.answers: list[tuple[str, float, str]] = []
+
+    def lag(self) -> None:
+        """Makes both replicas show nothing new."""
+        for name in "bc":
+            self.cluster.behind.add(name)
+
+    def offer(self, route: _configuration.Route, per_s: float, seconds: float):
+        """Offers reads at a steady rate."""
+        for number in range(int(per_s * seconds)):
+            self.clock.after(number / per_s, lambda: self._ask(route))
+
+    def _ask(self, route) -> None:
+        routes = {"db": route}
+        self.configuration = attrs.evolve(self.configuration, routes=routes)
+        began = self.clock.now()
+        fut = self.session().run(fakes.statement("READ x"))
+
+        def note(done) -> None:
+            reason = done.result().reason
+            took = self.clock.now() - began
+            outcome = reason.name if reason else "ran"
+            self.answers.append((route.name, took, outcome))
+
+        fut.add_done_callback(note)
+
+    def served(self, route: str) -> list[float]:
+        return [t for n, t, o in self.answers if n == route and o == "ran"]
+
+    def refused(self, route: str) -> list[float]:
+        return [t for n, t, o in self.answers if n == route and o != "ran"]
+
+
+def test_the_urgent_do_not_wait_behind_the_rest():
+    lab = Load()
+    lab.lag()
+    lab.offer(lab.route, 400, 2.0)  # Twice what the primary can run.
+    lab.offer(lab.urgent, 50, 2.0)
+    lab.run(4.0)
+    urgent = sorted(lab.served("u"))
+    assert len(urgent) >= 95
+    assert urgent[len(urgent) // 2] < 0.06
+
+
+def test_who_cannot_be_served_hears_so_soon_and_the_rest_is_in_time():
+    lab = Load()
+    lab.lag()
+    lab.offer(lab.route, 400, 2.0)
+    lab.run(4.0)
+    assert len(lab.answers) == 800
+    served = lab.served("r")
+    assert len(served) > 0.8 * 400  # The primary is kept busy.
+    assert max(served) < lab.route.target_s
+    share = lab.policy.hold_share
+    assert max(lab.refused("r")) <= share * lab.route.target_s + 0.03
+
+
+def test_replicas_that_lag_are_not_asked_by_each_read():
+    lab = Load()
+    lab.lag()
+    lab.offer(lab.route, 100, 1.0)
+    lab.run(2.0)
+    assert len(lab.served("r")) == 100
+    # Each may be asked again after a tenth of a second, by two reads at once.
+    assert lab.cluster.refused_behind <= 40
+
+
+def test_replicas_take_the_reads_again_once_they_have_caught_up():
+    lab = Load()
+    lab.lag()
+    lab.offer(lab.route, 100, 1.0)
+    lab.run(1.0)
+    lab.cluster.behind.clear()
+    lab.run(0.5)
+    before = len(lab.cluster.members["a"].runs)
+    lab.offer(lab.route, 100, 1.0)
+    lab.run(2.0)
+    assert len(lab.cluster.members["a"].runs) - before < 20
--- a/packages/proxy/src/ferry_proxy/tests/test_routing.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_routing.py
@@ -5,9 +5,9 @@
 
 from ferry_proxy import _routing
 
-PRIMARY = _routing.Candidate("p", True, True, True, 0, 5, 0.02)
-NEAR = _routing.Candidate("near", False, True, True, 0, 5, 0.02)
-FAR = _routing.Candidate("far", False, False, True, 0, 5, 0.02)
+PRIMARY = _routing.Candidate("p", True, True, True, False, 0, 5, 0.02)
+NEAR = _routing.Candidate("near", False, True, True, False, 0, 5, 0.02)
+FAR = _routing.Candidate("far", False, False, True, False, 0, 5, 0.02)
 
 
 @pytest.mark.parametrize(
@@ -26,6 +26,15 @@
             "p",
         ),
         ({"near": {"latency_s": 1.0}, "far": {"latency_s": 1.0}}, "p"),
+        ({"near": {"is_behind": True}}, "far"),
+        (
+            {
+                "near": {"is_behind": True},
+                "far": {"is_behind": True},
+                "p": {"latency_s": 0.5, "in_flight": 9},
+            },
+            "p",
+        ),
         ({"near": {"latency_s": 0.001}, "far": {"latency_s": 0.004}}, "near"),
     ],
 )
