Serving nodes are asked once each; a group that moves is kept for a while

A node that ceased to serve a group closed its pools at once, so that commits of transactions open there could no longer be proved.

Change: each serving node is asked once and its reason is passed on; a group that other nodes serve is kept for 8 s.

--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -185,7 +185,7 @@
         self._hold_end = request.hold_until(forwarder.policy, False)
 
     def next(self) -> "decisions.Flow[Stream]":
-        """Returns the next serving node.
+        """Returns the next serving node; waits for a first one.
 
         Raises:
             decisions.RequestFailedError: None could be reached in time.
@@ -196,16 +196,17 @@
             if stream is not None:
                 self._tried.add(stream.peer)
                 return stream
-            self._tried.clear()
             if forwarder.clock.now() >= self._hold_end:
                 raise decisions.RequestFailedError(decisions.NO_SERVING_NODE)
             yield decisions.sleep(forwarder.clock, LOOK_AGAIN_S)
 
     def may_go_on(self, reply: _links.Reply) -> bool:
-        """Whether what a reply says did not run is sent elsewhere."""
+        """Whether what a reply says did not run is sent to another node."""
         if reply.reason not in ELSEWHERE:
             return False
-        return self._forwarder.clock.now() < self._hold_end
+        if self._forwarder.clock.now() >= self._hold_end:
+            return False
+        return self._forwarder.choose(self._service, self._tried) is not None
 
 
 def send(
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -277,7 +277,7 @@
 
     def _check(self) -> None:
         self.reach.judge()
-        self._groups.check_primaries()
+        self._groups.check()
         self._want_peers()
         self._announce()
         if not self.stopping:
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -22,6 +22,8 @@
 from ferry_proxy import _store
 from ferry_proxy import _surveys
 
+RETIRE_S = 8.0  # Commits of transactions that are open here can be proved.
+
 
 @attrs.frozen(slots=True)
 class GroupsContext:
@@ -61,12 +63,15 @@
         promoter: Replaces its primary when it has to be.
         surveys: Keeps its floor up to date.
         runner: Runs its statements.
+        retires_at: When this node, no longer one of its serving nodes, lets
+            it go; None while it is one.
     """
 
     group: _groups.Group
     promoter: _promotions.Promoter
     surveys: _surveys.Surveys
     runner: _runners.LocalRunner
+    retires_at: float | None = None
 
 
 class ServedGroups:
@@ -102,6 +107,8 @@
         served = self._served.get(service)
         if served is None or self._ctx.is_stopping():
             return False
+        if served.retires_at is not None:
+            return False
         return is_well(served.group, self._ctx.policy.isolated_s)
 
     def peers(self) -> list[_records.NodeEntry]:
@@ -109,6 +116,7 @@
         found = {
             node.name: node
             for service in self._served
+            if service in self._plans
             for node in self._plans[service].nodes.values()
         }
         found.pop(self._ctx.own.name, None)
@@ -123,10 +131,13 @@
             by_service.setdefault(member.service, {})[member.id] = member
         self._make_plans(cfg)
         for name, service in cfg.services.items():
-            if self._ctx.own.name in self._plans[name].nodes:
+            if self._is_mine(name) or name in self._served:
                 self._apply_service(service, by_service.get(name, {}))
-        for name in [n for n in self._served if not self._is_mine(n)]:
-            self._drop(name)
+        for name, served in self._served.items():
+            if self._is_mine(name):
+                served.retires_at = None
+            elif served.retires_at is None:
+                served.retires_at = self._ctx.clock.now() + RETIRE_S
         self._expect_changes()
 
     def _is_mine(self, service: str) -> bool:
@@ -231,10 +242,14 @@
         for served in self._served.values():
             served.surveys.survey(served.group)
 
-    def check_primaries(self) -> None:
-        """Weighs the evidence on all primaries."""
-        for served in self._served.values():
-            served.promoter.check()
+    def check(self) -> None:
+        """Weighs the evidence on all primaries, and lets groups go."""
+        now = self._ctx.clock.now()
+        for name, served in list(self._served.items()):
+            if served.retires_at is not None and now >= served.retires_at:
+                self._drop(name)
+            else:
+                served.promoter.check()
 
     def forgive(self, late_s: float) -> None:
         """A pause of this process is not held against the members."""
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -0,0 +1,149 @@
+"""Which groups a node serves, as nodes come and go."""
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _catalogue
+from ferry_proxy import _configuration
+from ferry_proxy import _metrics
+from ferry_proxy import _peers
+from ferry_proxy import _policy
+from ferry_proxy import _records
+from ferry_proxy import _served_groups
+from ferry_proxy import _serving_plan
+from ferry_proxy import _statements
+from ferry_proxy import _store
+from ferry_proxy.tests import fakes
+
+CONNECTIONS = 14  # Fewer than three a node for the fleet below.
+FLEET = 12
+
+
+class NoPeers:
+    """A mesh without streams."""
+
+    streams: list[_peers.Peer] = []
+    by_name: dict[str, _peers.Peer] = {}
+
+
+class Lab:
+    """One node of a fleet in one data centre, and a group of members."""
+
+    def __init__(self) -> None:
+        self.clock = decisions.VirtualTimers()
+        self.policy = _policy.Policy()
+        self.cluster = fakes.FakeCluster(self.clock)
+        self.entries = [
+            _records.NodeEntry(f"n{n}", "h", 1, "hall-b") for n in range(FLEET)
+        ]
+        layout = _catalogue.Layout(
+            "config",
+            "members/",
+            fakes._no_document,
+            lambda name, _: self.cluster.members[name].entry(),
+        )
+        self.catalogue = _catalogue.Catalogue(self.clock, layout, self.policy)
+        service = _configuration.Service("orders", CONNECTIONS, 1)
+        self.cfg = _configuration.Configuration(
+            1, {}, {"orders": service}, 3.0, 1 << 20
+        )
+        plan = _serving_plan.make_plan("orders", self.entries, CONNECTIONS)
+        self.serving = sorted(plan.nodes)
+        self.own = next(e for e in self.entries if e.name in plan.nodes)
+        self.stopping = False
+        store = fakes.FakeStore(self.clock)
+        self.groups = _served_groups.ServedGroups(
+            _served_groups.GroupsContext(
+                clock=self.clock,
+                policy=self.policy,
+                own=self.own,
+                catalogue=self.catalogue,
+                store=store,
+                connector=self.cluster,
+                promotions=self.cluster,
+                mesh=NoPeers(),
+                metrics=_metrics.Metrics(),
+                is_stopping=lambda: self.stopping,
+            )
+        )
+        decisions.PeriodicTimer(self.clock, 0.1, self.groups.check)
+        decisions.PeriodicTimer(self.clock, 0.4, self.groups.survey)
+        self._revision = 0
+        self.list_nodes(self.entries)
+        for name in "abc":
+            self.put("members/" + name, b"x")
+
+    def put(self, key: str, value: bytes | None) -> None:
+        self._revision += 1
+        item = _store.Item(key, value, self._revision)
+        self.catalogue.take((item,), "test")
+        self.groups.apply(self.cfg)
+
+    def list_nodes(self, entries) -> None:
+        for entry in entries:
+            self.put(_records.NODE_PREFIX + entry.name, entry.encode())
+
+
+def test_a_serving_node_serves_well_once_it_has_found_the_primary():
+    lab = Lab()
+    assert not lab.groups.serves_well("orders")
+    lab.clock.advance(1.0)
+    assert lab.groups.serves_well("orders")
+    assert {n.name for n in lab.groups.peers()} == set(lab.serving) - {
+        lab.own.name
+    }
+
+
+def test_a_stopping_node_serves_nobody_well():
+    lab = Lab()
+    lab.clock.advance(1.0)
+    lab.stopping = True
+    assert not lab.groups.serves_well("orders")
+
+
+def test_nodes_that_do_not_serve_open_no_links():
+    lab = Lab()
+    others = [e for e in lab.entries if e.name not in lab.serving]
+    lab.groups._ctx = attrs.evolve(lab.groups._ctx, own=others[0])
+    lab.groups._served.clear()
+    lab.groups.apply(lab.cfg)
+    assert lab.groups.find("orders") is None
+    assert "orders" in lab.groups.plans
+
+
+def test_a_group_is_kept_for_a_while_when_another_node_serves_it():
+    lab = Lab()
+    lab.clock.advance(1.0)
+    opened = sum(m.opened for m in lab.cluster.members.values())
+    assert opened > 0
+    # Nodes that rank before this one come: it serves no longer.
+    rank = decisions.rendezvous_score
+    better = [
+        n
+        for n in (f"x{k}" for k in range(1000))
+        if rank("orders", n) < rank("orders", lab.own.name)
+    ]
+    comers = [_records.NodeEntry(n, "h", 1, "hall-b") for n in better[:2]]
+    lab.list_nodes(comers)
+    assert not lab.groups.serves_well("orders")
+    served = lab.groups.find("orders")
+    assert served is not None
+    lab.put("members/a", None)
+    assert set(served.group.pools) == {"b", "c"}
+    lab.clock.advance(_served_groups.RETIRE_S + 0.2)
+    assert lab.groups.find("orders") is None
+    lab.clock.advance(1.0)
+    links = [k for m in lab.cluster.members.values() for k in m.links]
+    assert all(k.lost for k in links)
+    assert all(k.state is _statements.TransactionState.IDLE for k in links)
+
+
+def test_a_group_that_comes_back_is_kept():
+    lab = Lab()
+    lab.clock.advance(1.0)
+    served = lab.groups.find("orders")
+    assert served is not None
+    served.retires_at = lab.clock.now() + 0.1
+    lab.groups.apply(lab.cfg)
+    lab.clock.advance(1.0)
+    assert lab.groups.find("orders") is served
