Silent serving nodes get nothing more; the primary helps replicas with a queue

With a data centre cut off, one replica has all reads of a group, more than it can run, while the primary is spared by a factor of 20.

Change: a peer that owes an answer and was not heard for 0.3 s gets nothing more, and reads that it owes are asked elsewhere. A replica at which a read would wait for 30 ms or more is weighed like the primary.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -132,7 +132,7 @@
         if job.is_primary_only:
             return (yield from self._proved_primary(job))
         floor = yield from self.floor(job)
-        pool = self._choose(job.group, tried, floor)
+        pool = self._choose(job, tried, floor)
         if pool is None:
             raise decisions.RequestFailedError(decisions.NO_CONNECTION)
         return Target(pool, floor)
@@ -177,18 +177,17 @@
 
     def _choose(
         self,
-        group: _groups.Group,
+        job: _jobs.Job,
         tried: set[str],
         floor: decisions.Position,
     ) -> _pools.Pool | None:
-        leader = group.leader.member if group.leader else ""
         found = _routing.best(
             [
-                self._candidate(group, p, leader, floor)
-                for p in self._untried(group, tried)
+                self._candidate(job, p, floor)
+                for p in self._untried(job.group, tried)
             ]
         )
-        return group.pools[found.member] if found else None
+        return job.group.pools[found.member] if found else None
 
     def _untried(
         self, group: _groups.Group, tried: set[str]
@@ -210,11 +209,12 @@
 
     def _candidate(
         self,
-        group: _groups.Group,
+        job: _jobs.Job,
         pool: _pools.Pool,
-        leader: str,
         floor: decisions.Position,
     ) -> _routing.Candidate:
+        group = job.group
+        leader = group.leader.member if group.leader else ""
         return _routing.Candidate(
             member=pool.member.id,
             is_primary=pool.member.id == leader,
@@ -224,6 +224,7 @@
             in_flight=pool.in_flight,
             slots=pool.member.slots,
             latency_s=pool.latency_s,
+            wait_s=pool.expected_wait_s(job.route.priority),
         )
 
     def hand_over(
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -0,0 +1,128 @@
+"""Which serving node gets the statements of an entry node's callers."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import typing
+
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _peers
+from ferry_proxy import _policy
+from ferry_proxy import _records
+from ferry_proxy import _serving_plan
+
+QUIET_S = 0.3  # A peer that owes an answer is heard several times in this, or
+# is gone: others are preferred, and reads asked there.
+
+
+class Stream(_peers.Peer, typing.Protocol):
+    """What forwarding needs of a stream to a serving node.
+
+    Attributes:
+        services: The groups that the peer can serve well now.
+        held: Transactions of this node that depend on the stream.
+    """
+
+    services: frozenset[str]
+    held: int
+
+    @property
+    def closed(self) -> bool:
+        """Whether the stream has ended."""
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds since the peer was heard."""
+
+    @property
+    def owed_s(self) -> float:
+        """Seconds since the peer was heard, while it owes an answer."""
+
+    @property
+    def waiting(self) -> int:
+        """Questions to the peer that have no answer yet."""
+
+
+class Mesh(typing.Protocol):
+    """The streams to other nodes."""
+
+    @property
+    def by_name(self) -> Mapping[str, Stream]:
+        """The open streams by the names of the peers."""
+
+
+class Forwarder:
+    """Chooses the serving nodes of one entry node."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        policy: _policy.Policy,
+        own: _records.NodeEntry,
+        mesh: Mesh,
+        plan: Callable[[str], _serving_plan.ServingPlan | None],
+    ) -> None:
+        self.clock = clock
+        self.policy = policy
+        self._own = own
+        self._mesh = mesh
+        self._plan = plan
+
+    def is_served(self, service: str) -> bool:
+        """Whether a peer that was heard lately serves a group well."""
+        return any(
+            service in s.services and self._is_heard(s)
+            for s in self._streams(service)
+        )
+
+    def wanted(self, service: str) -> list[_records.NodeEntry]:
+        """Returns the nodes to keep streams to: near ones, or all in need."""
+        plan = self._plan(service)
+        if plan is None or self._own.name in plan.nodes:
+            return []
+        near = plan.near(self._own.data_centre)
+        streams = self._mesh.by_name
+        for node in near:
+            stream = streams.get(node.name)
+            if stream is not None and service in stream.services:
+                return near
+        return list(plan.nodes.values())
+
+    def choose(self, service: str, tried: set[str]) -> Stream | None:
+        """Returns the stream to the best serving node.
+
+        Args:
+            service: The group.
+            tried: Nodes to pass over.
+        """
+        streams = [s for s in self._streams(service) if s.peer not in tried]
+        heard = [s for s in streams if self._is_heard(s)]
+        well = [s for s in heard if service in s.services]
+        plan = self._plan(service)
+        if plan is None or not (well or heard):
+            return None
+        near = {n.name for n in plan.near(self._own.data_centre)}
+        return min(
+            well or heard,
+            key=lambda s: (
+                s.peer not in near,
+                s.waiting,
+                decisions.rendezvous_score(self._own.name, s.peer),
+            ),
+        )
+
+    def _streams(self, service: str) -> list[Stream]:
+        plan = self._plan(service)
+        if plan is None:
+            return []
+        streams = self._mesh.by_name
+        return [
+            streams[n]
+            for n in plan.nodes
+            if n != self._own.name and n in streams
+        ]
+
+    def _is_heard(self, stream: Stream) -> bool:
+        heard = stream.silence_s < self.policy.isolated_s
+        return heard and stream.owed_s < QUIET_S
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -4,27 +4,23 @@
 did not run there may be sent to another one, while there is time.
 """
 
-from collections.abc import Callable
-from collections.abc import Mapping
 import itertools
-import typing
 
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
 from ferry_proxy import _forward_messages
+from ferry_proxy import _forwarder
 from ferry_proxy import _links
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
-from ferry_proxy import _policy
-from ferry_proxy import _records
 from ferry_proxy import _requests
-from ferry_proxy import _serving_plan
 from ferry_proxy import _statements
 
 ANSWER_MARGIN_S = 0.05  # The serving node's own verdict arrives first.
 LOOK_AGAIN_S = 0.03  # A new stream is there after two network trips.
 
+
 # What another serving node may do better: this one lacks the members, stops,
 # or lost its own link.
 ELSEWHERE = frozenset(
@@ -38,117 +34,10 @@
 )
 
 
-class Stream(_peers.Peer, typing.Protocol):
-    """What forwarding needs of a stream to a serving node.
-
-    Attributes:
-        services: The groups that the peer can serve well now.
-        held: Transactions of this node that depend on the stream.
-    """
-
-    services: frozenset[str]
-    held: int
-
-    @property
-    def closed(self) -> bool:
-        """Whether the stream has ended."""
-
-    @property
-    def silence_s(self) -> float:
-        """Seconds since the peer was heard."""
-
-    @property
-    def waiting(self) -> int:
-        """Questions to the peer that have no answer yet."""
-
-
-class Mesh(typing.Protocol):
-    """The streams to other nodes."""
-
-    @property
-    def by_name(self) -> Mapping[str, Stream]:
-        """The open streams by the names of the peers."""
-
-
-class Forwarder:
-    """Chooses the serving nodes of one entry node."""
-
-    def __init__(
-        self,
-        clock: _clocks.Clock,
-        policy: _policy.Policy,
-        own: _records.NodeEntry,
-        mesh: Mesh,
-        plan: Callable[[str], _serving_plan.ServingPlan | None],
-    ) -> None:
-        self.clock = clock
-        self.policy = policy
-        self._own = own
-        self._mesh = mesh
-        self._plan = plan
-
-    def is_served(self, service: str) -> bool:
-        """Whether a peer that was heard lately serves a group well."""
-        return any(
-            service in s.services and self._is_heard(s)
-            for s in self._streams(service)
-        )
-
-    def wanted(self, service: str) -> list[_records.NodeEntry]:
-        """Returns the nodes to keep streams to: near ones, or all in need."""
-        plan = self._plan(service)
-        if plan is None or self._own.name in plan.nodes:
-            return []
-        near = plan.near(self._own.data_centre)
-        streams = self._mesh.by_name
-        for node in near:
-            stream = streams.get(node.name)
-            if stream is not None and service in stream.services:
-                return near
-        return list(plan.nodes.values())
-
-    def choose(self, service: str, tried: set[str]) -> Stream | None:
-        """Returns the stream to the best serving node.
-
-        Args:
-            service: The group.
-            tried: Nodes to pass over.
-        """
-        streams = [s for s in self._streams(service) if s.peer not in tried]
-        heard = [s for s in streams if self._is_heard(s)]
-        well = [s for s in heard if service in s.services]
-        plan = self._plan(service)
-        if plan is None or not (well or heard):
-            return None
-        near = {n.name for n in plan.near(self._own.data_centre)}
-        return min(
-            well or heard,
-            key=lambda s: (
-                s.peer not in near,
-                s.waiting,
-                decisions.rendezvous_score(self._own.name, s.peer),
-            ),
-        )
-
-    def _streams(self, service: str) -> list[Stream]:
-        plan = self._plan(service)
-        if plan is None:
-            return []
-        streams = self._mesh.by_name
-        return [
-            streams[n]
-            for n in plan.nodes
-            if n != self._own.name and n in streams
-        ]
-
-    def _is_heard(self, stream: Stream) -> bool:
-        return stream.silence_s < self.policy.isolated_s
-
-
 class RemoteRunner:
     """Runs one group's statements at its serving nodes."""
 
-    def __init__(self, forwarder: Forwarder, service: str) -> None:
+    def __init__(self, forwarder: _forwarder.Forwarder, service: str) -> None:
         self._forwarder = forwarder
         self._service = service
 
@@ -176,7 +65,10 @@
     """The serving nodes that one request is sent to, one after another."""
 
     def __init__(
-        self, forwarder: Forwarder, service: str, request: _requests.Request
+        self,
+        forwarder: _forwarder.Forwarder,
+        service: str,
+        request: _requests.Request,
     ) -> None:
         self._forwarder = forwarder
         self._service = service
@@ -184,7 +76,7 @@
         self._tried: set[str] = set()
         self._hold_end = request.hold_until(forwarder.policy, False)
 
-    def next(self) -> "decisions.Flow[Stream]":
+    def next(self) -> "decisions.Flow[_forwarder.Stream]":
         """Returns the next serving node; waits for a first one.
 
         Raises:
@@ -204,14 +96,17 @@
         """Whether what a reply says did not run is sent to another node."""
         if reply.reason not in ELSEWHERE:
             return False
-        if self._forwarder.clock.now() >= self._hold_end:
+        end = self._hold_end
+        if reply.reason is decisions.READ_CUT:
+            end = self._request.retry_until
+        if self._forwarder.clock.now() >= end:
             return False
         return self._forwarder.choose(self._service, self._tried) is not None
 
 
 def send(
     clock: _clocks.Clock,
-    stream: Stream,
+    stream: _forwarder.Stream,
     body: _forward_messages.RunRequest,
     request: _requests.Request,
     lost: decisions.Reason,
@@ -228,21 +123,42 @@
     sent = clock.now()
     limit = max(0.0, request.deadline - sent) + ANSWER_MARGIN_S
     request.progress.via = stream.peer
+    fut = stream.call(body)
+    if lost is decisions.READ_CUT:
+        fut = decisions.start(_unless_quiet(clock, stream, fut))
     try:
         answer: _peer_messages.Message = yield decisions.within(
-            clock, limit, stream.call(body)
+            clock, limit, fut
         )
     except decisions.TimeoutExpiredError:
         return _failed(lost, f"{stream.peer} did not answer in time")
     except _peers.PeerLostError as exc:
         reason = lost if exc.sent else _unsent(body)
-        return _failed(reason, f"the stream to {stream.peer} ended")
+        return _failed(reason, f"{stream.peer} is lost: {exc}")
     if not isinstance(answer, _forward_messages.RunReply):
         return _failed(lost, f"{stream.peer} sent another answer")
     answer.note_progress(request.progress, sent, stream.peer)
     return answer.reply()
 
 
+def _unless_quiet(
+    clock: _clocks.Clock,
+    stream: _forwarder.Stream,
+    fut: "decisions.Future[_peer_messages.Message]",
+) -> "decisions.Flow[_peer_messages.Message]":
+    """Waits for an answer for as long as the peer shows life.
+
+    Raises:
+        PeerLostError: The peer fell silent; a read may be asked elsewhere.
+    """
+    while not fut.done():
+        pause = decisions.sleep(clock, _forwarder.QUIET_S)
+        yield decisions.either(decisions.settled(fut), pause)
+        if not fut.done() and stream.owed_s >= _forwarder.QUIET_S:
+            raise _peers.PeerLostError(f"{stream.peer} is silent")
+    return fut.result()
+
+
 def _unsent(body: _forward_messages.RunRequest) -> decisions.Reason:
     """Returns the reason for what never left this node."""
     if body.transaction and not body.begins:
@@ -262,12 +178,12 @@
     """A transaction that a serving node holds for this one."""
 
     def __init__(
-        self, forwarder: Forwarder, service: str, read_only: bool
+        self, forwarder: _forwarder.Forwarder, service: str, read_only: bool
     ) -> None:
         self._forwarder = forwarder
         self._service = service
         self._read_only = read_only
-        self._stream: Stream | None = None
+        self._stream: _forwarder.Stream | None = None
         self._number = 0
         self._wrote = False
         self.failure: decisions.Reason | None = None
@@ -308,7 +224,7 @@
         if stream is not None and not stream.closed:
             stream.tell(_forward_messages.EndTransaction(self._number))
 
-    def _release(self) -> Stream | None:
+    def _release(self) -> _forwarder.Stream | None:
         stream, self._stream = self._stream, None
         if stream is not None:
             stream.held -= 1
@@ -330,7 +246,10 @@
             self.roll_back()
 
     def _send(
-        self, request: _requests.Request, stream: Stream, begins: bool
+        self,
+        request: _requests.Request,
+        stream: _forwarder.Stream,
+        begins: bool,
     ) -> "decisions.Flow[_links.Reply]":
         if request.writes:
             self._wrote = True
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -8,6 +8,7 @@
 import typing
 
 from absl import logging
+import attrs
 import ferry_decisions as decisions
 import ferry_runtime as runtime
 
@@ -106,6 +107,19 @@
         return [streams[n] for n in self._names() if n in streams]
 
 
+@attrs.frozen(slots=True)
+class _Call:
+    """A question that has no answer yet.
+
+    Attributes:
+        fut: Done with the answer.
+        sent_at: When it was sent, in the clock's seconds.
+    """
+
+    fut: "decisions.Future[_peer_messages.Message]"
+    sent_at: float
+
+
 class PeerStream:
     """One stream to another node."""
 
@@ -120,7 +134,7 @@
         self._stream = stream
         self._desk = desk
         self._decoder = _peer_messages.Decoder()
-        self._calls: dict[int, decisions.Future[_peer_messages.Message]] = {}
+        self._calls: dict[int, _Call] = {}
         self._numbers = itertools.count(1)
         self._heard = loop.now()
         self.peer = ""
@@ -145,6 +159,14 @@
         """Seconds since the peer was heard."""
         return self._loop.now() - self._heard
 
+    @property
+    def owed_s(self) -> float:
+        """Seconds since the peer was heard, while it owes an answer."""
+        first = next(iter(self._calls.values()), None)
+        if first is None:
+            return 0.0
+        return self._loop.now() - max(first.sent_at, self._heard)
+
     @property
     def waiting(self) -> int:
         """Questions to the peer that have no answer yet."""
@@ -163,7 +185,7 @@
             return decisions.failed(PeerLostError(self.peer, sent=False))
         fut: decisions.Future[_peer_messages.Message] = decisions.Future()
         number = next(self._numbers)
-        self._calls[number] = fut
+        self._calls[number] = _Call(fut, self._loop.now())
         self._stream.send(_peer_messages.encode(number, body))
         return fut
 
@@ -205,9 +227,9 @@
                 self.store_seen = self._heard - body.store_age_s
             self.services = frozenset(body.services)
         elif envelope.number < 0:
-            fut = self._calls.pop(-envelope.number, None)
-            if fut is not None:
-                decisions.resolve(fut, body)
+            call = self._calls.pop(-envelope.number, None)
+            if call is not None:
+                decisions.resolve(call.fut, body)
         else:
             self._answer(envelope.number, self._desk.answer(self, body))
 
@@ -228,8 +250,9 @@
     def _fail(self, detail: str) -> None:
         self._stream.close()
         calls, self._calls = self._calls, {}
-        for fut in calls.values():
-            decisions.reject(fut, PeerLostError(f"{self.peer}: {detail}"))
+        for call in calls.values():
+            lost = PeerLostError(f"{self.peer}: {detail}")
+            decisions.reject(call.fut, lost)
         if not self._forgotten:
             self._forgotten = True
             self._desk.forget(self)
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -151,7 +151,7 @@
             return decisions.failed(_unavailable(self.member.id))
         rank = -1 if use is Use.CONTROL else priority
         left = max(0.0, until - self._clock.now())
-        if use is not Use.CONTROL and self._expected_wait_s(rank) > left:
+        if use is not Use.CONTROL and self.expected_wait_s(rank) > left:
             return decisions.failed(_overloaded(self.member.id))
         timer = self._clock.after(
             left, lambda: decisions.reject(fut, _overloaded(self.member.id))
@@ -253,7 +253,12 @@
         """Statements under way at the member."""
         return sum(t.sent_at is not None for t in self._used)
 
-    def _expected_wait_s(self, rank: int) -> float:
+    def expected_wait_s(self, rank: int) -> float:
+        """Returns how long a statement would wait here, in seconds.
+
+        Args:
+            rank: Its place in the queue; 0 goes first.
+        """
         if self._running < self.parallel:
             return 0.0
         ahead = sum(w[0] <= rank and not w[2].fut.done() for w in self._waiters)
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _events
 from ferry_proxy import _followers
+from ferry_proxy import _forwarder
 from ferry_proxy import _forwarding
 from ferry_proxy import _links
 from ferry_proxy import _lost_nodes
@@ -151,7 +152,7 @@
                 is_stopping=lambda: self.stopping,
             )
         )
-        self._forwarder = _forwarding.Forwarder(
+        self._forwarder = _forwarder.Forwarder(
             loop,
             self._policy,
             self._own,
--- a/packages/proxy/src/ferry_proxy/_reach.py
+++ b/packages/proxy/src/ferry_proxy/_reach.py
@@ -7,7 +7,7 @@
 """
 
 from ferry_proxy import _clocks
-from ferry_proxy import _forwarding
+from ferry_proxy import _forwarder
 from ferry_proxy import _groups
 from ferry_proxy import _mesh
 from ferry_proxy import _policy
@@ -64,7 +64,7 @@
         policy: _policy.Policy,
         mesh: _mesh.Mesh,
         groups: _served_groups.ServedGroups,
-        forwarder: _forwarding.Forwarder,
+        forwarder: _forwarder.Forwarder,
     ) -> None:
         self._clock = clock
         self._limit_s = policy.isolated_s
--- a/packages/proxy/src/ferry_proxy/_routing.py
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -2,8 +2,9 @@
 
 Answers the load of ordinary days: many short reads, some members slow, and
 traffic between data centres that costs money; and that of days on which both
-replicas lag, when asking them costs time and the primary a queue. A pure
-function of what is known of the members, so it is tested without a network.
+replicas lag, when asking them costs time and the primary a queue, or on which
+replicas are out of reach and the others have more reads than they can run. A
+pure function of what is known of the members.
 """
 
 import attrs
@@ -11,6 +12,8 @@
 FAR_FACTOR = 1.5  # A far member costs a network trip of 2 ms and its bytes.
 PRIMARY_FACTOR = 20.0  # Replicas take every read that they may, unless slow.
 UNRESPONSIVE_FACTOR = 1000.0  # Only where nobody else is left.
+OVERFLOW_S = 0.03  # About one statement: beyond it, the primary helps out.
+QUEUED_FACTOR = 20.0  # Weighs a queue at the replicas against the primary.
 FLOOR_LATENCY_S = 0.005  # Below this, differences of latency are noise.
 
 
@@ -27,6 +30,7 @@
         in_flight: This node's statements there, waiting ones included.
         slots: Statements that it runs at the same time.
         latency_s: The mean time of a statement there, lately.
+        wait_s: How long a statement would wait here before it goes there.
     """
 
     member: str
@@ -37,6 +41,7 @@
     in_flight: int
     slots: int
     latency_s: float
+    wait_s: float = 0.0
 
 
 def cost(candidate: Candidate) -> float:
@@ -47,6 +52,8 @@
         value *= FAR_FACTOR
     if candidate.is_primary:
         value *= PRIMARY_FACTOR
+    if candidate.wait_s > OVERFLOW_S:
+        value *= QUEUED_FACTOR
     if not candidate.is_responsive:
         value *= UNRESPONSIVE_FACTOR
     return value
--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 
 from ferry_proxy import _configuration
 from ferry_proxy import _forward_messages
+from ferry_proxy import _forwarder
 from ferry_proxy import _forwarding
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
@@ -33,6 +34,7 @@
         self.held = 0
         self.closed = False
         self.silence_s = 0.0
+        self.owed_s = 0.0
         self.mute = False
         self.sent: list[object] = []
 
@@ -115,7 +117,7 @@
         }
         self.plan = _serving_plan.ServingPlan(entries, 4)
         own = _records.NodeEntry("entry", "h", 1, "hall-b")
-        self.forwarder = _forwarding.Forwarder(
+        self.forwarder = _forwarder.Forwarder(
             self.clock, self.policy, own, self.mesh, lambda _: self.plan
         )
         self.local, self.runner = (
@@ -266,6 +268,33 @@
     assert (len(lab.near.sent), len(lab.far.sent)) == (1, 1)
 
 
+def test_a_read_is_asked_elsewhere_when_its_node_falls_silent():
+    lab = EntryLab()
+    lab.near.mute = True
+    fut = lab.session().run(fakes.statement("READ x"))
+    lab.run(0.1)
+    lab.near.owed_s = 1.0
+    lab.run(0.25)
+    assert fut.result().reason is None
+    assert fut.result().proof.startswith("proof")
+
+
+def test_a_read_waits_for_a_node_that_is_slow_and_shows_life():
+    lab = EntryLab()
+    lab.near.mute = True
+    fut = lab.session().run(fakes.statement("READ x"))
+    lab.run(0.9)
+    assert not fut.done()
+    assert lab.far.sent == []
+
+
+def test_a_node_that_owes_answers_and_is_silent_gets_no_more():
+    lab = EntryLab()
+    lab.near.owed_s = 1.0
+    assert lab.results(lab.session(), "WRITE x 1") == [""]
+    assert (len(lab.near.sent), len(lab.far.sent)) == (0, 1)
+
+
 def test_an_answer_that_does_not_come_is_unknown_for_a_write():
     lab = EntryLab()
     lab.near.mute = True
--- a/packages/proxy/src/ferry_proxy/tests/test_overload.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_overload.py
@@ -119,3 +119,23 @@
     lab.offer(lab.route, 100, 1.0)
     lab.run(2.0)
     assert len(lab.cluster.members["a"].runs) - before < 20
+
+
+def test_the_primary_helps_out_when_replicas_have_too_many_reads():
+    lab = Load()
+    lab.offer(lab.route, 500, 2.0)  # Two replicas run 400 a second.
+    lab.run(4.0)
+    served = lab.served("r")
+    assert len(served) > 950
+    assert max(served) < 0.1  # Without its help some wait 0.7 s.
+    runs = {n: len(m.runs) for n, m in lab.cluster.members.items()}
+    assert runs["b"] + runs["c"] > 0.7 * 1000
+
+
+def test_the_primary_is_spared_while_replicas_can_run_all_reads():
+    lab = Load()
+    before = len(lab.cluster.members["a"].runs)
+    lab.offer(lab.route, 200, 2.0)
+    lab.run(4.0)
+    assert len(lab.served("r")) == 400
+    assert len(lab.cluster.members["a"].runs) - before < 20
--- a/packages/proxy/src/ferry_proxy/tests/test_routing.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_routing.py
@@ -27,6 +27,23 @@
         ),
         ({"near": {"latency_s": 1.0}, "far": {"latency_s": 1.0}}, "p"),
         ({"near": {"is_behind": True}}, "far"),
+        ({"near": {"wait_s": 0.05}}, "far"),
+        ({"near": {"wait_s": 0.02}, "far": {"wait_s": 0.02}}, "near"),
+        (
+            {
+                "near": {"wait_s": 0.05, "in_flight": 4},
+                "far": {"wait_s": 0.05, "in_flight": 4},
+            },
+            "p",
+        ),
+        (
+            {
+                "near": {"wait_s": 0.05, "in_flight": 4},
+                "far": {"wait_s": 0.05, "in_flight": 4},
+                "p": {"wait_s": 0.05, "in_flight": 4},
+            },
+            "near",
+        ),
         (
             {
                 "near": {"is_behind": True},
