--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -16,7 +16,9 @@
 from ferry_proxy import _records
 
 PING_S = 0.5
-RECONNECT_S = 0.5
+RECONNECT_S = 0.2  # A node that starts refuses at once; asking costs little.
+OPEN_S = 0.4  # Many network trips. The first packet to a VM without power is
+# lost, and the kernel sends the next one a second later.
 
 
 class Reached(typing.Protocol):
@@ -152,7 +154,9 @@
         for address in self._wanted:
             stream = self._out.get(address)
             if stream is not None and not stream.closed:
-                continue
+                if not stream.is_opening or stream.silence_s < OPEN_S:
+                    continue
+                stream.close()
             if now - self._dialled.get(address, float("-inf")) < RECONNECT_S:
                 continue
             self._dialled[address] = now
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -154,6 +154,11 @@
         """Whether the stream has ended."""
         return self._stream.closed
 
+    @property
+    def is_opening(self) -> bool:
+        """Whether the peer's machine has not answered yet."""
+        return self._stream.is_opening
+
     @property
     def silence_s(self) -> float:
         """Seconds since the peer was heard."""
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -218,6 +218,11 @@
         """Whether routes are known; before, nothing can be refused by name."""
         return self.catalogue.configuration is not None
 
+    def plan_of(self, service: str) -> list[str]:
+        """Returns the names of the nodes that serve a group."""
+        plan = self._groups.plans.get(service)
+        return sorted(plan.nodes) if plan else []
+
     @property
     def session_count(self) -> int:
         """Sessions that are open."""
--- a/packages/runtime/src/ferry_runtime/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -73,6 +73,11 @@
         """Bytes that wait to be sent."""
         return len(self._out) if self._out else 0
 
+    @property
+    def is_opening(self) -> bool:
+        """Whether the connection is not established yet."""
+        return self._opening and not self.closed
+
     @property
     def is_tls(self) -> bool:
         """Whether the stream is encrypted."""
