A read that all members are too busy for is refused by the end of its hold

Cause: after all VMs had lost power, 211 reads of a serving node were held for their whole second without being offered and then refused. A read that found one member's queue too long looked for another; the list of those tried was cleared at each round, so there always was another.

The new test failed before (refused after 1 s instead of 0.1 s).

--- a/packages/proxy/src/ferry_proxy/_read_races.py
+++ b/packages/proxy/src/ferry_proxy/_read_races.py
@@ -125,7 +125,8 @@
     ) -> bool:
         job = self._job
         if _is_overloaded(exc):
-            return self._executor.has_other(job, self._tried)
+            is_early = self._clock.now() < job.hold_end(self._policy)
+            return is_early and self._executor.has_other(job, self._tried)
         now = self._clock.now()
         if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
             return False
@@ -137,6 +138,8 @@
         self, reply: _links.Reply | None, exc: BaseException | None
     ) -> float:
         """Returns how long to wait: not at all while members are untried."""
+        if _is_overloaded(exc):
+            return 0.0  # Another member is left, and is asked at once.
         failure = exc if isinstance(exc, decisions.RequestFailedError) else None
         if failure is not None and failure.reason is decisions.NO_PRIMARY:
             return _execution.NO_FLOOR_PAUSE_S
--- a/packages/proxy/src/ferry_proxy/tests/test_overload.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_overload.py
@@ -139,3 +139,13 @@
     lab.run(4.0)
     assert len(lab.served("r")) == 400
     assert len(lab.cluster.members["a"].runs) - before < 20
+
+
+def test_nobody_waits_for_long_where_all_members_have_too_much():
+    lab = Load()
+    lab.offer(lab.route, 1500, 1.0)  # The three of them run 600 a second.
+    lab.run(3.0)
+    assert len(lab.answers) == 1500
+    share = lab.policy.hold_share
+    assert len(lab.served("r")) > 500
+    assert max(lab.refused("r")) <= share * lab.route.target_s + 0.03
