A member's lives are told apart; entries of other writers name nobody

A member's entry of an earlier life changes nothing. A later one ends all that is believed of the life before: links with their session state, position shown, latency, status, the lead, peers' opinions. A replica that began again counts as one more for 10 s, since it is no longer paused: it proves no lead alone. A change of primary is given up where a paused member began again before the order, and where the only replica that held a commit came back without it.

A known member whose entry turns unreadable is kept for three heartbeats, as long as a silent one stays listed.

How long a leaving member gets statements, when an entry lapses and how long a watch may be silent follow from the platform's settings.

--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -33,6 +33,7 @@
     from ferry_proxy._members import Member as Member
     from ferry_proxy._members import Report as Report
     from ferry_proxy._members import Role as Role
+    from ferry_proxy._policy import Bounds as Bounds
     from ferry_proxy._policy import Policy as Policy
     from ferry_proxy._policy_file import (
         InvalidPolicyError as InvalidPolicyError,
@@ -41,7 +42,9 @@
     from ferry_proxy._proxy import NodeIdentity as NodeIdentity
     from ferry_proxy._proxy import Platform as Platform
     from ferry_proxy._proxy import Proxy as Proxy
+    from ferry_proxy._records import Claim as Claim
     from ferry_proxy._records import InvalidItemError as InvalidItemError
+    from ferry_proxy._records import NodeEntry as NodeEntry
     from ferry_proxy._sessions import Kind as Kind
     from ferry_proxy._sessions import Session as Session
     from ferry_proxy._statements import Prepared as Prepared
@@ -87,13 +90,16 @@
     "Member": "_members",
     "Report": "_members",
     "Role": "_members",
+    "Bounds": "_policy",
     "Policy": "_policy",
     "InvalidPolicyError": "_policy_file",
     "policy_from_file": "_policy_file",
     "NodeIdentity": "_proxy",
     "Platform": "_proxy",
     "Proxy": "_proxy",
+    "Claim": "_records",
     "InvalidItemError": "_records",
+    "NodeEntry": "_records",
     "Kind": "_sessions",
     "Session": "_sessions",
     "Prepared": "_statements",
@@ -108,7 +114,9 @@
 
 __all__ = [
     "Begin",
+    "Bounds",
     "Changes",
+    "Claim",
     "Command",
     "Configuration",
     "ConnectFailedError",
@@ -124,6 +132,7 @@
     "Link",
     "LinkLostError",
     "Member",
+    "NodeEntry",
     "NodeIdentity",
     "Pause",
     "Platform",
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -15,6 +15,8 @@
 from ferry_proxy import _records
 from ferry_proxy import _store
 
+MAX_DETAIL = 400  # Characters of a log line on an item that was passed over.
+
 
 @attrs.frozen(slots=True)
 class Layout:
@@ -61,6 +63,7 @@
         members: The members by id.
         nodes: The nodes by name.
         claims: The claims by group.
+        refused: Items that could not be read or named nothing to use.
         on_change: Called after each change.
     """
 
@@ -74,6 +77,7 @@
         self._layout = layout
         self._policy = policy
         self._items: dict[str, _store.Item] = {}
+        self._births: dict[str, int] = {}
         self._returned_at = float("-inf")
         self._since = 0
         self.revision = 0
@@ -82,6 +86,7 @@
         self.members: dict[str, _members.Member] = {}
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
+        self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
     @property
@@ -184,9 +189,21 @@
                     item.key.removeprefix(_records.CLAIM_PREFIX), item
                 )
         except _records.InvalidItemError as exc:
-            _events.emit(
-                _events.DocumentRefused(item.key, item.revision, str(exc))
-            )
+            self._refuse(item, str(exc))
+
+    def _refuse(self, item: _store.Item, detail: str) -> None:
+        """Passes over an item that names nothing to use.
+
+        A known member whose entry cannot be read is kept for as long as a
+        silent one stays listed: its own next entry may put it right.
+        """
+        self.refused += 1
+        shown = detail[:MAX_DETAIL]
+        _events.emit(_events.DocumentRefused(item.key, item.revision, shown))
+        name = item.key.removeprefix(self._layout.member_prefix)
+        if name != item.key and name in self.members:
+            lapse_s = self._policy.entry_lapse_s
+            self._clock.after(lapse_s, lambda: self._remove_if_gone(name, item))
 
     def _apply_configuration(self, item: _store.Item, source: str) -> None:
         if item.value is None:
@@ -205,10 +222,15 @@
             self._remove_member(name, item)
             return
         member = self._layout.decode_member(name, item.value)
+        if member.born < self._births.get(name, 0):
+            raise _records.InvalidItemError(
+                f"of a life that has ended (born {member.born})"
+            )
         known = self.members.get(name)
+        self._births[name] = member.born
         self.members[name] = member
         if known != member:
-            change = "draining" if member.draining else "seen"
+            change = _change(known, member)
             _events.emit(_events.MemberChanged(name, member.service, change))
 
     def _remove_member(self, name: str, item: _store.Item) -> None:
@@ -245,3 +267,10 @@
         claim = _records.Claim.decode(service, item.value)
         now = self._clock.boot_now()
         self.claims[service] = _records.HeldClaim(claim, item.revision, now)
+
+
+def _change(known: _members.Member | None, member: _members.Member) -> str:
+    """Returns what a member's new entry says, in one word for the log."""
+    if known is not None and member.is_next_life_of(known):
+        return "born again"
+    return "draining" if member.draining else "seen"
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -15,7 +15,7 @@
 import attrs
 
 REQUESTS_PER_S = 5.0  # Lines for requests that went well.
-FAILURES_PER_S = 40.0  # Lines for requests that were refused or failed.
+FAILURES_PER_S = 40.0  # Lines for what was refused or failed.
 BURST_S = 2.0  # Seconds of budget that may be saved up.
 
 
@@ -187,7 +187,7 @@
     blocked: int
 
 
-_BOUNDED = (RequestDone, RequestServed)
+_BOUNDED = (RequestDone, RequestServed, DocumentRefused)
 
 
 class _Budget:
@@ -234,8 +234,12 @@
             self._line(LinesLeftOut(**counts))
         self._line(event)
 
-    def _allowed(self, event: RequestDone | RequestServed) -> bool:
-        went_well = event.outcome == "ran"
+    def _allowed(
+        self, event: RequestDone | RequestServed | DocumentRefused
+    ) -> bool:
+        went_well = (
+            not isinstance(event, DocumentRefused) and event.outcome == "ran"
+        )
         budget = self._requests if went_well else self._failures
         if budget.take():
             return True
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -44,6 +44,7 @@
         self._store = store
         self._catalogue = catalogue
         self._group = group
+        self._raised_at = clock.now()
 
     def raise_fence(
         self, cause: _fencing.Cause, token: int
@@ -56,6 +57,7 @@
         group = self._group
         old = group.leader.member if group.leader else group.last_leader
         yield from self._list_members()
+        self._raised_at = self._clock.now()
         others = {n: p for n, p in group.pools.items() if n != old}
         # Members may go on serving others: nothing stops unless enough can be.
         yield from self._check_reachable(others)
@@ -78,10 +80,40 @@
         if len(reports) < needed or not reports:
             yield from self.resume(reports)
             raise ChangeAbandonedError(detail)
+        if self._may_lack_commits(reports):
+            yield from self.resume(reports)
+            raise ChangeAbandonedError("a member that began again held more")
         if cause is not _fencing.Cause.LEAVING:
             decisions.start(self._step_down(old, term))
         return reports
 
+    def _may_lack_commits(self, reports: dict[str, _members.Report]) -> bool:
+        """Whether a commit may be held by the old primary alone.
+
+        A replica that began again does not hold what it acknowledged in its
+        earlier life; the others may have been behind it. Until the old primary
+        returns, or the others are known to hold as much as it did, nobody is
+        promoted over it, for as long as the life has ended lately.
+        """
+        newest = self._group.floors.newest
+        if not self._group.renewed or newest is None:
+            return False
+        return all(r.received < newest.floor for r in reports.values())
+
+    def is_broken(self, reports: dict[str, _members.Report]) -> bool:
+        """Whether a member that was paused has begun again since.
+
+        It is paused no longer, and the old primary may use it.
+
+        Args:
+            reports: What the paused members reported, by id.
+        """
+        ended = self._group.lives_ended
+        return any(
+            ended.get(name, float("-inf")) >= self._raised_at
+            for name in reports
+        )
+
     def _check_reachable(
         self, others: "dict[str, _pools.Pool]"
     ) -> "decisions.Flow[None]":
--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -52,8 +52,7 @@
 def sample_of(
     leader: _members.Leader,
     reports: dict[str, _members.Report],
-    replicas: int,
-    sync_replicas: int,
+    needed: int,
 ) -> Sample | None:
     """Returns what one round of reports proves; None where they do not.
 
@@ -63,8 +62,7 @@
     Args:
         leader: Who is believed to lead.
         reports: The answers of the round, by member.
-        replicas: How many the group has, without the primary.
-        sync_replicas: How many must receive a commit.
+        needed: How many replicas prove that the primary still leads.
     """
     own = reports.get(leader.member)
     if own is None or not _leads(own, leader):
@@ -74,7 +72,7 @@
         for name, r in reports.items()
         if name != leader.member and r.follows(leader.term)
     ]
-    if len(following) < proof_size(replicas, sync_replicas):
+    if len(following) < needed:
         return None
     return Sample(min(r.asked_at for r in [own, *following]), own.received)
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -12,12 +12,12 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pools
+from ferry_proxy import _proofs
 from ferry_proxy import _questions
 from ferry_proxy import _queueing
 
 ROUND_S = 0.12  # Calm members answer in 5 ms; waiting readers need a floor.
 FLUX_S = 10.0  # Members are replaced one after the other, seconds apart.
-PROOF_HEDGE_S = 0.03  # A calm replica answers in about 5 ms.
 
 
 class Group:
@@ -36,7 +36,7 @@
         self._policy = policy
         self._data_centre = data_centre
         self._questions = _questions.Questions(clock, policy)
-        self._proofs = decisions.SharedRounds(self._prove)
+        self._proofs = _proofs.Proofs(clock, self)
         self._rounds = decisions.SharedRounds(self._round)
         self._changed: decisions.Future[None] = decisions.Future()
         self._last_report: dict[str, _members.Report] = {}
@@ -49,6 +49,7 @@
         self.round_at = float("-inf")
         self.leaderless_since = self.changed_at = clock.now()
         self.vanished: dict[str, _members.Vanished] = {}
+        self.lives_ended: dict[str, float] = {}
         self._asking: set[str] = set()
         self._turn = 0
         self.change_until = float("-inf")
@@ -79,7 +80,10 @@
             self._remove(name)
         for name, member in members.items():
             pool = self.pools.get(name)
-            if pool is not None and _moved(pool.member, member):
+            if pool is not None and member.is_next_life_of(pool.member):
+                self._end_life(pool)
+                pool = None
+            elif pool is not None and _moved(pool.member, member):
                 pool.close()
                 pool = None
             self.vanished.pop(name, None)
@@ -104,6 +108,19 @@
         if self.leader is not None and self.leader.member == name:
             self._lose_leader()
 
+    def _end_life(self, pool: _pools.Pool) -> None:
+        """Drops all that is believed of a member that began again.
+
+        Its next life is no longer paused, and may be empty. It counts as a
+        further replica for a while, as one does that joins under a new name.
+        """
+        name = pool.member.id
+        pool.close()
+        self._last_report.pop(name, None)
+        self.joined_at = self.lives_ended[name] = self._clock.now()
+        if self.leader is not None and self.leader.member == name:
+            self._lose_leader()
+
     def _lose_leader(self) -> None:
         self.leader = None
         self.leaderless_since = self._clock.now()
@@ -118,6 +135,18 @@
         """How many members are listed besides the primary."""
         return max(0, len(self.pools) - 1)
 
+    @property
+    def renewed(self) -> int:
+        """How many members began again a short while ago."""
+        late = self._clock.now() - FLUX_S
+        return sum(at > late for at in self.lives_ended.values())
+
+    @property
+    def proof_size(self) -> int:
+        """How many replicas prove that a primary still leads."""
+        replicas = self.replicas + self.renewed
+        return _freshness.proof_size(replicas, self.service.sync_replicas)
+
     @property
     def is_in_flux(self) -> bool:
         """Whether members come and go; more may have come than are listed."""
@@ -172,7 +201,7 @@
 
         Fails with `decisions.RequestFailedError` where no proof is to be had.
         """
-        return self._proofs.join()
+        return self._proofs.prove()
 
     def ask(
         self, pool: _pools.Pool, command: _links.Command
@@ -227,10 +256,7 @@
         self._turn += 1
         late = self._clock.now() - self._policy.idle_probe_s
         unheard = [p for p in others if p.heard < late or p.troubled_s > 0]
-        wanted = _freshness.proof_size(
-            self.replicas, self.service.sync_replicas
-        )
-        for number in range(min(wanted, len(responsive))):
+        for number in range(min(self.proof_size, len(responsive))):
             turn = (self._turn + number) % len(responsive)
             asked.append(responsive[turn])
         return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
@@ -288,9 +314,7 @@
     ) -> _freshness.Sample | None:
         if self.leader is None:
             return None
-        return _freshness.sample_of(
-            self.leader, reports, self.replicas, self.service.sync_replicas
-        )
+        return _freshness.sample_of(self.leader, reports, self.proof_size)
 
     def _find_leader(self, reports: dict[str, _members.Report]) -> None:
         for name, report in reports.items():
@@ -325,67 +349,6 @@
         changed, self._changed = self._changed, decisions.Future()
         decisions.resolve(changed, None)
 
-    # -- proofs ----------------------------------------------------------
-
-    def _prove(self) -> "decisions.Flow[_members.Leader]":
-        leader = self.leader
-        if leader is None:
-            raise decisions.RequestFailedError(decisions.NO_PRIMARY)
-        wanted = _freshness.proof_size(
-            self.replicas, self.service.sync_replicas
-        )
-        proofs: list[_members.Report] = []
-        done: decisions.Future[None] = decisions.Future()
-        replicas = self._proof_order(leader)
-        futs = []
-        for number, pool in enumerate(replicas):
-            if number >= wanted:
-                pause = decisions.sleep(self._clock, PROOF_HEDGE_S)
-                yield decisions.either(done, pause)
-            if done.done():
-                break
-            fut = decisions.start(self._prove_by(pool, leader, proofs))
-            fut.add_done_callback(
-                lambda _: _resolve_if(len(proofs) >= wanted, done)
-            )
-            futs.append(fut)
-        if not done.done():
-            yield decisions.settle_all(futs, lambda _: done.done())
-        if len(proofs) < wanted or self.leader != leader:
-            raise decisions.RequestFailedError(
-                decisions.NO_PRIMARY, "no proof that the primary still leads"
-            )
-        return leader
-
-    def _proof_order(self, leader: _members.Leader) -> list[_pools.Pool]:
-        """Returns the replicas, those that are likely to answer soon first."""
-        pools = [p for n, p in self.pools.items() if n != leader.member]
-        return sorted(
-            pools,
-            key=lambda p: (
-                not self.is_responsive(p),
-                p.member.draining,
-                not self.is_near(p),
-            ),
-        )
-
-    def _prove_by(
-        self,
-        pool: _pools.Pool,
-        leader: _members.Leader,
-        proofs: list[_members.Report],
-    ) -> "decisions.Flow[None]":
-        report = yield from self.ask(pool, _links.Status())
-        if report.follows(leader.term):
-            proofs.append(report)
-        elif report.term > leader.term:
-            self.refresh()
-
-
-def _resolve_if(condition: bool, fut: "decisions.Future[None]") -> None:
-    if condition:
-        decisions.resolve(fut, None)
-
 
 def _moved(before: _members.Member, after: _members.Member) -> bool:
     return (before.host, before.port) != (after.host, after.port)
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -11,8 +11,8 @@
     """An entry of the list of members.
 
     Attributes:
-        id: Its name for as long as it lives; a restart at the same address
-            under another id is another member.
+        id: Its name; a restart at the same address under another id is
+            another member.
         service: The group that it belongs to.
         host: Its IP number.
         port: Its TCP port.
@@ -20,6 +20,8 @@
         slots: Statements that it runs at the same time.
         draining: Whether it is about to leave.
         leads: Whether it believes to be the primary.
+        born: The Unix millisecond at which its process began, which tells one
+            life from the next under the same id; 0 where it does not say.
     """
 
     id: str
@@ -30,6 +32,14 @@
     slots: int
     draining: bool = False
     leads: bool = False
+    born: int = 0
+
+    def is_next_life_of(self, known: "Member") -> bool:
+        """Whether it began again after `known` was written.
+
+        It then holds and knows nothing of what that life held.
+        """
+        return self.born > known.born > 0
 
 
 class Role(enum.Enum):
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -95,7 +95,7 @@
 ) -> _peer_messages.OpinionReply:
     served = desk.groups.find(body.service)
     pool = served.group.pools.get(body.member) if served else None
-    if pool is None:
+    if pool is None or pool.member.born != body.born:
         return _peer_messages.OpinionReply(-1.0)
     return _peer_messages.OpinionReply(desk.clock.now() - pool.heard)
 
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -119,10 +119,17 @@
 @message("opinion?")
 @attrs.frozen(slots=True)
 class OpinionRequest:
-    """Asks how long ago a member was heard."""
+    """Asks how long ago a member was heard.
+
+    Attributes:
+        service: The group.
+        member: The member's id.
+        born: The life of it that is meant.
+    """
 
     service: str
     member: str
+    born: int = 0
 
 
 @message("opinion")
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -8,6 +8,26 @@
         raise ValueError(f"{field.name} must be positive")
 
 
+DRAIN_MARGIN_S = 1.0  # A statement on its way, its hop and a late timer.
+LAPSE_HEARTBEATS = 3  # After so many without a word a member is unlisted.
+
+
+@attrs.frozen(slots=True, kw_only=True)
+class Bounds:
+    """What the platform demands, or says of itself; times are in seconds.
+
+    Attributes:
+        drain_s: When the last statement may reach a member after it began to
+            leave.
+        configuration_s: When a configuration must be in force.
+        heartbeat_s: How often a member writes its entry.
+    """
+
+    drain_s: float = 7.0
+    configuration_s: float = 3.0
+    heartbeat_s: float = 1.2
+
+
 @attrs.frozen(slots=True, kw_only=True)
 class Policy:
     """Tunables; all times are in seconds.
@@ -47,6 +67,9 @@
         watch_wait_s: How long a watch of the store waits. A silent watch goes
             unnoticed for as long; peers tell of changes meanwhile.
         store_timeout_s: How long a call of the store may take beyond that.
+        drain_s: For how long a member that is leaving may get statements.
+        entry_lapse_s: How long the platform lists a member that is silent:
+            three heartbeats.
     """
 
     probe_s: float = attrs.field(default=0.4, validator=_positive)
@@ -71,3 +94,15 @@
     isolated_s: float = attrs.field(default=0.9, validator=_positive)
     watch_wait_s: float = attrs.field(default=3.0, validator=_positive)
     store_timeout_s: float = attrs.field(default=0.8, validator=_positive)
+    drain_s: float = attrs.field(default=6.0, validator=_positive)
+    entry_lapse_s: float = attrs.field(default=3.6, validator=_positive)
+
+    def within(self, bounds: Bounds) -> "Policy":
+        """Returns the tunables that keep what the platform demands."""
+        spare = bounds.drain_s - DRAIN_MARGIN_S
+        return attrs.evolve(
+            self,
+            drain_s=max(spare, bounds.drain_s / 2),
+            entry_lapse_s=LAPSE_HEARTBEATS * bounds.heartbeat_s,
+            watch_wait_s=min(self.watch_wait_s, bounds.configuration_s),
+        )
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -105,7 +105,9 @@
     def may_take_work(self) -> bool:
         """Whether it may get new statements, or has long been leaving."""
         since = self._drains_since
-        return since is None or self._clock.now() - since < DRAIN_S
+        if since is None:
+            return True
+        return self._clock.now() - since < self._policy.drain_s
 
     @property
     def troubled_s(self) -> float:
@@ -378,7 +380,6 @@
 
 UNUSED_S = 5.0  # A new connection costs 12 ms of a slot; bursts last seconds.
 KEPT_LINKS = 2  # One for statements, one for status questions.
-DRAIN_S = 6.0  # A second less than the shortest drain that sites set (7 s).
 RECHECK_S = 0.1  # A replica that lacked a position shows it this much later.
 LATENCY_WEIGHT = 0.2  # Of the newest sample in a moving mean; about 5 samples.
 
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -196,8 +196,11 @@
         leader = group.leader
         if leader is None:
             return
+        pool = group.leader_pool
         question = _peer_messages.OpinionRequest(
-            group.service.name, leader.member
+            group.service.name,
+            leader.member,
+            pool.member.born if pool else 0,
         )
         futs = [
             decisions.within(self._ctx.clock, OPINION_WAIT_S, s.call(question))
@@ -293,6 +296,9 @@
         if ctx.clock.boot_now() >= valid_until:
             yield from self._fence.resume(reports)
             raise _fences.ChangeAbandonedError("the claim is too old to act on")
+        if self._fence.is_broken(reports):
+            yield from self._fence.resume(reports)
+            raise _fences.ChangeAbandonedError("a paused member began again")
         detail = f"received {reports[successor].received}"
         self._log("promoting", token, successor, detail)
         try:
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -350,4 +350,7 @@
                 else 0
             ),
         )
+        metrics.gauge(
+            "documents_refused", lambda: float(self.catalogue.refused)
+        )
         metrics.gauge("peers", lambda: float(len(self.mesh.connected)))
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -1,17 +1,34 @@
 """What this project itself keeps in the store: nodes, and claims."""
 
 import json
+import typing
 
 import attrs
 
 NODE_PREFIX = "ferry/nodes/"
 CLAIM_PREFIX = "ferry/claims/"
+MAX_PORT = 65_535
 
 
 class InvalidItemError(ValueError):
     """An item of the store does not hold what its key says."""
 
 
+def _parse(value: bytes, where: str) -> dict[str, typing.Any]:
+    """Reads a JSON object.
+
+    Raises:
+        InvalidItemError: The bytes are none.
+    """
+    try:
+        raw = json.loads(value)
+    except (ValueError, RecursionError) as exc:
+        raise InvalidItemError(f"{where}: not JSON") from exc
+    if not isinstance(raw, dict):
+        raise InvalidItemError(f"{where}: no object")
+    return raw
+
+
 @attrs.frozen(slots=True)
 class NodeEntry:
     """A node of the proxy.
@@ -41,12 +58,14 @@
         Raises:
             InvalidItemError: It is malformed.
         """
-        try:
-            raw = json.loads(value)
-            data_centre = str(raw.get("data_centre", ""))
-            return cls(name, str(raw["host"]), int(raw["port"]), data_centre)
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
-            raise InvalidItemError(f"node {name}: {exc!r}") from exc
+        raw = _parse(value, f"node {name}")
+        host, port = raw.get("host"), raw.get("port")
+        data_centre = raw.get("data_centre", "")
+        if not isinstance(host, str) or not isinstance(data_centre, str):
+            raise InvalidItemError(f"node {name}: a text of another type")
+        if type(port) is not int or not 0 < port <= MAX_PORT:
+            raise InvalidItemError(f"node {name}: no port")
+        return cls(name, host, port, data_centre)
 
 
 @attrs.frozen(slots=True)
@@ -74,11 +93,14 @@
         Raises:
             InvalidItemError: It is malformed.
         """
-        try:
-            raw = json.loads(value)
-            return cls(str(raw["holder"]), int(raw["token"]), bool(raw["done"]))
-        except (ValueError, KeyError, TypeError) as exc:
-            raise InvalidItemError(f"claim {service}: {exc!r}") from exc
+        raw = _parse(value, f"claim {service}")
+        holder, token = raw.get("holder"), raw.get("token")
+        done = raw.get("done")
+        if not isinstance(holder, str) or not isinstance(done, bool):
+            raise InvalidItemError(f"claim {service}: a field of another type")
+        if type(token) is not int or token < 0:
+            raise InvalidItemError(f"claim {service}: no token")
+        return cls(holder, token, done)
 
 
 @attrs.frozen(slots=True)
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -50,6 +50,7 @@
     opened: int = 0
     slots: int = 0
     free_at: list[float] = attrs.field(factory=list)
+    born: int = 1_000
 
     def work_delay(self) -> float:
         """Returns how long one takes that comes now, its queue included."""
@@ -78,6 +79,7 @@
             5,
             draining=self.draining,
             leads=self.role is _members.Role.PRIMARY,
+            born=self.born,
         )
 
     def report(self) -> _members.Report:
@@ -330,6 +332,17 @@
         for link in member.links:
             link.fail("crashed")
 
+    def restart(self, name: str, keeps_log: bool = True) -> None:
+        """Ends a member's process and begins it again under the same id."""
+        self.crash(name)
+        member = self.members[name]
+        member.crashed = False
+        member.born += 1_000
+        member.paused_term = 0
+        member.role = _members.Role.REPLICA
+        if not keeps_log:
+            member.log = []
+
 
 def _refused():
     return _links.ConnectFailedError(decisions.NO_CONNECTION, "", refused=True)
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -127,7 +127,7 @@
     reports = {"a": report(PRIMARY, 7, 11.0)}
     if replica is not None:
         reports["b"] = replica
-    sample = _freshness.sample_of(leader, reports, 2, 1)
+    sample = _freshness.sample_of(leader, reports, 1)
     assert (sample.floor if sample else None) == expected
     if sample is not None:
         assert sample.at == 10.0
@@ -137,7 +137,7 @@
     """Days scale-1 and scale-2: a list that had lost a replica was believed."""
     leader = _members.Leader("a", 1)
     reports = {"b": report(REPLICA, 5, 10.0)}
-    assert _freshness.sample_of(leader, reports, 2, 1) is None
+    assert _freshness.sample_of(leader, reports, 1) is None
 
 
 def test_floors_are_the_oldest_that_cover():
