A primary is suspected by what it leaves unanswered, and callers wait for the next

Silence was measured from the last answer, also where nobody had asked; the first node to act waited for its rank, then for opinions of peers that were cut off; a veto cost 0.4 s; what had waited for the change was refused at its end, its usual time being over.

Change: contact with a member is one class. A primary that has left unanswered for 0.45 s what was sent after it was last heard is suspected; one that is quiet for longer than four times its mean time is asked at once over other links. Opinions are asked for while the rank is waited out; a peer whose own questions are unanswered does not veto; a veto costs 0.1 s. Callers of a quiet primary wait, unless it has been quiet for longer than any change takes (no store). What waited has a target's time from the change's end; those who wait for a member that leads no more are sent on. A transaction whose COMMIT was not sent leaves a member that answers nobody, and is rolled back. Claims are a module.

Ruled out: who can still meet its target first, among those that waited: 15 in time of 48 either way in virtual time, removed again.

Virtual time: of 48 that waited for a change 17 were served before, 45 after.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -68,7 +68,10 @@
         hold = job.hold_end(self._policy)
         try:
             taken = yield pool.acquire(
-                _pools.Use.STATEMENT, job.route.priority, hold, job.values
+                _pools.Use.STATEMENT,
+                job.route.priority,
+                hold,
+                job.values,
             )
             return (yield from self.hand_over(job, pool, taken, None))
         except decisions.RequestFailedError as exc:
@@ -223,7 +226,7 @@
             is_behind=pool.is_behind(floor),
             in_flight=pool.in_flight,
             slots=pool.member.slots,
-            latency_s=pool.latency_s,
+            latency_s=pool.contact.latency_s,
             wait_s=pool.expected_wait_s(job.route.priority),
         )
 
@@ -271,8 +274,8 @@
         """Sends a statement with the session state that it needs."""
         commands = taken.align(job.values, job.prepared)
         name = taken.prepared[job.prepared] if job.prepared else ""
-        taken.sent_at = self._clock.now()
-        job.note_handed(pool.member.id, taken.sent_at)
+        pool.note_sent(taken)
+        job.note_handed(pool.member.id, self._clock.now())
         return taken.link.run([*commands, job.command(floor, name)])[-1]
 
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -21,6 +21,10 @@
     """A change of primary cannot go on; another try may follow."""
 
 
+class VetoedError(ChangeAbandonedError):
+    """A peer's word shows that only this node lost the primary."""
+
+
 def log_step(
     group: _groups.Group, step: str, token: int, member: str, detail: str
 ) -> None:
--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -11,6 +11,7 @@
 
 from ferry_proxy import _freshness
 from ferry_proxy import _members
+from ferry_proxy import _peer_messages
 from ferry_proxy import _policy
 
 MISSING_S = 1.2  # Members that start together are listed within a heartbeat.
@@ -36,6 +37,8 @@
     Attributes:
         has_leader: Whether a primary is known.
         silence_s: Seconds since it was heard.
+        unanswered_s: For how long it has answered none of the questions that
+            were sent since.
         refused_s: Seconds for which its machine has refused connections.
         stalled_s: Seconds for which no replica received its newest commit.
         leaderless_s: Seconds for which no primary has been known, and no
@@ -46,6 +49,7 @@
 
     has_leader: bool
     silence_s: float
+    unanswered_s: float
     refused_s: float
     stalled_s: float
     leaderless_s: float
@@ -64,6 +68,8 @@
         return Cause.REFUSED
     if evidence.silence_s >= policy.suspect_s:
         return Cause.SILENT
+    if evidence.unanswered_s >= policy.unanswered_s:
+        return Cause.SILENT
     if evidence.stalled_s >= policy.stall_s:
         return Cause.STALLED
     if evidence.is_draining:
@@ -72,19 +78,24 @@
 
 
 def is_vetoed(
-    cause: Cause, peers_heard_s: list[float], policy: _policy.Policy
+    cause: Cause,
+    opinions: list[_peer_messages.OpinionReply],
+    policy: _policy.Policy,
 ) -> bool:
     """Whether a peer's word shows that only this node lost the primary.
 
     Args:
         cause: Why this node wants a change.
-        peers_heard_s: How long ago each peer heard the primary; negative for
-            never.
+        opinions: What each peer knows of its contact with the primary.
         policy: The tunables.
     """
     if cause not in (Cause.SILENT, Cause.REFUSED):
         return False
-    return any(0 <= heard < policy.opinion_s for heard in peers_heard_s)
+    return any(
+        0 <= o.heard_ago_s < policy.opinion_s
+        and o.unanswered_s < policy.unanswered_s / 2
+        for o in opinions
+    )
 
 
 def fence_needed(replicas: int, unsure: int, sync_replicas: int) -> int:
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -34,6 +34,11 @@
 )
 
 
+# What a lost answer means where it leaves nothing behind: a read is asked
+# elsewhere, and a transaction whose COMMIT was not sent is rolled back.
+FREE_TO_LEAVE = frozenset({decisions.READ_CUT, decisions.TRANSACTION_LOST})
+
+
 class RemoteRunner:
     """Runs one group's statements at its serving nodes."""
 
@@ -124,7 +129,7 @@
     limit = max(0.0, request.deadline - sent) + ANSWER_MARGIN_S
     request.progress.via = stream.peer
     fut = stream.call(body)
-    if lost is decisions.READ_CUT:
+    if lost in FREE_TO_LEAVE:
         fut = decisions.start(_unless_quiet(clock, stream, fut))
     try:
         answer: _peer_messages.Message = yield decisions.within(
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -52,7 +52,7 @@
         self.lives_ended: dict[str, float] = {}
         self._asking: set[str] = set()
         self._turn = 0
-        self.change_until = float("-inf")
+        self.change_until = self.settled_at = float("-inf")
         self.joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
 
@@ -156,8 +156,20 @@
 
     @property
     def is_changing(self) -> bool:
-        """Whether a change of primary is believed to be under way."""
-        return self._clock.now() < self.change_until or self.leader is None
+        """Whether a change of primary is believed to be under way or near.
+
+        A primary that has fallen silent is back or replaced within a second
+        or two; callers wait for that rather than use up their retries. One
+        that is silent for longer is not being replaced, and nobody waits.
+        """
+        now = self._clock.now()
+        if now < self.change_until:
+            return True
+        limit_s = self._policy.promote_wait_s
+        pool = self.leader_pool
+        if pool is None:
+            return now - self.leaderless_since < limit_s
+        return pool.contact.is_quiet and pool.contact.unanswered_s < limit_s
 
     @property
     def floor_age_s(self) -> float:
@@ -170,16 +182,15 @@
     @property
     def is_troubled(self) -> bool:
         """Whether contact with a member failed and has not come back."""
-        return any(p.troubled_s > 0 for p in self.pools.values())
+        return any(p.contact.troubled_s > 0 for p in self.pools.values())
 
     def is_near(self, pool: _pools.Pool) -> bool:
         """Whether a member is in this node's data centre."""
         return pool.member.data_centre == self._data_centre
 
     def is_responsive(self, pool: _pools.Pool) -> bool:
-        """Whether a member owes no answer for long."""
-        limit = self._policy.probe_s + self._policy.probe_timeout_s
-        return not pool.is_unreachable and pool.owed_s < limit
+        """Whether a member answers what it is sent, as far as is known."""
+        return not pool.is_unreachable and not pool.contact.is_quiet
 
     def expect_change(self) -> None:
         """Notes that a change of primary has begun."""
@@ -255,7 +266,11 @@
         asked = [leader] if leader in pools else []
         self._turn += 1
         late = self._clock.now() - self._policy.idle_probe_s
-        unheard = [p for p in others if p.heard < late or p.troubled_s > 0]
+        unheard = [
+            p
+            for p in others
+            if p.contact.heard < late or p.contact.troubled_s > 0
+        ]
         for number in range(min(self.proof_size, len(responsive))):
             turn = (self._turn + number) % len(responsive)
             asked.append(responsive[turn])
@@ -307,7 +322,7 @@
         self.floors.add(sample, leader.term)
         pool = self.leader_pool
         if pool is not None:
-            pool.reported = max(pool.reported, heard)
+            pool.contact.reported = max(pool.contact.reported, heard)
 
     def _sample(
         self, reports: dict[str, _members.Report]
@@ -339,13 +354,17 @@
             return
         if leader.member not in self.pools:
             return
+        before = self.pools.get(self.last_leader)
         self.leader = leader
         self.last_leader = leader.member
+        self.settled_at = self._clock.now()
         self.term = leader.term
         self.change_until = float("-inf")
         _events.emit(
             _events.LeaderFound(self.service.name, leader.member, leader.term)
         )
+        if before is not None and before is not self.leader_pool:
+            before.turn_away()
         changed, self._changed = self._changed, decisions.Future()
         decisions.resolve(changed, None)
 
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -36,7 +36,8 @@
 
     def hold_end(self, policy: _policy.Policy) -> float:
         """Returns until when it may wait for a member, in clock seconds."""
-        return self.hold_until(policy, self.group.is_changing)
+        group = self.group
+        return self.hold_until(policy, group.is_changing, group.settled_at)
 
     def note_handed(self, member: str, now: float) -> None:
         """Takes in that it goes to a member now."""
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -97,7 +97,9 @@
     pool = served.group.pools.get(body.member) if served else None
     if pool is None or pool.member.born != body.born:
         return _peer_messages.OpinionReply(-1.0)
-    return _peer_messages.OpinionReply(desk.clock.now() - pool.heard)
+    return _peer_messages.OpinionReply(
+        desk.clock.now() - pool.contact.heard, pool.contact.unanswered_s
+    )
 
 
 @_handles(_peer_messages.LeaderNotice)
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -135,9 +135,15 @@
 @message("opinion")
 @attrs.frozen(slots=True)
 class OpinionReply:
-    """Seconds since the member was heard; negative for never."""
+    """What a node knows of its contact with a member.
+
+    Attributes:
+        heard_ago_s: Seconds since the member was heard; negative for never.
+        unanswered_s: For how long it has left a later question unanswered.
+    """
 
     heard_ago_s: float
+    unanswered_s: float = 0.0
 
 
 @message("leader")
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -40,6 +40,9 @@
         connect_timeout_s: How long a new connection may take; a handshake
             costs 12 ms and a network trip 3 ms.
         suspect_s: Silence after which a primary is suspected: two probes.
+        unanswered_s: A primary that has answered nothing of what was sent to
+            it for so long is suspected, too. Longer than a pause between
+            probes; calm members answer in 5 ms, busy ones every 40 ms.
         opinion_s: A peer that heard the primary within this speaks for it.
         doubt_s: A commit that took longer is proved before it counts; twice
             what slow members take in calm.
@@ -76,6 +79,7 @@
     probe_timeout_s: float = attrs.field(default=0.35, validator=_positive)
     connect_timeout_s: float = attrs.field(default=0.4, validator=_positive)
     suspect_s: float = attrs.field(default=0.8, validator=_positive)
+    unanswered_s: float = attrs.field(default=0.45, validator=_positive)
     opinion_s: float = attrs.field(default=0.6, validator=_positive)
     doubt_s: float = attrs.field(default=0.25, validator=_positive)
     stall_s: float = attrs.field(default=0.8, validator=_positive)
--- a/packages/proxy/src/ferry_proxy/_pooled_links.py
+++ b/packages/proxy/src/ferry_proxy/_pooled_links.py
@@ -24,6 +24,7 @@
         values: The session values that are in place.
         prepared: The names of the prepared statements that are in place.
         for_transaction: Whether it is taken for a transaction.
+        is_committing: Whether a transaction's COMMIT was sent.
         sent_at: Since when it owes an answer; None for none.
         used: When it was last taken for a statement or a transaction.
     """
@@ -33,6 +34,7 @@
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: dict[_statements.Prepared, str] = attrs.field(factory=dict)
     for_transaction: bool = False
+    is_committing: bool = False
     sent_at: float | None = None
     used: float = attrs.field(
         default=attrs.Factory(lambda self: self.heard, takes_self=True)
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -13,6 +13,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _contact
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _policy
@@ -66,10 +67,7 @@
         self.parallel = limit
         self.shown: decisions.Position | None = None
         self._shown_at = float("-inf")
-        self.heard = self.reported = clock.now()
-        self.refused_since = float("inf")
-        self.latency_s = 0.0
-        self._troubled_since: float | None = None
+        self.contact = _contact.Contact(clock)
         self._drains_since: float | None = None
         self.is_replaced = False
         self.note_entry(member)
@@ -84,15 +82,6 @@
         """Links that are open or being opened."""
         return len(self._idle) + len(self._used) + self._opening
 
-    @property
-    def owed_s(self) -> float:
-        """Seconds since the last answer, while one is owed."""
-        now = self._clock.now()
-        sent = [t.sent_at for t in self._used if t.sent_at is not None]
-        if not sent:
-            return 0.0
-        return now - max(min(sent), self.heard)
-
     def note_entry(self, member: _members.Member) -> None:
         """Takes in how the member is listed now."""
         self.member = member
@@ -109,18 +98,6 @@
             return True
         return self._clock.now() - since < self._policy.drain_s
 
-    @property
-    def troubled_s(self) -> float:
-        """Seconds for which every contact with the member has failed."""
-        if self._troubled_since is None:
-            return 0.0
-        return self._clock.now() - self._troubled_since
-
-    @property
-    def silence_s(self) -> float:
-        """Seconds since this node or a peer heard the member."""
-        return self._clock.now() - max(self.heard, self.reported)
-
     @property
     def is_unreachable(self) -> bool:
         """Whether no link is open and the last attempt to open one failed."""
@@ -129,12 +106,13 @@
     @property
     def is_refused(self) -> bool:
         """Whether its address answered that the member is not there."""
-        return self.refused_since < float("inf") or self.is_replaced
+        refused = self.contact.refused_since < float("inf")
+        return refused or self.is_replaced
 
     def acquire(
         self,
         use: Use,
-        priority: int,
+        rank: int,
         until: float,
         values: dict[str, str] | None = None,
     ) -> "decisions.Future[PooledLink]":
@@ -142,7 +120,7 @@
 
         Args:
             use: What for.
-            priority: The place in the queue; 0 goes first.
+            rank: The place in the queue; 0 goes first.
             until: When to give up, in the clock's seconds.
             values: The session's values, to prefer a link that has them.
 
@@ -151,7 +129,6 @@
         fut: decisions.Future[PooledLink] = decisions.Future()
         if self._closed or self.is_unreachable:
             return decisions.failed(_unavailable(self.member.id))
-        rank = -1 if use is Use.CONTROL else priority
         left = max(0.0, until - self._clock.now())
         if use is not Use.CONTROL and self.expected_wait_s(rank) > left:
             return decisions.failed(_overloaded(self.member.id))
@@ -173,13 +150,13 @@
         if taken.link.lost or self._closed:
             taken.link.close()
         else:
-            taken.for_transaction = False
+            taken.for_transaction = taken.is_committing = False
             self._idle.append(taken)
         self._serve()
 
     def discard(self, taken: PooledLink) -> None:
         """Closes a link that must not be used again."""
-        self._note_trouble()
+        self.contact.note_trouble()
         taken.link.close()
         self.release(taken)
 
@@ -213,6 +190,11 @@
         else:
             self.discard(taken)
 
+    def note_sent(self, taken: PooledLink) -> None:
+        """Takes in that a link owes an answer from now on."""
+        taken.sent_at = self._clock.now()
+        self.contact.note_asked()
+
     def note_heard(self, taken: PooledLink, elapsed_s: float = 0.0) -> None:
         """Takes in that the member answered.
 
@@ -220,13 +202,9 @@
             taken: The link.
             elapsed_s: How long a statement took; 0 for other answers.
         """
-        now = self._clock.now()
-        taken.heard = self.heard = now
+        self.contact.note_heard(elapsed_s)
+        taken.heard = self._clock.now()
         taken.sent_at = None
-        self.refused_since = float("inf")
-        self._troubled_since = None
-        if elapsed_s:
-            self.latency_s += (elapsed_s - self.latency_s) * LATENCY_WEIGHT
         if self._waiters:
             self._serve()
 
@@ -243,6 +221,18 @@
                 self._idle.remove(taken)
                 taken.link.close()
 
+    def turn_away(self) -> None:
+        """Sends those who wait, and resting transactions, elsewhere.
+
+        The member leads no more: what waits for it would wait in vain.
+        """
+        for _, _, waiter in self._waiters:
+            if waiter.use is not Use.CONTROL:
+                decisions.reject(waiter.fut, _unavailable(self.member.id))
+        for taken in list(self._used):
+            if taken.for_transaction and not taken.is_committing:
+                taken.link.close()
+
     def close(self) -> None:
         """Closes the idle links; those in use close as they come back."""
         self._closed = True
@@ -277,11 +267,9 @@
         if self._running < self.parallel:
             return 0.0
         ahead = sum(w[0] <= rank and not w[2].fut.done() for w in self._waiters)
-        return _queueing.expected_wait_s(ahead, self.parallel, self.latency_s)
-
-    def _note_trouble(self) -> None:
-        if self._troubled_since is None:
-            self._troubled_since = self._clock.now()
+        return _queueing.expected_wait_s(
+            ahead, self.parallel, self.contact.latency_s
+        )
 
     @property
     def _backing_off(self) -> bool:
@@ -330,9 +318,9 @@
         self._idle.remove(best)
         self._used.add(best)
         best.for_transaction = waiter.use is Use.TRANSACTION
-        best.sent_at = self._clock.now()
+        self.note_sent(best)
         if waiter.use is not Use.CONTROL:
-            best.used = best.sent_at
+            best.used = self._clock.now()
         decisions.resolve(waiter.fut, best)
 
     def _open_more(self, wanted: int) -> None:
@@ -340,6 +328,7 @@
             return
         while self._opening < wanted and self.size < self.limit:
             self._opening += 1
+            self.contact.note_asked()
             fut = self._connector.connect(
                 self.member, self._policy.connect_timeout_s
             )
@@ -361,16 +350,16 @@
         self._serve()
 
     def _note_failure(self, exc: BaseException) -> None:
-        now = self._clock.now()
-        self._note_trouble()
-        self._backoff_until = now + self._policy.connect_backoff_s
+        self.contact.note_trouble()
+        backoff_s = self._policy.connect_backoff_s
+        self._backoff_until = self._clock.now() + backoff_s
         if isinstance(exc, _links.ConnectFailedError):
             self.is_replaced = exc.reason is decisions.WRONG_MEMBER
             if exc.refused:
-                self.refused_since = min(self.refused_since, now)
+                self.contact.note_refused()
             elif exc.reason is decisions.TOO_MANY_CONNECTIONS:
-                self.heard = now
-        self._clock.after(self._policy.connect_backoff_s, self._serve)
+                self.contact.note_heard()
+        self._clock.after(backoff_s, self._serve)
         if self.size:
             return
         waiters, self._waiters = self._waiters, []
@@ -381,7 +370,6 @@
 UNUSED_S = 5.0  # A new connection costs 12 ms of a slot; bursts last seconds.
 KEPT_LINKS = 2  # One for statements, one for status questions.
 RECHECK_S = 0.1  # A replica that lacked a position shows it this much later.
-LATENCY_WEIGHT = 0.2  # Of the newest sample in a moving mean; about 5 samples.
 
 
 def _unavailable(member: str) -> decisions.RequestFailedError:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -13,6 +13,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _claims
 from ferry_proxy import _clocks
 from ferry_proxy import _events
 from ferry_proxy import _fences
@@ -28,9 +29,10 @@
 from ferry_proxy import _store
 
 RANK_DELAY_S = 0.06  # Longer than a claim takes to be seen by the next node.
-MAX_RANK = 5
-OPINION_WAIT_S = 0.15  # A peer answers in a few milliseconds.
+MAX_RANK = 2  # Later ones claim together; the store takes one of them.
+OPINION_WAIT_S = 0.1  # A peer answers in a few ms, a slow one in 25 ms.
 PAUSE_AFTER_FAILURE_S = 0.4
+PAUSE_AFTER_VETO_S = 0.1  # The peer may notice next; asking costs little.
 POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
@@ -63,6 +65,9 @@
     is_stopping: Callable[[], bool]
 
 
+ASK_AGAIN_S = 0.15  # Between rounds about a primary that has gone quiet.
+
+
 class Promoter:
     """Watches one group's primary and replaces it when it has to be."""
 
@@ -73,6 +78,9 @@
         self._stopped = False
         self._not_before = float("-inf")
         self._stall = _fencing.StallWatch()
+        self._claims = _claims.Claims(
+            ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
+        )
         self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
         group.on_round.append(self._take_round)
 
@@ -116,8 +124,9 @@
         ]
         return _fencing.Evidence(
             has_leader=pool is not None,
-            silence_s=pool.silence_s if pool else 0.0,
-            refused_s=now - pool.refused_since if pool else 0.0,
+            silence_s=pool.contact.silence_s if pool else 0.0,
+            unanswered_s=_unanswered_s(pool),
+            refused_s=now - pool.contact.refused_since if pool else 0.0,
             stalled_s=self._stalled_s(),
             leaderless_s=now - max(group.leaderless_since, group.changed_at),
             is_draining=pool is not None and pool.member.draining,
@@ -138,6 +147,7 @@
             return
         if self._ctx.clock.now() < self._not_before:
             return
+        self._ask_if_quiet()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
             return
@@ -145,41 +155,52 @@
         fut = decisions.start(self._change(cause))
         fut.add_done_callback(self._ended)
 
+    def _ask_if_quiet(self) -> None:
+        """Asks over other links at once: one lost link is no lost member."""
+        pool = self._group.leader_pool
+        if pool is None or not pool.contact.is_quiet:
+            return
+        if self._ctx.clock.now() - self._group.round_at > ASK_AGAIN_S:
+            self._group.refresh()
+
     def _ended(self, fut: "decisions.Future[None]") -> None:
         self._busy = False
         exc = fut.exception()
         if exc is None:
             return
-        pause = self._ctx.clock.now() + PAUSE_AFTER_FAILURE_S
-        self._not_before = pause
+        vetoed = isinstance(exc, _fences.VetoedError)
+        pause = PAUSE_AFTER_VETO_S if vetoed else PAUSE_AFTER_FAILURE_S
+        self._not_before = self._ctx.clock.now() + pause
         self._log("abandoned", 0, "", repr(exc))
 
     # -- the change ------------------------------------------------------
 
     def _change(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
         begun = self._ctx.clock.now()
+        opinions = decisions.start(self._opinions())
         yield decisions.sleep(self._ctx.clock, self._rank() * RANK_DELAY_S)
         still = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if still is not cause:
             return
-        yield from self._ask_peers(cause)
+        self._weigh(cause, (yield opinions))
         if cause is _fencing.Cause.STALLED:
             yield from self._confirm_stall()
-        held, valid_until = yield from self._claim()
+        held = yield from self._claims.take()
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_change()
         try:
-            yield from self._replace(cause, held.claim.token, valid_until)
+            yield from self._replace(cause, held)
         finally:
-            decisions.start(self._finish(held))
+            decisions.start(self._claims.finish(held))
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - begun)
 
     def _replace(
-        self, cause: _fencing.Cause, token: int, valid_until: float
+        self, cause: _fencing.Cause, held: _records.HeldClaim
     ) -> "decisions.Flow[None]":
         """Stops the old term and begins the next one."""
+        token = held.claim.token
         reports = yield from self._fence.raise_fence(cause, token)
-        successor = yield from self._promote(reports, token, valid_until)
+        successor = yield from self._promote(reports, held)
         yield from self._await_leader(successor, token)
 
     def _rank(self) -> int:
@@ -191,11 +212,14 @@
         )
         return min(MAX_RANK, ranked.index(self._ctx.node))
 
-    def _ask_peers(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
+    def _opinions(
+        self,
+    ) -> "decisions.Flow[list[_peer_messages.OpinionReply]]":
+        """Asks the peers for their contact with the primary."""
         group = self._group
         leader = group.leader
         if leader is None:
-            return
+            return []
         pool = group.leader_pool
         question = _peer_messages.OpinionRequest(
             group.service.name,
@@ -207,24 +231,38 @@
             for s in self._ctx.mesh.streams
         ]
         settled = yield decisions.settle_all(futs, lambda _: False)
-        heard = [
-            s.result.heard_ago_s
+        return [
+            s.result
             for s in settled
             if s.failure is None
             and isinstance(s.result, _peer_messages.OpinionReply)
         ]
-        vetoed = _fencing.is_vetoed(cause, heard, self._ctx.policy)
+
+    def _weigh(
+        self,
+        cause: _fencing.Cause,
+        opinions: list[_peer_messages.OpinionReply],
+    ) -> None:
+        """Gives up where a peer's word shows that the primary lives.
+
+        Raises:
+            VetoedError: It does.
+        """
+        leader = self._group.leader
+        if leader is None:
+            return
+        vetoed = _fencing.is_vetoed(cause, opinions, self._ctx.policy)
         _events.emit(
             _events.PrimarySuspected(
-                group.service.name,
+                self._group.service.name,
                 leader.member,
                 f"{cause.value}{' (vetoed)' if vetoed else ''}",
                 round(self.evidence().silence_s, 3),
-                len(heard),
+                len(opinions),
             )
         )
         if vetoed:
-            raise _fences.ChangeAbandonedError("a peer hears the primary")
+            raise _fences.VetoedError("a peer hears the primary")
 
     def _confirm_stall(self) -> "decisions.Flow[None]":
         """Asks all members at once, before a primary that answers goes."""
@@ -244,56 +282,18 @@
                 "a replica receives commits again"
             )
 
-    def _claim(
-        self,
-    ) -> "decisions.Flow[tuple[_records.HeldClaim, float]]":
-        """Takes the right to act; returns it and until when it holds."""
-        ctx = self._ctx
-        service = self._group.service.name
-        held = ctx.catalogue.claims.get(service)
-        now = ctx.clock.boot_now()
-        if self._is_taken(held):
-            assert held is not None
-            age = now - held.seen_at
-            if age < ctx.policy.claim_takeover_s:
-                self._group.expect_change()
-                raise _fences.ChangeAbandonedError(
-                    "another node holds the claim"
-                )
-        token = held.claim.token + 1 if held else 1
-        revision = held.revision if held else 0
-        claim = _records.Claim(ctx.node, token)
-        key = _records.CLAIM_PREFIX + service
-        valid_until = now + ctx.policy.claim_valid_s
-        item = yield ctx.store.put_if(key, claim.encode(), revision)
-        if item is None:
-            raise _fences.ChangeAbandonedError("another node was faster")
-        ctx.catalogue.take((item,), "own claim")
-        mine = _records.HeldClaim(claim, item.revision, now)
-        return mine, valid_until
-
-    def _is_taken(self, held: _records.HeldClaim | None) -> bool:
-        """Whether another node may be acting on a claim.
-
-        A claim of this node's own name is of an earlier try, or of a process
-        that is gone; nothing of it is under way any more.
-        """
-        if held is None or held.claim.done:
-            return False
-        return held.claim.holder != self._ctx.node
-
     def _promote(
         self,
         reports: dict[str, _members.Report],
-        token: int,
-        valid_until: float,
+        held: _records.HeldClaim,
     ) -> "decisions.Flow[str]":
         """Orders the promotion; returns the member that is to lead."""
         ctx = self._ctx
         group = self._group
         members = {n: p.member for n, p in group.pools.items()}
         successor = _fencing.choose_successor(reports, members)
-        if ctx.clock.boot_now() >= valid_until:
+        token = held.claim.token
+        if not self._claims.is_valid(held):
             yield from self._fence.resume(reports)
             raise _fences.ChangeAbandonedError("the claim is too old to act on")
         if self._fence.is_broken(reports):
@@ -351,22 +351,12 @@
             stream.tell(notice)
         group.refresh()
 
-    def _finish(self, held: _records.HeldClaim) -> "decisions.Flow[None]":
-        """Lets the next claim follow at once."""
-        done = attrs.evolve(held.claim, done=True)
-        key = _records.CLAIM_PREFIX + self._group.service.name
-        try:
-            item = yield self._ctx.store.put_if(
-                key, done.encode(), held.revision
-            )
-        except _store.StoreUnavailableError as exc:
-            # The next claim waits until this one is too old to act on.
-            _fences.log_step(
-                self._group, "unreleased", held.claim.token, "", str(exc)
-            )
-            return
-        if item is not None:
-            self._ctx.catalogue.take((item,), "own claim")
-
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
         _fences.log_step(self._group, step, token, member, detail)
+
+
+def _unanswered_s(pool: _pools.Pool | None) -> float:
+    """Returns for how long a primary has answered nobody, as far as known."""
+    if pool is None:
+        return 0.0
+    return min(pool.contact.unanswered_s, pool.contact.silence_s)
--- a/packages/proxy/src/ferry_proxy/_requests.py
+++ b/packages/proxy/src/ferry_proxy/_requests.py
@@ -95,7 +95,12 @@
         consistency = self.route.consistency
         return consistency is _configuration.Consistency.PRIMARY
 
-    def hold_until(self, policy: _policy.Policy, is_changing: bool) -> float:
+    def hold_until(
+        self,
+        policy: _policy.Policy,
+        is_changing: bool,
+        settled_at: float = float("-inf"),
+    ) -> float:
         """Returns until when it may wait for a member to be offered to.
 
         While a primary is being changed there is a good reason to wait: the
@@ -105,9 +110,16 @@
         Args:
             policy: The tunables.
             is_changing: Whether a primary is being changed.
+            settled_at: When the last change ended, in the clock's seconds.
+                What waited until then comes at once, and all nodes wait for
+                the same member: it may wait for a target's time from there.
         """
+        longest = self.arrived + self.route.timeout_s * min(
+            1.0, policy.failover_hold_share
+        )
         if is_changing:
-            hold = self.route.timeout_s * policy.failover_hold_share
-        else:
-            hold = self.route.target_s * policy.hold_share
-        return self.arrived + min(hold, self.route.timeout_s)
+            return longest
+        usual = self.arrived + self.route.target_s * policy.hold_share
+        if settled_at < self.arrived:
+            return min(longest, usual)
+        return min(longest, settled_at + self.route.target_s)
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -265,7 +265,7 @@
                 group.leaderless_since, now - policy.probe_s
             )
             for pool in group.pools.values():
-                pool.heard = min(now, pool.heard + late_s)
+                pool.contact.forgive(late_s)
 
     def close(self) -> None:
         """Closes all links."""
@@ -281,7 +281,7 @@
         limit_s: How old a sign may be, in seconds.
     """
     pool = group.leader_pool
-    if pool is None or pool.troubled_s > limit_s:
+    if pool is None or pool.contact.troubled_s > limit_s:
         return False
     return group.floor_age_s < limit_s
 
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -56,7 +56,7 @@
             sample.floor.term,
             sample.floor.index,
             self._clock.boot_now() - sample.at,
-            pool.silence_s,
+            pool.contact.silence_s,
         )
 
     def _surveyor(self, group: _groups.Group) -> _peers.Peer | None:
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -13,6 +13,7 @@
 from ferry_proxy import _requests
 from ferry_proxy import _statements
 
+QUIET_CHECK_S = 0.05  # Within a quarter of the shortest target.
 STATES = _statements.TransactionState
 
 
@@ -196,9 +197,12 @@
             self._wrote = True
         unsure = is_commit and self._wrote
         lost = decisions.ANSWER_LOST if unsure else decisions.TRANSACTION_LOST
+        taken.is_committing = is_commit
         fut = self._executor.send(job, pool, taken, None)
         limit = job.deadline - self._clock.now()
         begun = self._clock.now()
+        if not unsure:
+            self._close_if_quiet(pool, taken, fut)
         try:
             reply: _links.Reply = yield decisions.within(
                 self._clock, limit, fut
@@ -211,3 +215,25 @@
             raise decisions.RequestFailedError(reason, str(exc)) from exc
         pool.note_heard(taken, self._clock.now() - begun)
         return reply
+
+    def _close_if_quiet(
+        self,
+        pool: _pools.Pool,
+        taken: _pooled_links.PooledLink,
+        fut: "decisions.Future[_links.Reply]",
+    ) -> None:
+        """Gives a statement up once its member answers nobody.
+
+        Closing the link rolls the transaction back, so that the caller learns
+        at once that nothing is kept, and may begin again elsewhere in time.
+        """
+
+        def check() -> None:
+            if fut.done():
+                return
+            if pool.contact.is_quiet:
+                pool.discard(taken)
+            else:
+                self._clock.after(QUIET_CHECK_S, check)
+
+        self._clock.after(pool.contact.patience_s, check)
--- a/packages/proxy/src/ferry_proxy/tests/test_overload.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_overload.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _members
 from ferry_proxy import _queueing
 from ferry_proxy.tests import fakes
 
@@ -59,13 +60,18 @@
         began = self.clock.now()
         fut = self.session().run(fakes.statement("READ x"))
 
-        def note(done) -> None:
-            reason = done.result().reason
-            took = self.clock.now() - began
-            outcome = reason.name if reason else "ran"
-            self.answers.append((route.name, took, outcome))
+        fut.add_done_callback(lambda done: self._note(route.name, began, done))
 
-        fut.add_done_callback(note)
+    def _note(self, route, began, done) -> None:
+        reason = done.result().reason
+        took = self.clock.now() - began
+        self.answers.append((route, took, reason.name if reason else "ran"))
+
+    def ask_write(self) -> None:
+        """Offers one write."""
+        began = self.clock.now()
+        fut = self.session().run(fakes.statement("WRITE x 1"))
+        fut.add_done_callback(lambda done: self._note("r", began, done))
 
     def served(self, route: str) -> list[float]:
         return [t for n, t, o in self.answers if n == route and o == "ran"]
@@ -151,6 +157,20 @@
     assert max(lab.refused("r")) <= share * lab.route.target_s + 0.03
 
 
+def test_who_waited_for_a_change_is_served_after_it():
+    """17 of 48 were served while they had a fifth of their target; 45 now."""
+    lab = Load()
+    lab.cluster.members["a"].dark = True
+    for number in range(48):
+        lab.clock.after(0.2 + number * 0.0125, lab.ask_write)
+    lab.run(0.85)
+    lab.cluster._lead(lab.cluster.members["b"])
+    lab.group.note_leader(_members.Leader("b", 2))
+    lab.run(2.0)
+    assert len(lab.served("r")) >= 40
+    assert max(lab.served("r")) < lab.route.timeout_s
+
+
 def test_links_of_a_burst_are_closed_again_but_for_a_few():
     lab = Load()
     lab.offer(lab.route, 400, 1.0)
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -25,6 +25,7 @@
     fields = {
         "has_leader": True,
         "silence_s": 0.0,
+        "unanswered_s": 0.0,
         "refused_s": 0.0,
         "stalled_s": 0.0,
         "leaderless_s": 0.0,
@@ -40,6 +41,8 @@
         ({}, None),
         ({"silence_s": 0.7}, None),
         ({"silence_s": 0.9}, CAUSE.SILENT),
+        ({"silence_s": 0.4, "unanswered_s": 0.4}, None),
+        ({"silence_s": 0.5, "unanswered_s": 0.5}, CAUSE.SILENT),
         ({"refused_s": 0.3}, CAUSE.REFUSED),
         ({"stalled_s": 0.9}, CAUSE.STALLED),
         ({"is_draining": True}, CAUSE.LEAVING),
@@ -60,12 +63,16 @@
         (CAUSE.SILENT, [-1.0, 5.0], False),
         (CAUSE.SILENT, [5.0, 0.1], True),
         (CAUSE.REFUSED, [0.1], True),
+        (CAUSE.SILENT, [(0.4, 0.3)], False),
+        (CAUSE.SILENT, [(0.4, 0.1)], True),
         (CAUSE.STALLED, [0.1], False),
         (CAUSE.LEAVING, [0.1], False),
     ],
 )
 def test_veto_of_peers(cause, heard, expected):
-    assert _fencing.is_vetoed(cause, heard, POLICY) is expected
+    pairs = [h if isinstance(h, tuple) else (h, 0.0) for h in heard]
+    opinions = [_peer_messages.OpinionReply(*pair) for pair in pairs]
+    assert _fencing.is_vetoed(cause, opinions, POLICY) is expected
 
 
 @pytest.mark.parametrize(
@@ -359,7 +366,7 @@
     for _ in range(30):
         lab.run(0.1)
         if peer_hears:
-            lab.group.pools["a"].reported = lab.clock.now()
+            lab.group.pools["a"].contact.reported = lab.clock.now()
     assert _reach.is_bypassed(lab.group, POLICY.isolated_s) is expected
 
 
