Entry nodes go by the word of serving nodes that have lost a group

Change: each ping names the groups that others serve and the sender has lost. A node without links to a group goes by that. Reach takes narrow protocols.

--- a/packages/proxy/src/ferry_proxy/_forwarder.py
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -21,10 +21,12 @@
 
     Attributes:
         services: The groups that the peer can serve well now.
+        missed: The groups that others serve and the peer has lost.
         held: Transactions of this node that depend on the stream.
     """
 
     services: frozenset[str]
+    missed: frozenset[str]
     held: int
 
     @property
@@ -76,6 +78,13 @@
             for s in self._streams(service)
         )
 
+    def is_missed(self, service: str) -> bool:
+        """Whether a serving node that was heard lately has lost a group."""
+        return any(
+            service in s.missed and self._is_heard(s)
+            for s in self._streams(service)
+        )
+
     def wanted(self, service: str) -> list[_records.NodeEntry]:
         """Returns the nodes to keep streams to: near ones, or all in need."""
         plan = self._plan(service)
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -13,6 +13,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
+from ferry_proxy import _reach
 from ferry_proxy import _served_groups
 from ferry_proxy import _serving
 
@@ -42,12 +43,14 @@
         follower: _followers.Follower,
         groups: _served_groups.ServedGroups,
         serving: _serving.Serving,
+        reach: _reach.Reach,
     ) -> None:
         self.clock = clock
         self.catalogue = catalogue
         self.follower = follower
         self.groups = groups
         self.serving = serving
+        self.reach = reach
 
     def describe(self) -> _peer_messages.Ping:
         """Returns what the peers should know of this node now."""
@@ -57,6 +60,7 @@
             self.catalogue.covered,
             age_s if math.isfinite(age_s) else -1.0,
             sorted(well),
+            self.reach.missed,
         )
 
     def answer(
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -69,11 +69,13 @@
         store_age_s: Seconds since the store answered it or its informants;
             negative for never.
         services: The groups whose statements it can run well now.
+        missed: The groups that other nodes serve and it has lost.
     """
 
     covered: int
     store_age_s: float
     services: list[str]
+    missed: list[str]
 
 
 @message("sync")
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -50,7 +50,7 @@
 
     def describe(self) -> _peer_messages.Ping:
         """Returns that nothing is known or served."""
-        return _peer_messages.Ping(0, -1.0, [])
+        return _peer_messages.Ping(0, -1.0, [], [])
 
     def answer(
         self, stream: "PeerStream", body: _peer_messages.Message
@@ -141,6 +141,7 @@
         self.covered = 0
         self.store_seen = float("-inf")
         self.services: frozenset[str] = frozenset()
+        self.missed: frozenset[str] = frozenset()
         self.held = 0
         self._forgotten = False
         stream.on_data = self._receive
@@ -231,6 +232,7 @@
             if body.store_age_s >= 0:
                 self.store_seen = self._heard - body.store_age_s
             self.services = frozenset(body.services)
+            self.missed = frozenset(body.missed)
         elif envelope.number < 0:
             call = self._calls.pop(-envelope.number, None)
             if call is not None:
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -159,17 +159,18 @@
             self.mesh,
             lambda s: self._groups.plans.get(s),
         )
+        self.reach = _reach.Reach(
+            loop, self._policy, self.mesh, self._groups, self._forwarder
+        )
         self._desk = _peer_desk.PeerDesk(
             loop,
             self.catalogue,
             self._follower,
             self._groups,
             self._serving,
+            self.reach,
         )
         self.mesh.open(self._desk)
-        self.reach = _reach.Reach(
-            loop, self._policy, self.mesh, self._groups, self._forwarder
-        )
         self._registrar = _registrar.Registrar(
             loop,
             self._own,
--- a/packages/proxy/src/ferry_proxy/_reach.py
+++ b/packages/proxy/src/ferry_proxy/_reach.py
@@ -6,12 +6,14 @@
 sign here also shows that others fare better.
 """
 
+from collections.abc import Collection
+import typing
+
 from ferry_proxy import _clocks
 from ferry_proxy import _forwarder
 from ferry_proxy import _groups
 from ferry_proxy import _mesh
 from ferry_proxy import _policy
-from ferry_proxy import _served_groups
 
 MOST = 0.5  # Of the peers, or of the groups.
 CUT_OFF_S = 1.5  # Longer than a link takes to be opened and lost again.
@@ -25,8 +27,10 @@
         limit_s: For how long, in seconds.
     """
     pool = group.leader_pool
-    contact = pool.contact if pool else None
-    if contact and contact.troubled_s > limit_s > contact.silence_s:
+    if (
+        pool is not None
+        and pool.contact.troubled_s > limit_s > pool.contact.silence_s
+    ):
         return True
     if group.floor_age_s < limit_s:
         return False
@@ -56,6 +60,21 @@
     return bool(others) and lost and group.floor_age_s > limit_s
 
 
+class Groups(typing.Protocol):
+    """What is needed of the groups of a node."""
+
+    @property
+    def plans(self) -> Collection[str]:
+        """All groups, by name."""
+
+    @property
+    def groups(self) -> "dict[str, _groups.Group]":
+        """The groups that this node serves, by name."""
+
+    def serves_well(self, service: str) -> bool:
+        """Whether this node reaches a primary that is known to lead."""
+
+
 class Reach:
     """The judgement of one node on what it reaches."""
 
@@ -63,8 +82,8 @@
         self,
         clock: _clocks.Clock,
         policy: _policy.Policy,
-        mesh: _mesh.Mesh,
-        groups: _served_groups.ServedGroups,
+        mesh: _mesh.Reached,
+        groups: Groups,
         forwarder: _forwarder.Forwarder,
     ) -> None:
         self._clock = clock
@@ -73,12 +92,18 @@
         self._groups = groups
         self._forwarder = forwarder
         self._cut_off_until = float("-inf")
+        self._missed: set[str] = set()
 
     @property
     def is_cut_off(self) -> bool:
         """Whether callers are better off at other nodes."""
         return self._clock.now() < self._cut_off_until
 
+    @property
+    def missed(self) -> list[str]:
+        """The groups that other nodes serve and this node has lost."""
+        return sorted(self._missed)
+
     def judge(self) -> None:
         """Weighs the signs, a few times a second.
 
@@ -86,7 +111,9 @@
         has a fresh floor: what shows the trouble comes and goes as links do.
         """
         unserved = self._unserved()
-        if unserved and self._shows_signs(unserved):
+        reached = self._mesh.reached_share(self._limit_s)
+        self._missed = {n for n in unserved if self._is_missed(n, reached)}
+        if self._missed or self._is_apart(unserved, reached):
             self._cut_off_until = self._clock.now() + CUT_OFF_S
         elif not unserved:
             self._cut_off_until = float("-inf")
@@ -100,14 +127,20 @@
             and not self._forwarder.is_served(name)
         ]
 
-    def _shows_signs(self, unserved: list[str]) -> bool:
-        found = self._groups.groups
-        groups = [found[n] for n in unserved if n in found]
-        limit = self._limit_s
-        if any(is_bypassed(g, limit) for g in groups):
-            return True
-        reached = self._mesh.reached_share(limit)
-        if reached < 1.0 and any(is_severed(g, limit) for g in groups):
+    def _is_missed(self, service: str, reached: float) -> bool:
+        """Whether others serve a group that this node has lost.
+
+        A node without links to the group's members goes by the word of those
+        that have some: it cannot see for itself that others fare better.
+        """
+        group = self._groups.groups.get(service)
+        if group is None:
+            return self._forwarder.is_missed(service)
+        if is_bypassed(group, self._limit_s):
             return True
+        return reached < 1.0 and is_severed(group, self._limit_s)
+
+    def _is_apart(self, unserved: list[str], reached: float) -> bool:
+        """Whether most peers and most groups are out of reach."""
         known = len(self._groups.plans)
-        return reached < MOST and len(unserved) >= MOST * known
+        return reached < MOST and len(unserved) >= max(1, MOST * known)
--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -31,6 +31,7 @@
         self._number = 0
         self.peer = peer
         self.services = frozenset({"orders"})
+        self.missed: frozenset[str] = frozenset()
         self.held = 0
         self.closed = False
         self.silence_s = 0.0
