--- a/packages/runtime/src/ferry_runtime/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -280,20 +280,10 @@
         host: str,
         port: int,
         on_stream: Callable[[Stream], object],
-        sock: socket.socket | None = None,
     ) -> None:
-        """Begins to listen.
-
-        Args:
-            loop: The event loop.
-            host: The address to listen at.
-            port: Its port; 0 for any.
-            on_stream: Takes the streams.
-            sock: A socket that listens there already.
-        """
         self._loop = loop
         self._on_stream = on_stream
-        self._sock = sock or socket.create_server((host, port), backlog=1024)
+        self._sock = socket.create_server((host, port), backlog=1024)
         self._sock.setblocking(False)
         self.port: int = self._sock.getsockname()[1]
         self._open = True
