A replica that has not heard of a term yet proves it, too

Change: a replica proves that a term goes on if it is not paused at a later one, also where it still reports an earlier term. Every fence has to pause it, whatever it follows, so the argument of decision 0008 is the same. Commits are acknowledged by members that received them, as before.

Ruled out: counting the new primary's own word; one that is cut off says so, too.

--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -70,7 +70,7 @@
     following = [
         r
         for name, r in reports.items()
-        if name != leader.member and r.follows(leader.term)
+        if name != leader.member and r.proves(leader.term)
     ]
     if len(following) < needed:
         return None
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -67,6 +67,17 @@
     paused_term: int
     asked_at: float
 
+    def proves(self, term: int) -> bool:
+        """Whether it shows that `term` has not been replaced when it was asked.
+
+        Every later term begins with a fence that pauses it. So it proves as
+        much where it has not heard of `term` yet: a replica that receives
+        nothing keeps nobody from reading (2 s without reads after a primary's
+        crash, on days on which the other replica receives nothing).
+        """
+        not_paused = self.paused_term <= term
+        return self.role is Role.REPLICA and self.term <= term and not_paused
+
     def follows(self, term: int) -> bool:
         """Whether it is a replica that may receive commits of `term`."""
         receiving = self.paused_term <= term
--- a/packages/proxy/src/ferry_proxy/_proofs.py
+++ b/packages/proxy/src/ferry_proxy/_proofs.py
@@ -109,7 +109,7 @@
         proofs: list[_members.Report],
     ) -> "decisions.Flow[None]":
         report = yield from self._group.ask(pool, _links.Status())
-        if report.follows(leader.term):
+        if report.proves(leader.term):
             proofs.append(report)
         elif report.term > leader.term:
             self._group.refresh()
