Slow promotions and slow members are waited for by what is observed

Cause: where a promotion takes longer than 2 s, each order was followed by the next before anybody led; a status question had 0.35 s, which a member whose statements take 0.4 s cannot keep while its slots are taken.

Change: the wait for a promoted member doubles, up to 16 s, when one did not lead in time. A question of ours may take four times a statement's mean time, and so long an unanswered primary is not suspected.

Test: with promotions of 5 s, of which each ends the one before, nobody led.

--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -165,13 +165,17 @@
     ) -> "decisions.Flow[_links.Reply]":
         """Runs a command of ours on a link; without an answer it is closed.
 
+        It waits in the member's queue like a statement: where those take long,
+        it may, too.
+
         Raises:
             decisions.RequestFailedError: No answer within `probe_timeout_s`.
         """
         fut = taken.link.run([command])[0]
+        limit_s = max(self._policy.probe_timeout_s, self.contact.patience_s)
         try:
             reply: _links.Reply = yield decisions.within(
-                self._clock, self._policy.probe_timeout_s, fut
+                self._clock, limit_s, fut
             )
         except (decisions.TimeoutExpiredError, _links.LinkLostError) as exc:
             self.discard(taken)
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -32,6 +32,7 @@
 MAX_RANK = 2  # Later ones claim together; the store takes one of them.
 OPINION_WAIT_S = 0.1  # A peer answers in a few ms, a slow one in 25 ms.
 PAUSE_AFTER_FAILURE_S = 0.4
+MOST_PATIENCE_S = 16.0  # Half of the time for which lost members are feared.
 PAUSE_AFTER_VETO_S = 0.1  # The peer may notice next; asking costs little.
 POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
@@ -77,6 +78,7 @@
         self._busy = False
         self._stopped = False
         self._not_before = float("-inf")
+        self._patience_s = ctx.policy.promote_wait_s
         self._stall = _fencing.StallWatch()
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
@@ -322,8 +324,10 @@
     ) -> "decisions.Flow[None]":
         ctx = self._ctx
         group = self._group
-        end = ctx.clock.now() + ctx.policy.promote_wait_s
-        while ctx.clock.now() < end:
+        begun = ctx.clock.now()
+        self._patience_s = max(self._patience_s, ctx.policy.promote_wait_s)
+        while ctx.clock.now() - begun < self._patience_s:
+            group.expect_change()
             pool = group.pools.get(successor)
             if pool is None:
                 break
@@ -338,6 +342,9 @@
                     self._announce(successor, report.term, token)
                     return
             yield decisions.sleep(ctx.clock, POLL_S)
+        # Perhaps promotions take longer here: another order would only begin
+        # the wait anew.
+        self._patience_s = min(MOST_PATIENCE_S, 2 * self._patience_s)
         raise _fences.ChangeAbandonedError(f"{successor} does not lead")
 
     def _announce(self, successor: str, term: int, token: int) -> None:
@@ -356,7 +363,10 @@
 
 
 def _unanswered_s(pool: _pools.Pool | None) -> float:
-    """Returns for how long a primary has answered nobody, as far as known."""
-    if pool is None:
+    """Returns for how long a primary has answered nobody, as far as known.
+
+    Members that take long for a statement are given longer.
+    """
+    if pool is None or not pool.contact.is_quiet:
         return 0.0
     return min(pool.contact.unanswered_s, pool.contact.silence_s)
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -332,6 +332,28 @@
     assert lab.cluster.lost == []
 
 
+def test_promotions_that_take_long_are_waited_for(monkeypatch):
+    """Here each order ends the one before; nobody led with a fixed wait."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    orders: list[decisions.Timer] = []
+
+    def promote(service, member, holder, token):
+        for order in orders:
+            order.cancel()
+        lab.cluster.promotions.append((member, token))
+        fake = lab.cluster.members[member]
+        orders.append(lab.clock.after(5.0, lambda: lab.cluster._lead(fake)))
+        return decisions.completed(None)
+
+    monkeypatch.setattr(lab.cluster, "promote", promote)
+    write(lab, "before")
+    lab.cluster.crash("a")
+    lab.run(16.0)
+    assert write(lab, "after").reason is None
+    assert lab.cluster.lost == []
+
+
 def test_a_primary_that_was_not_heard_of_is_followed():
     lab = fakes.Lab()
     lab.add_promoter()
