Two nodes of a data centre serve a group wherever each gets three links

Cause: with 21 connections a member and three data centres the plan gave each one serving node, to leave it seven links.

Change: as many serving nodes, two a data centre at most, as get three links each (a transaction, a statement, a status question). Fleets where each gets more are planned as before.

--- a/packages/proxy/src/ferry_proxy/_serving_plan.py
+++ b/packages/proxy/src/ferry_proxy/_serving_plan.py
@@ -15,7 +15,6 @@
 
 SPARE_NODES = 1  # One more node may come while a leaving one still runs.
 MIN_LINKS = 3  # A transaction, a single statement, a status question.
-WANTED_LINKS = 7  # About the share of a node in a fleet of seven.
 MAX_NEAR = 2  # Serving nodes in a data centre: one may be away.
 
 
@@ -63,7 +62,7 @@
     by_place: dict[str, list[_records.NodeEntry]] = {}
     for node in nodes:
         by_place.setdefault(node.data_centre, []).append(node)
-    wanted = max_connections // WANTED_LINKS - SPARE_NODES
+    wanted = max_connections // MIN_LINKS - SPARE_NODES
     count = max(1, min(MAX_NEAR, wanted // len(by_place)))
     chosen = []
     for place in sorted(by_place):
