--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -92,8 +92,10 @@
         self, fut: "decisions.Future[_peer_messages.Message]"
     ) -> None:
         self._asking = False
-        if fut.exception() is not None:
-            return  # The next look asks again.
+        exc = fut.exception()
+        if exc is not None:  # The next look asks again.
+            _events.emit(_events.DependencyLost("peer's copy", str(exc)))
+            return
         reply = fut.result()
         if isinstance(reply, _peer_messages.SyncReply):
             self._behind_since = None
--- a/tools/gen_exports.py
+++ b/tools/gen_exports.py
@@ -7,6 +7,8 @@
 """
 
 import ast
+from collections.abc import Iterator
+import itertools
 import pathlib
 import re
 import sys
@@ -69,17 +71,22 @@
         "if typing.TYPE_CHECKING:",
         *(f"    from {package}.{m} import {n} as {n}" for n, m in by_module),
         "",
-        "_MODULES = {",
-        *(f'    "{name}": "{module}",' for name, module in by_module),
+        "_NAMES = {",
+        *_rows(by_module),
         "}",
-        "",
-        "__all__ = [",
-        *(f'    "{name}",' for name in sorted(owners)),
-        "]",
+        "_MODULES = {name: m for m, names in _NAMES.items() for name in names}",
+        "__all__ = sorted(_MODULES)",
         LOADER,
     ]
 
 
+def _rows(by_module: list[tuple[str, str]]) -> Iterator[str]:
+    """Yields one entry a module: its public names."""
+    for module, owned in itertools.groupby(by_module, lambda i: i[1]):
+        names = " ".join(name for name, _ in owned)
+        yield f'    "{module}": "{names}".split(),'
+
+
 def main() -> None:
     """Rewrites one `__init__.py`."""
     package = pathlib.Path(sys.argv[1]).resolve()
