rosemaryferryctl losses: when and why requests were not served, out of logs

A row and a bar for each window of time, by reason, with the changes of what nodes believed and the lines that were left out; then the places.

--- /dev/null
+++ b/packages/ctl/src/ferry_ctl/_losses.py
@@ -0,0 +1,118 @@
+"""`losses`: what was not served, when, and for which reason, out of logs.
+
+Each window of time is a row: how many requests ran, how many did not by
+reason, and how many lines were left out, so that one sees what the row rests
+on. Lines of many nodes are read together.
+"""
+
+import collections
+from collections.abc import Iterator
+
+import attrs
+import click
+
+from ferry_ctl import _explain
+
+RAN = "ran"
+DONE = "RequestDone"  # At the entry: one line a request.
+LEFT_OUT = "LinesLeftOut"
+BAR_WIDTH = 40  # Characters of the longest bar.
+CHANGES = frozenset({"PromotionStep", "Ready", "DependencyLost", "NodeStarted"})
+
+
+@attrs.define
+class Window:
+    """What the logs tell of one span of time.
+
+    Attributes:
+        at: Its beginning, in seconds since the first line.
+        ran: Requests that ran, by the lines that are there.
+        reasons: Requests that did not, by reason.
+        left_out: Lines that the nodes left out for want of budget.
+        changes: Changes of what nodes believe, by event.
+    """
+
+    at: float
+    ran: int = 0
+    reasons: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    left_out: int = 0
+    changes: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    @property
+    def lost(self) -> int:
+        """Requests that did not run."""
+        return sum(self.reasons.values())
+
+    def take(self, line: _explain.Line) -> None:
+        """Takes a line of the window in."""
+        if line.event == DONE:
+            outcome = str(line.fields["outcome"])
+            if outcome == RAN:
+                self.ran += 1
+            else:
+                self.reasons[outcome] += 1
+        elif line.event == LEFT_OUT:
+            self.left_out += sum(int(v) for v in line.fields.values())
+        elif line.event in CHANGES:
+            self.changes[line.event] += 1
+
+
+def windows(lines: list[_explain.Line], step_s: float) -> list[Window]:
+    """Returns the windows of logs, in order of time.
+
+    Args:
+        lines: All lines, in order of time.
+        step_s: The length of a window, in seconds.
+    """
+    found: dict[int, Window] = {}
+    for line in lines:
+        number = int((line.at - lines[0].at) / step_s)
+        window = found.setdefault(number, Window(number * step_s))
+        window.take(line)
+    return [found[n] for n in sorted(found)]
+
+
+def report(found: list[Window]) -> Iterator[str]:
+    """Yields a table with a bar for what was lost in each window."""
+    most = max((w.lost for w in found), default=0)
+    yield f"{'from s':>7} {'ran':>5} {'lost':>5} {'left out':>8}"
+    for window in found:
+        bar = "#" * round(BAR_WIDTH * window.lost / most) if most else ""
+        words = [f"{k}={v}" for k, v in window.reasons.most_common()]
+        words += [f"[{k} {v}]" for k, v in sorted(window.changes.items())]
+        counts = f"{window.ran:5} {window.lost:5} {window.left_out:8}"
+        yield f"{window.at:7.1f} {counts} {bar} {' '.join(words)}".rstrip()
+
+
+def places(lines: list[_explain.Line]) -> Iterator[str]:
+    """Yields how much was lost at each node, by reason and kind."""
+    sums: collections.Counter[tuple[str, str, str]] = collections.Counter()
+    for line in lines:
+        if line.event == DONE and line.fields["outcome"] != RAN:
+            outcome, kind = line.fields["outcome"], line.fields["kind"]
+            sums[(line.node, str(outcome), str(kind))] += 1
+    for (node, outcome, kind), count in sums.most_common():
+        yield f"{count:5} {node} {outcome} {kind}"
+
+
+@click.command()
+@click.option("--step", default=2.0, help="Length of a window, in seconds.")
+@click.option("--since", default=0.0, help="Leave out what is before.")
+@click.option("--until", default=float("inf"), help="Leave out what is after.")
+@click.argument("files", nargs=-1, required=True)
+def losses(
+    step: float, since: float, until: float, files: tuple[str, ...]
+) -> None:
+    """Shows when and why requests were not served.
+
+    FILES are the nodes' logs, in any order; times count from the first line.
+    """
+    if step <= 0:
+        raise click.BadParameter("a window must be longer than 0 s")
+    lines = _explain.read(files)
+    origin = lines[0].at if lines else 0.0
+    lines = [x for x in lines if since <= x.at - origin < until]
+    if not lines:
+        raise click.ClickException("no line of these logs is in that time")
+    for text in (*report(windows(lines, step)), "", *places(lines)):
+        click.echo(text)
