What the reading of the whole change found, mended

One loader of late names (ferry_decisions.lazy) for both packages and their generator, which held a copy each. JSON objects of the store are parsed in one place, with one largest port, for documents, nodes and claims. Which nodes are heard is worked out once a check, not once a group. A wait that was raised to what it began with is left out; a log constant is taken from where it stands.

--- a/packages/ctl/src/ferry_ctl/_losses.py
+++ b/packages/ctl/src/ferry_ctl/_losses.py
@@ -15,7 +15,6 @@
 
 RAN = "ran"
 DONE = "RequestDone"  # At the entry: one line a request.
-LEFT_OUT = "LinesLeftOut"
 BAR_WIDTH = 40  # Characters of the longest bar.
 CHANGES = frozenset({"PromotionStep", "Ready", "DependencyLost", "NodeStarted"})
 
@@ -51,7 +50,7 @@
                 self.ran += 1
             else:
                 self.reasons[outcome] += 1
-        elif line.event == LEFT_OUT:
+        elif line.event == _explain.LEFT_OUT:
             self.left_out += sum(int(v) for v in line.fields.values())
         elif line.event in CHANGES:
             self.changes[line.event] += 1
--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -4,9 +4,10 @@
 needs a third of them, and starts sooner without the rest.
 """
 
-import importlib
 import typing
 
+from ferry_decisions import lazy
+
 if typing.TYPE_CHECKING:
     from ferry_decisions._admission import ORDERS as ORDERS
     from ferry_decisions._admission import AdmissionQueue as AdmissionQueue
@@ -283,15 +284,7 @@
     "_timers": ["PeriodicTimer", "Timer", "TimerService", "VirtualTimers"],
     "_watch": ["DatabaseWatch", "WatchContext", "WatchSettings"],
 }
-_MODULES = {name: m for m, names in _NAMES.items() for name in names}
-__all__ = sorted(_MODULES)
-
-if not typing.TYPE_CHECKING:  # Else any name would pass the type checker.
+__all__ = sorted(n for names in _NAMES.values() for n in names)
 
-    def __getattr__(name: str) -> typing.Any:
-        """Loads the module of a public name when it is first used."""
-        if name not in _MODULES:
-            raise AttributeError(f"{__name__} has no {name}")
-        module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
-        value = globals()[name] = getattr(module, name)
-        return value
+if not typing.TYPE_CHECKING:  # Else any name would pass the checker.
+    __getattr__ = lazy.loader(__name__, _NAMES)
--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -1,8 +1,9 @@
 """The proxy, whatever the protocol: sessions, routing, pools, promotion."""
 
-import importlib
 import typing
 
+from ferry_decisions import lazy
+
 if typing.TYPE_CHECKING:
     from ferry_proxy._catalogue import Layout as Layout
     from ferry_proxy._configuration import Configuration as Configuration
@@ -42,9 +43,11 @@
     from ferry_proxy._proxy import NodeIdentity as NodeIdentity
     from ferry_proxy._proxy import Platform as Platform
     from ferry_proxy._proxy import Proxy as Proxy
+    from ferry_proxy._records import MAX_PORT as MAX_PORT
     from ferry_proxy._records import Claim as Claim
     from ferry_proxy._records import InvalidItemError as InvalidItemError
     from ferry_proxy._records import NodeEntry as NodeEntry
+    from ferry_proxy._records import json_object as json_object
     from ferry_proxy._sessions import Kind as Kind
     from ferry_proxy._sessions import Session as Session
     from ferry_proxy._statements import Prepared as Prepared
@@ -92,7 +95,13 @@
     "_policy": ["Bounds", "Policy"],
     "_policy_file": ["InvalidPolicyError", "policy_from_file"],
     "_proxy": ["NodeIdentity", "Platform", "Proxy"],
-    "_records": ["Claim", "InvalidItemError", "NodeEntry"],
+    "_records": [
+        "Claim",
+        "InvalidItemError",
+        "MAX_PORT",
+        "NodeEntry",
+        "json_object",
+    ],
     "_sessions": ["Kind", "Session"],
     "_statements": ["Prepared", "Statement", "TransactionState"],
     "_store": [
@@ -103,15 +112,7 @@
         "StoreUnavailableError",
     ],
 }
-_MODULES = {name: m for m, names in _NAMES.items() for name in names}
-__all__ = sorted(_MODULES)
-
-if not typing.TYPE_CHECKING:  # Else any name would pass the type checker.
+__all__ = sorted(n for names in _NAMES.values() for n in names)
 
-    def __getattr__(name: str) -> typing.Any:
-        """Loads the module of a public name when it is first used."""
-        if name not in _MODULES:
-            raise AttributeError(f"{__name__} has no {name}")
-        module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
-        value = globals()[name] = getattr(module, name)
-        return value
+if not typing.TYPE_CHECKING:  # Else any name would pass the checker.
+    __getattr__ = lazy.loader(__name__, _NAMES)
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -112,7 +112,7 @@
     def acquire(
         self,
         use: Use,
-        rank: int,
+        priority: int,
         until: float,
         values: dict[str, str] | None = None,
     ) -> "decisions.Future[PooledLink]":
@@ -120,7 +120,7 @@
 
         Args:
             use: What for.
-            rank: The place in the queue; 0 goes first.
+            priority: The place in the queue; 0 goes first.
             until: When to give up, in the clock's seconds.
             values: The session's values, to prefer a link that has them.
 
@@ -129,6 +129,7 @@
         fut: decisions.Future[PooledLink] = decisions.Future()
         if self._closed or self.is_unreachable:
             return decisions.failed(_unavailable(self.member.id))
+        rank = -1 if use is Use.CONTROL else priority
         left = max(0.0, until - self._clock.now())
         if use is not Use.CONTROL and self.expected_wait_s(rank) > left:
             return decisions.failed(_overloaded(self.member.id))
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -325,7 +325,6 @@
         ctx = self._ctx
         group = self._group
         begun = ctx.clock.now()
-        self._patience_s = max(self._patience_s, ctx.policy.promote_wait_s)
         while ctx.clock.now() - begun < self._patience_s:
             group.expect_change()
             pool = group.pools.get(successor)
--- a/packages/proxy/src/ferry_proxy/_questions.py
+++ b/packages/proxy/src/ferry_proxy/_questions.py
@@ -8,7 +8,8 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pools
-from ferry_proxy import _queueing
+
+STATUS_PRIORITY = 0  # Control links go before all statements in any case.
 
 
 class Questions:
@@ -28,9 +29,7 @@
         """
         policy = self._policy
         until = self._clock.now() + policy.probe_timeout_s
-        taken = yield pool.acquire(
-            _pools.Use.CONTROL, _queueing.CONTROL_RANK, until
-        )
+        taken = yield pool.acquire(_pools.Use.CONTROL, STATUS_PRIORITY, until)
         asked_at = self._clock.boot_now()
         reply = yield from pool.exchange(taken, command)
         pool.release(taken)
--- a/packages/proxy/src/ferry_proxy/_queueing.py
+++ b/packages/proxy/src/ferry_proxy/_queueing.py
@@ -26,9 +26,6 @@
     return max(MIN_PARALLEL, math.ceil(SLOT_FACTOR * slots / max(1, nodes)))
 
 
-CONTROL_RANK = -1  # Commands of ours: they decide for all others.
-
-
 def expected_wait_s(ahead: int, parallel: int, latency_s: float) -> float:
     """Returns how long a statement is likely to wait here, in seconds.
 
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -8,14 +8,19 @@
 NODE_PREFIX = "ferry/nodes/"
 CLAIM_PREFIX = "ferry/claims/"
 MAX_PORT = 65_535
+MAX_SHOWN = 40  # Characters of a parser's words that a message repeats.
 
 
 class InvalidItemError(ValueError):
     """An item of the store does not hold what its key says."""
 
 
-def _parse(value: bytes, where: str) -> dict[str, typing.Any]:
-    """Reads a JSON object.
+def json_object(value: bytes, where: str) -> dict[str, typing.Any]:
+    """Reads a JSON object, whoever wrote it.
+
+    Args:
+        value: Its bytes.
+        where: What it is, for messages.
 
     Raises:
         InvalidItemError: The bytes are none.
@@ -23,7 +28,8 @@
     try:
         raw = json.loads(value)
     except (ValueError, RecursionError) as exc:
-        raise InvalidItemError(f"{where}: not JSON") from exc
+        detail = str(exc)[:MAX_SHOWN]
+        raise InvalidItemError(f"{where}: not JSON: {detail}") from exc
     if not isinstance(raw, dict):
         raise InvalidItemError(f"{where}: no object")
     return raw
@@ -58,7 +64,7 @@
         Raises:
             InvalidItemError: It is malformed.
         """
-        raw = _parse(value, f"node {name}")
+        raw = json_object(value, f"node {name}")
         host, port = raw.get("host"), raw.get("port")
         data_centre = raw.get("data_centre", "")
         if not isinstance(host, str) or not isinstance(data_centre, str):
@@ -93,7 +99,7 @@
         Raises:
             InvalidItemError: It is malformed.
         """
-        raw = _parse(value, f"claim {service}")
+        raw = json_object(value, f"claim {service}")
         holder, token = raw.get("holder"), raw.get("token")
         done = raw.get("done")
         if not isinstance(holder, str) or not isinstance(done, bool):
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -167,7 +167,8 @@
         led = {n for n, p in group.pools.items() if p.member.leads}
         group.service = service
         plan = self._plans[service.name]
-        group.set_members(members, plan.links, self._sharing(service.name))
+        sharing = self._sharing(service.name, self._heard())
+        group.set_members(members, plan.links, sharing)
         leads = {n for n, m in members.items() if m.leads}
         if before != members.keys() or leads != led:
             group.refresh()
@@ -249,14 +250,21 @@
     def check(self) -> None:
         """Weighs the evidence on all primaries, and lets groups go."""
         now = self._ctx.clock.now()
+        heard = self._heard()
         for name, served in list(self._served.items()):
             if served.retires_at is not None and now >= served.retires_at:
                 self._drop(name)
                 continue
-            served.group.share_among(self._sharing(name))
+            served.group.share_among(self._sharing(name, heard))
             served.promoter.check()
 
-    def _sharing(self, service: str) -> int:
+    def _heard(self) -> set[str]:
+        """Returns the names of the nodes that were heard lately."""
+        limit_s = self._ctx.policy.isolated_s
+        streams = self._ctx.mesh.by_name.values()
+        return {s.peer for s in streams if s.silence_s < limit_s}
+
+    def _sharing(self, service: str, heard: set[str]) -> int:
         """Returns how many nodes send a group's members statements now.
 
         A node that has just begun takes all for present: many may begin
@@ -265,12 +273,7 @@
         names = self._names(service)
         if self._ctx.clock.now() - self._begun < SETTLE_S:
             return len(names)
-        streams = self._ctx.mesh.by_name
-        limit_s = self._ctx.policy.isolated_s
-        others = names - {self._ctx.own.name}
-        return 1 + sum(
-            n in streams and streams[n].silence_s < limit_s for n in others
-        )
+        return 1 + len(heard & names - {self._ctx.own.name})
 
     def forgive(self, late_s: float) -> None:
         """A pause of this process is not held against the members."""
--- a/tools/gen_exports.py
+++ b/tools/gen_exports.py
@@ -13,17 +13,8 @@
 import re
 import sys
 
-LOADER = '''
-if not typing.TYPE_CHECKING:  # Else any name would pass the type checker.
-
-    def __getattr__(name: str) -> typing.Any:
-        """Loads the module of a public name when it is first used."""
-        if name not in _MODULES:
-            raise AttributeError(f"{__name__} has no {name}")
-        module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
-        value = globals()[name] = getattr(module, name)
-        return value
-'''
+LOADER_PACKAGE = "ferry_decisions"
+LOADER_MODULE = "lazy"
 
 
 def public_names(path: pathlib.Path) -> list[str]:
@@ -65,18 +56,21 @@
     return [
         f'"""{doc}"""',
         "",
-        "import importlib",
         "import typing",
         "",
+        f"from {LOADER_PACKAGE} import {LOADER_MODULE}",
+        "",
         "if typing.TYPE_CHECKING:",
         *(f"    from {package}.{m} import {n} as {n}" for n, m in by_module),
         "",
         "_NAMES = {",
         *_rows(by_module),
         "}",
-        "_MODULES = {name: m for m, names in _NAMES.items() for name in names}",
-        "__all__ = sorted(_MODULES)",
-        LOADER,
+        "__all__ = sorted(n for names in _NAMES.values() for n in names)",
+        "",
+        "if not typing.TYPE_CHECKING:  # Else any name would pass the checker.",
+        f"    __getattr__ = {LOADER_MODULE}.loader(__name__, _NAMES)",
+        "",
     ]
 
 
