Followers gather what a start brings before they watch again

Change: after a first reading, and after changes that are of nodes alone, a follower waits 0.3 s, the time in which a fleet starts; by then peers tell who the readers are. Ruled out: fewer readers or longer watches, which are what brings a configuration in time.

--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -24,6 +24,8 @@
 ALL_KEYS = ""
 READERS_NEAR = 3  # Nodes of a data centre that watch: two may be away at once.
 LOOK_S = 0.2  # How often a node that does not watch asks itself whether to.
+GATHER_S = 0.3  # All nodes of a fleet list themselves within 0.3 s of a start.
+# A watch ends with each: 6.3 watches a node among 24 that start, 0.75 so.
 NEWS_LIMIT_S = 5.0  # A watch in calm brings news each 3 s, and 4 s if it ends.
 
 
@@ -63,6 +65,13 @@
     return own.name in ranked[:READERS_NEAR]
 
 
+def _is_of_nodes(changes: _store.Changes) -> bool:
+    """Whether changes only tell of nodes that come and go, in numbers."""
+    items = changes.items
+    prefix = _records.NODE_PREFIX
+    return bool(items) and all(i.key.startswith(prefix) for i in items)
+
+
 class Follower:
     """Keeps a node's copy of the store up to date."""
 
@@ -163,12 +172,15 @@
             self._note_answer()
             catalogue.take_snapshot(snapshot, "store")
             self._needs_snapshot = False
+            yield decisions.sleep(self._clock, GATHER_S)
         while not self._stopped and self.is_watching:
             changes = yield self._store.changes(
                 ALL_KEYS, catalogue.revision, self._policy.watch_wait_s
             )
             self._note_answer()
             catalogue.take_changes(changes, "store")
+            if _is_of_nodes(changes):
+                yield decisions.sleep(self._clock, GATHER_S)
 
     def _note_answer(self) -> None:
         self._heard_at = self._clock.now()
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -50,7 +50,7 @@
 class Node:
     """A copy of the store with what keeps it up to date."""
 
-    def __init__(self, lab: "Lab", name: str) -> None:
+    def __init__(self, lab: "Lab | StartLab", name: str) -> None:
         self._lab = lab
         self.streams: list[FakeStream] = []
         self.own = _records.NodeEntry(name, "h-" + name, 1, "hall-a")
@@ -67,8 +67,9 @@
 
     def _look(self) -> None:
         for stream in self.streams:
-            if stream.theirs is self._lab.reader.copy:
-                stream.store_seen = self._lab.reader.follower.seen_at
+            for node in self._lab.readers:
+                if stream.theirs is node.copy:
+                    stream.store_seen = node.follower.seen_at
         self.registrar.look()
 
 
@@ -110,6 +111,7 @@
         reader = next(n for n, reads in chosen.items() if reads)
         other = next(n for n, reads in chosen.items() if not reads)
         self.reader = Node(self, reader)
+        self.readers = [self.reader]
         self.clock.advance(0.5)
         self.other = Node(self, other)
         self.stream = FakeStream(reader, self.reader.copy)
@@ -209,3 +211,46 @@
     lab.clock.advance(3.0)
     assert lab.reader.copy.members == {}
     assert lab.other.copy.members == {}
+
+
+class StartLab:
+    """Nodes of one data centre that all start within 0.3 s."""
+
+    SIZE = 24
+    SPREAD_S = 0.3
+
+    def __init__(self) -> None:
+        self.clock = decisions.VirtualTimers()
+        self.policy = _policy.Policy()
+        self.store = fakes.FakeStore(self.clock)
+        self.store.put("members/a", b"orders")
+        self.nodes: list[Node] = []
+        for n in range(self.SIZE):
+            self._add(f"n{n}")
+            self.clock.advance(self.SPREAD_S / self.SIZE)
+
+    def _add(self, name: str) -> None:
+        node = Node(self, name)
+        for peer in self.nodes[-3:]:
+            node.streams.append(FakeStream(peer.own.name, peer.copy))
+            peer.streams.append(FakeStream(name, node.copy))
+        self.nodes.append(node)
+
+    @property
+    def readers(self) -> list[Node]:
+        """The nodes whose news of the store reach others."""
+        return self.nodes
+
+    def calls(self, name: str) -> float:
+        """Returns how often a node called the store so, on average."""
+        return sum(n.store.calls.count(name) for n in self.nodes) / self.SIZE
+
+
+def test_a_fleet_that_starts_calls_the_store_few_times():
+    """Watches a node in the first 3 s: 6.3 before, 0.75 since nodes gather."""
+    lab = StartLab()
+    lab.clock.advance(3.0)
+    names = {n.own.name for n in lab.nodes}
+    assert all(n.copy.nodes.keys() == names for n in lab.nodes)
+    assert (lab.calls("list"), lab.calls("put_if")) == (1.0, 1.0)
+    assert lab.calls("changes") <= 1.5
