A decoder gives its unpacker back only between values

Cause: an unpacker's offset moves on within a value, so that one that had read up to the end of an element looked empty, went to the spare ones, and the next stream's bytes were read into the first one's value. Change: the end of the last complete value decides. The test cuts a message at each of its bytes over ten streams; it failed at the ends of elements before.

--- a/packages/runtime/src/ferry_runtime/_values.py
+++ b/packages/runtime/src/ferry_runtime/_values.py
@@ -38,7 +38,7 @@
 class ValueDecoder:
     """Decodes the values of one stream."""
 
-    __slots__ = ("_limit", "_unpacker", "_left")
+    __slots__ = ("_limit", "_unpacker", "_fed", "_whole")
 
     def __init__(self, max_bytes: int) -> None:
         """Makes a decoder.
@@ -48,7 +48,8 @@
         """
         self._limit = max_bytes
         self._unpacker: _Unpacker | None = None
-        self._left = 0
+        self._fed = 0  # The unpacker's offset after the last byte it got,
+        self._whole = 0  # and after the last value that was complete.
 
     def feed(self, data: bytes) -> list[typing.Any]:
         """Returns the values that are complete now.
@@ -56,22 +57,35 @@
         Raises:
             InvalidMessageError: The bytes are no values, or one is too large.
         """
-        unpacker = self._unpacker or _take(self._limit)
-        raw = unpacker.raw
-        end = raw.tell() + self._left + len(data)
-        unpacker.most = max(unpacker.most, self._left + len(data))
+        unpacker = self._unpacker
+        if unpacker is None:
+            unpacker = _take(self._limit)
+            self._fed = self._whole = unpacker.raw.tell()
+        self._fed += len(data)
+        unpacker.most = max(unpacker.most, self._fed - self._whole)
         try:
-            raw.feed(data)
-            values = list(raw)
+            values = self._complete_values(unpacker.raw, data)
         except (msgpack.UnpackException, ValueError, TypeError) as exc:
             self._unpacker = None  # What it holds is of no use to others.
             raise InvalidMessageError(repr(exc)) from exc
-        self._left = end - raw.tell()
-        self._unpacker = unpacker if self._left else None
-        if not self._left:
+        # An unpacker moves on within a value, too: only the end of the last
+        # complete one tells whether it holds a part of the next.
+        is_empty = self._fed == self._whole
+        self._unpacker = None if is_empty else unpacker
+        if is_empty:
             _keep(unpacker)
         return values
 
+    def _complete_values(
+        self, raw: msgpack.Unpacker, data: bytes
+    ) -> list[typing.Any]:
+        raw.feed(data)
+        values = []
+        for value in raw:
+            values.append(value)
+            self._whole = raw.tell()
+        return values
+
 
 def _take(limit: int) -> _Unpacker:
     """Returns an unpacker that holds nothing; several threads may ask."""
--- a/packages/runtime/src/ferry_runtime/tests/test_values.py
+++ b/packages/runtime/src/ferry_runtime/tests/test_values.py
@@ -16,6 +16,10 @@
     return bytes(msgpack.packb(["items", 1, [b"x" * 1000] * 20]))
 
 
+def _ping() -> bytes:
+    return bytes(msgpack.packb(["ping", 0, 17, 0.5, ["db1", "db2"], []]))
+
+
 @pytest.mark.parametrize("size", [1, 7, 1000, 100_000])
 def test_values_are_decoded_however_the_bytes_are_cut(size: int) -> None:
     """Pieces of any size give the same values."""
@@ -26,12 +30,17 @@
     assert values == [msgpack.unpackb(_rest())] * 3
 
 
-def test_streams_between_values_do_not_disturb_each_other() -> None:
-    """Halves of values on several streams, in turn."""
-    raw = _rest()
+@pytest.mark.parametrize("cut", range(1, len(_ping())))
+def test_streams_between_values_do_not_disturb_each_other(cut: int) -> None:
+    """Parts of values on several streams, in turn, cut anywhere.
+
+    An unpacker that had read up to the end of an element counted as empty
+    once, and the next stream's bytes went into the first one's value.
+    """
+    raw = _ping()
     decoders = [runtime.ValueDecoder(LIMIT_BYTES) for _ in range(10)]
-    assert not [v for d in decoders for v in d.feed(raw[:50])]
-    found = [v for d in decoders for v in d.feed(raw[50:])]
+    assert not [v for d in decoders for v in d.feed(raw[:cut])]
+    found = [v for d in decoders for v in d.feed(raw[cut:])]
     assert found == [msgpack.unpackb(raw)] * 10
 
 
