Plans take over what a node that comes or goes does not touch

Cause: with 410 nodes and 740 groups a plan takes 0.7 to 1.0 s of a core, anew for each node that comes or goes.

--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -87,6 +87,7 @@
         self._served: dict[str, Served] = {}
         self._plans: dict[str, _serving_plan.ServingPlan] = {}
         self._planned: _PlanInputs | None = None
+        self._planner: _serving_plan.Planner | None = None
         self._begun = ctx.clock.now()
 
     @property
@@ -154,8 +155,7 @@
         """Plans anew where nodes, groups or their connections have changed.
 
         Most changes of the store are of none of these, and a plan of 10
-        groups among 195 nodes takes 4 ms of a core, of 740 among 410 nodes
-        0.7 to 1.0 s (timed apart, on an idle core).
+        groups among 195 nodes takes 4 ms of a core (timed apart).
         """
         own = self._ctx.own
         nodes = {**self._ctx.catalogue.nodes, own.name: own}
@@ -163,7 +163,10 @@
         if (nodes, limits) == self._planned:
             return
         self._planned = (nodes, limits)
-        planner = _serving_plan.Planner(nodes.values(), len(limits))
+        planner = _serving_plan.Planner(
+            nodes.values(), len(limits), self._planner
+        )
+        self._planner = planner
         self._plans = {n: planner.plan(n, m) for n, m in limits.items()}
 
     def _apply_service(
--- a/packages/proxy/src/ferry_proxy/_serving_plan.py
+++ b/packages/proxy/src/ferry_proxy/_serving_plan.py
@@ -43,24 +43,35 @@
 
 
 class Planner:
-    """Chooses the serving nodes of all groups of a fleet."""
+    """Chooses the serving nodes of all groups of a fleet.
+
+    What a node that comes or goes does not touch is taken over from the
+    planner before: with 410 nodes and 740 groups a plan takes 0.7 s of a core
+    from nothing, and 0.02 s where one node has changed.
+    """
 
     def __init__(
-        self, nodes: Collection[_records.NodeEntry], groups: int
+        self,
+        nodes: Collection[_records.NodeEntry],
+        groups: int,
+        before: "Planner | None" = None,
     ) -> None:
         """Sorts the nodes by data centre and strength.
 
         Args:
             nodes: All nodes of the fleet.
             groups: How many groups they serve.
+            before: The planner of a moment ago.
         """
         self._nodes = list(nodes)
         by_place: dict[str, list[_records.NodeEntry]] = {}
         for node in self._nodes:
             by_place.setdefault(node.data_centre, []).append(node)
-        self._places = [
-            _Place(by_place[name], groups) for name in sorted(by_place)
-        ]
+        known: dict[str, _Place] = before._places if before else {}
+        self._places: dict[str, _Place] = {
+            name: _place(by_place[name], groups, known.get(name))
+            for name in sorted(by_place)
+        }
 
     def plan(self, service: str, max_connections: int) -> ServingPlan:
         """Returns who serves a group.
@@ -74,26 +85,71 @@
             wanted = max_connections // MIN_LINKS - SPARE_NODES
             count = max(1, min(MAX_NEAR, wanted // len(self._places)))
             chosen = [
-                n for place in self._places for n in place.first(service, count)
+                n
+                for place in self._places.values()
+                for n in place.first(service, count)
             ]
         links = max(1, max_connections // (len(chosen) + SPARE_NODES))
         return ServingPlan({n.name: n for n in chosen}, links)
 
 
+def _place(
+    nodes: list[_records.NodeEntry], groups: int, before: "_Place | None"
+) -> "_Place":
+    """Returns the nodes of a data centre; the object before if it is alike."""
+    strong = strong_nodes(nodes)
+    needed = math.ceil(groups * MAX_NEAR / MOST_GROUPS)
+    place = _Place(nodes, strong if len(strong) >= needed else nodes, before)
+    if before is not None and before.is_like(place):
+        return before
+    return place
+
+
 class _Place:
     """The nodes of one data centre."""
 
-    def __init__(self, nodes: list[_records.NodeEntry], groups: int) -> None:
-        strong = strong_nodes(nodes)
-        needed = math.ceil(groups * MAX_NEAR / MOST_GROUPS)
-        self._strong = strong if len(strong) >= needed else nodes
-        names = {n.name for n in self._strong}
-        self._others = [n for n in nodes if n.name not in names]
+    def __init__(
+        self,
+        nodes: list[_records.NodeEntry],
+        candidates: list[_records.NodeEntry],
+        before: "_Place | None",
+    ) -> None:
+        """Takes over what was chosen before.
+
+        Args:
+            nodes: All nodes of the data centre.
+            candidates: Those that serve groups first.
+            before: The data centre a moment ago.
+        """
+        self._candidates = set(candidates)
+        self._others = [n for n in nodes if n not in self._candidates]
+        known = before._candidates if before else set()
+        self._added = self._candidates - known
+        self._before = before._chosen if before else {}
+        self._chosen: dict[tuple[str, int], list[_records.NodeEntry]] = {}
+
+    def is_like(self, other: "_Place") -> bool:
+        """Whether both choose the same nodes for every group."""
+        return (
+            self._candidates == other._candidates
+            and self._others == other._others
+        )
 
     def first(self, service: str, count: int) -> list[_records.NodeEntry]:
         """Returns the nodes that serve a group; strong ones come first."""
+        key = (service, count)
+        if key not in self._chosen:
+            self._chosen[key] = self._choose(service, count)
+            self._before.pop(key, None)
+        return self._chosen[key]
+
+    def _choose(self, service: str, count: int) -> list[_records.NodeEntry]:
         rank = functools.partial(_rank, service)
-        chosen = sorted(self._strong, key=rank)[:count]
+        known = self._before.get((service, count), ())
+        if len(known) == count and self._candidates.issuperset(known):
+            # Only those that came since can rank before these.
+            return sorted({*known, *self._added}, key=rank)[:count]
+        chosen = sorted(self._candidates, key=rank)[:count]
         if len(chosen) < count:
             chosen += sorted(self._others, key=rank)[: count - len(chosen)]
         return chosen
--- a/packages/proxy/src/ferry_proxy/tests/test_serving_plan.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_serving_plan.py
@@ -1,5 +1,7 @@
 """Who serves a group, in fleets of several sizes."""
 
+import random
+
 import attrs
 import pytest
 
@@ -132,3 +134,41 @@
     raw = f'{{"host": "h", "port": 1, "cores": {value}}}'
     with pytest.raises(_records.InvalidItemError):
         _records.NodeEntry.decode("n", raw.encode())
+
+
+def test_plans_that_follow_each_other_are_those_made_from_nothing():
+    """Nodes come and go, strong and weak ones; 200 changes."""
+    rng = random.Random(7)
+    pool = mixed(5, 20)
+    names = [f"db{n}" for n in range(12)]
+    listed = set(pool[::2])
+    planner = None
+    for _ in range(200):
+        listed ^= {rng.choice(pool)}
+        nodes = sorted(listed, key=lambda n: n.name)
+        planner = _serving_plan.Planner(nodes, len(names), planner)
+        fresh = _serving_plan.Planner(nodes, len(names))
+        for name in names:
+            assert planner.plan(name, 49) == fresh.plan(name, 49)
+
+
+def test_a_node_that_comes_costs_few_hashes(monkeypatch):
+    """410 nodes, 740 groups: 303,400 hashes from nothing, 6,660 for one."""
+    counted = []
+    rank = _serving_plan._rank
+
+    def count(service: str, node: _records.NodeEntry) -> int:
+        counted.append(node)
+        return rank(service, node)
+
+    monkeypatch.setattr(_serving_plan, "_rank", count)
+    nodes = fleet(410, 7)
+    names = [f"db{n}" for n in range(740)]
+    planner = _serving_plan.Planner(nodes[1:], len(names))
+    for name in names:
+        planner.plan(name, 35)
+    counted.clear()
+    planner = _serving_plan.Planner(nodes, len(names), planner)
+    for name in names:
+        planner.plan(name, 35)
+    assert len(counted) < 10_000
