A ping that tells nothing new is 10 bytes

All but a few repeat the last one of the stream but for the age of the news of the store. Change: a short message for those. Ruled out: longer pauses between pings, on which the detection of cuts rests.

--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -11,7 +11,6 @@
 import ferry_decisions as decisions
 import ferry_runtime as runtime
 
-from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _records
 
@@ -138,12 +137,9 @@
 
     def announce(self) -> None:
         """Tells all peers at once what they should know of this node."""
-        ping = self._ping()
+        pulse = _peers.Pulse.of(self._desk.describe())
         for stream in self.streams:
-            stream.tick(ping)
-
-    def _ping(self) -> bytes:
-        return _peer_messages.encode(0, self._desk.describe())
+            stream.tick(pulse)
 
     def close(self) -> None:
         """Closes all streams."""
@@ -156,9 +152,9 @@
     def _tick(self) -> None:
         self._in = [s for s in self._in if not s.closed]
         self._forget_names()
-        ping = self._ping()
+        pulse = _peers.Pulse.of(self._desk.describe())
         for stream in [*self._in, *self._out.values()]:
-            stream.tick(ping)
+            stream.tick(pulse)
         self._dial()
 
     def _dial(self) -> None:
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -79,6 +79,22 @@
     missed: list[str]
 
 
+@message("same")
+@attrs.frozen(slots=True, repr=False)
+class SamePing:
+    """A ping that differs from the last one of this stream in age alone.
+
+    It takes 10 bytes, where a ping takes 40 and at a node that serves ten
+    groups 90: pings were two thirds of all bytes between data centres.
+
+    Attributes:
+        store_age_ms: Milliseconds since the store answered the sender or its
+            informants; negative for never.
+    """
+
+    store_age_ms: int
+
+
 @message("sync")
 @attrs.frozen(slots=True, repr=False)
 class SyncRequest:
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -15,6 +15,7 @@
 
 SILENT_S = 1.6  # Three pings: the stream is taken for dead.
 USER_TIMEOUT_MS = 1_500
+MS_PER_S = 1000
 
 
 class PeerLostError(Exception):
@@ -110,6 +111,32 @@
         return [streams[n] for n in self._names() if n in streams]
 
 
+@attrs.frozen(slots=True)
+class Pulse:
+    """A sign of life, encoded once for all streams.
+
+    Attributes:
+        state: What it tells but for the age of the news of the store.
+        whole: The message for a stream that was told another state last.
+        short: The message for the others.
+    """
+
+    state: _peer_messages.Ping
+    whole: bytes
+    short: bytes
+
+    @classmethod
+    def of(cls, ping: _peer_messages.Ping) -> "Pulse":
+        """Returns the sign of life that a ping is."""
+        age_s = ping.store_age_s
+        age_ms = round(age_s * MS_PER_S) if age_s >= 0 else -1
+        return cls(
+            attrs.evolve(ping, store_age_s=0.0),
+            _peer_messages.encode(0, ping),
+            _peer_messages.encode(0, _peer_messages.SamePing(age_ms)),
+        )
+
+
 @attrs.frozen(slots=True)
 class _Call:
     """A question that has no answer yet.
@@ -161,8 +188,9 @@
         stream.on_data = self._receive
         stream.on_closed = lambda exc: self._fail(str(exc))
         stream.keep_alive(USER_TIMEOUT_MS)
+        self._told: _peer_messages.Ping | None = None
         self.tell(_peer_messages.Hello(node))
-        self.tell(desk.describe())
+        self._pulse(Pulse.of(desk.describe()))
 
     @property
     def closed(self) -> bool:
@@ -213,16 +241,17 @@
         """Sends a message that has no answer."""
         self._stream.send(_peer_messages.encode(0, body))
 
-    def tick(self, ping: bytes) -> None:
-        """Shows life, and ends a stream that shows none.
-
-        Args:
-            ping: The encoded message that shows it.
-        """
+    def tick(self, pulse: Pulse) -> None:
+        """Shows life, and ends a stream that shows none."""
         if self.silence_s > SILENT_S:
             self._fail("silent")
         elif not self.closed:
-            self._stream.send(ping)
+            self._pulse(pulse)
+
+    def _pulse(self, pulse: Pulse) -> None:
+        is_same = pulse.state == self._told
+        self._told = pulse.state
+        self._stream.send(pulse.short if is_same else pulse.whole)
 
     def close(self) -> None:
         """Closes the stream."""
@@ -244,10 +273,11 @@
             self._on_change()
         elif isinstance(body, _peer_messages.Ping):
             self.covered = body.covered
-            if body.store_age_s >= 0:
-                self.store_seen = self._heard - body.store_age_s
+            self._note_store(body.store_age_s)
             self.services = frozenset(body.services)
             self.missed = frozenset(body.missed)
+        elif isinstance(body, _peer_messages.SamePing):
+            self._note_store(body.store_age_ms / MS_PER_S)
         elif envelope.number < 0:
             call = self._calls.pop(-envelope.number, None)
             if call is not None:
@@ -255,6 +285,11 @@
         else:
             self._answer(envelope.number, self._desk.answer(self, body))
 
+    def _note_store(self, age_s: float) -> None:
+        """Takes in when the store answered the peer; negative for never."""
+        if age_s >= 0:
+            self.store_seen = self._heard - age_s
+
     def _answer(
         self,
         number: int,
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -0,0 +1,139 @@
+"""Signs of life between nodes, over streams without a network."""
+
+import typing
+
+import attrs
+import ferry_decisions as decisions
+import pytest
+
+from ferry_proxy import _peer_messages
+from ferry_proxy import _peers
+
+GROUPS = [f"group{n}" for n in range(10)]
+CALM = _peer_messages.Ping(17, 0.5, GROUPS, [])
+
+
+class FakeLoop:
+    """Time that the test sets."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class FakeStream:
+    """One end of a pair: what it sends arrives at the other at once."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.is_opening = False
+        self.sent: list[bytes] = []
+        self.other: FakeStream | None = None
+
+    def on_data(self, data: bytes) -> None:
+        """Is replaced by the stream's owner."""
+
+    def send(self, data: bytes) -> None:
+        self.sent.append(data)
+        if self.other is not None:
+            self.other.on_data(data)
+
+    def keep_alive(self, timeout_ms: int) -> None:
+        pass
+
+    def close(self) -> None:
+        self.closed = True
+
+
+@attrs.define
+class FakeDesk(_peers.NoDesk):
+    """Describes its node as the test says."""
+
+    ping: _peer_messages.Ping = CALM
+
+    def describe(self) -> _peer_messages.Ping:
+        return self.ping
+
+
+class Pair:
+    """Two nodes with a stream between them; `sender` tells of itself."""
+
+    def __init__(self) -> None:
+        self.loop: typing.Any = FakeLoop()
+        self.desk = FakeDesk()
+        far: typing.Any = FakeStream()
+        self.raw: typing.Any = FakeStream()
+        self.raw.other = far
+        self.named: list[str] = []
+        self.receiver = _peers.PeerStream(
+            self.loop, far, "b", _peers.NoDesk(), self._note
+        )
+        self.sender = _peers.PeerStream(
+            self.loop, self.raw, "a", self.desk, lambda: None
+        )
+
+    def _note(self) -> None:
+        self.named.append(self.receiver.peer)
+
+    def tick(self, **changes) -> bytes:
+        """Lets the sender show life after half a second; returns the bytes."""
+        self.loop.time += 0.5
+        self.desk.ping = attrs.evolve(self.desk.ping, **changes)
+        self.sender.tick(_peers.Pulse.of(self.desk.ping))
+        return bytes(self.raw.sent[-1])
+
+    @property
+    def seen(self) -> tuple[object, ...]:
+        peer = self.receiver
+        age_s = round(self.loop.time - peer.store_seen, 3)
+        return peer.covered, peer.services, peer.missed, age_s
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"covered": 18},
+        {"services": []},
+        {"missed": ["group3"]},
+        {"store_age_s": 2.25},
+        {"covered": 19, "store_age_s": 0.0},
+    ],
+)
+def test_a_peer_learns_of_each_change(changes):
+    pair = Pair()
+    pair.tick()
+    pair.tick(**changes)
+    ping = pair.desk.ping
+    expected = (ping.covered, frozenset(ping.services), frozenset(ping.missed))
+    assert pair.seen == (*expected, ping.store_age_s)
+    pair.tick()
+    assert pair.seen == (*expected, ping.store_age_s)
+
+
+def test_pings_of_calm_nodes_are_short():
+    """89 bytes each before, 10 since."""
+    pair = Pair()
+    assert len(_peer_messages.encode(0, CALM)) > 80
+    assert all(len(pair.tick()) <= 10 for _ in range(5))
+
+
+def test_a_node_that_never_heard_of_the_store_says_so():
+    pair = Pair()
+    pair.tick(store_age_s=-1.0)
+    seen = pair.receiver.store_seen
+    pair.tick()
+    assert pair.receiver.store_seen == seen
+
+
+def test_a_silent_stream_ends_and_tells_so():
+    pair = Pair()
+    assert pair.named == ["a"]
+    fut = pair.receiver.call(_peer_messages.SyncRequest(0))
+    pair.loop.time += _peers.SILENT_S + 0.1
+    pair.receiver.tick(_peers.Pulse.of(CALM))
+    assert pair.receiver.closed
+    assert len(pair.named) == 2
+    assert isinstance(fut.exception(), _peers.PeerLostError)
+    assert isinstance(fut, decisions.Future)
