--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -61,10 +61,10 @@
     """Two nodes with a stream between them; `sender` tells of itself."""
 
     def __init__(self) -> None:
-        self.loop: typing.Any = FakeLoop()
+        self.loop = typing.cast(typing.Any, FakeLoop())
         self.desk = FakeDesk()
-        far: typing.Any = FakeStream()
-        self.raw: typing.Any = FakeStream()
+        far = typing.cast(typing.Any, FakeStream())
+        self.raw = typing.cast(typing.Any, FakeStream())
         self.raw.other = far
         self.named: list[str] = []
         self.receiver = _peers.PeerStream(
