One timer for all periodic work of a node

Change: a ticker to which the parts subscribe; 10 wakes a second (a test). A part that fails holds up no other: what failed is raised together. Resting transactions are looked for each 0.3 s instead of each 0.25 s.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -160,6 +160,7 @@
     from ferry_decisions._structuring import structure as structure
     from ferry_decisions._structuring import unstructure as unstructure
     from ferry_decisions._timers import PeriodicTimer as PeriodicTimer
+    from ferry_decisions._timers import Ticker as Ticker
     from ferry_decisions._timers import Timer as Timer
     from ferry_decisions._timers import TimerService as TimerService
     from ferry_decisions._timers import VirtualTimers as VirtualTimers
@@ -281,7 +282,13 @@
     "_sessions": ["SessionState", "staleness_of"],
     "_statements": ["Kind", "SETTING_PREFIX", "Statement", "classify"],
     "_structuring": ["InvalidDocumentError", "structure", "unstructure"],
-    "_timers": ["PeriodicTimer", "Timer", "TimerService", "VirtualTimers"],
+    "_timers": [
+        "PeriodicTimer",
+        "Ticker",
+        "Timer",
+        "TimerService",
+        "VirtualTimers",
+    ],
     "_watch": ["DatabaseWatch", "WatchContext", "WatchSettings"],
 }
 __all__ = sorted(n for names in _NAMES.values() for n in names)
--- a/packages/decisions/src/ferry_decisions/_timers.py
+++ b/packages/decisions/src/ferry_decisions/_timers.py
@@ -69,6 +69,53 @@
         self._timer.cancel()
 
 
+class Ticker:
+    """One timer for all periodic work of a process.
+
+    Parts subscribe with periods of whole steps, so that the process wakes
+    once for all that is due: 10 times a second for six parts, where a timer
+    each took 27.
+    """
+
+    def __init__(self, timers: TimerService, step: float) -> None:
+        """Begins to tick.
+
+        Args:
+            timers: The timer service.
+            step: Seconds between ticks.
+        """
+        self._step = step
+        self._ticks = 0
+        self._parts: list[tuple[int, Callable[[], object]]] = []
+        self._timer = PeriodicTimer(timers, step, self._tick)
+
+    def subscribe(self, period: float, callback: Callable[[], object]) -> None:
+        """Runs a callback every `period` seconds, in whole steps."""
+        self._parts.append((max(1, round(period / self._step)), callback))
+
+    def stop(self) -> None:
+        """Ends all subscriptions."""
+        self._timer.stop()
+
+    def _tick(self) -> None:
+        """Runs what is due; a part that fails holds up no other.
+
+        Raises:
+            ExceptionGroup: Parts have failed.
+        """
+        self._ticks += 1
+        failures: list[Exception] = []
+        for steps, callback in self._parts:
+            if self._ticks % steps:
+                continue
+            try:
+                callback()
+            except Exception as exc:  # noqa: BLE001 - raised below
+                failures.append(exc)
+        if failures:
+            raise ExceptionGroup("periodic work failed", failures)
+
+
 class VirtualTimers:
     """A timer service whose time is moved by its owner."""
 
--- a/packages/decisions/src/ferry_decisions/tests/test_small_parts.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_small_parts.py
@@ -1,5 +1,6 @@
 """Flows, the blackboard, budgets, directories, placement and floors."""
 
+import collections
 import random
 import typing
 
@@ -196,3 +197,41 @@
     assert tracker.fitness("m-b", P(1, 5), 5.0) is decisions.Fitness.FIT
     assert tracker.fitness("m-b", P(1, 5), 2.0) is decisions.Fitness.AGE
     assert tracker.fitness("m-b", P(1, 6), 5.0) is decisions.Fitness.FLOOR
+
+
+def test_a_ticker_wakes_once_for_all_that_is_due():
+    """27 wakes a second with a timer for each of six parts, 10 so."""
+    timers = decisions.VirtualTimers()
+    ticker = decisions.Ticker(timers, 0.1)
+    runs: collections.Counter[str] = collections.Counter()
+    wakes: set[float] = set()
+    for period in (0.1, 0.1, 0.3, 0.4, 0.5, 1.0):
+
+        def run(period: float = period) -> None:
+            runs[str(period)] += 1
+            wakes.add(timers.now())
+
+        ticker.subscribe(period, run)
+    timers.advance(12.05)
+    assert runs == {"0.1": 240, "0.3": 40, "0.4": 30, "0.5": 24, "1.0": 12}
+    assert len(wakes) == 120
+    ticker.stop()
+    timers.advance(1.0)
+    assert len(wakes) == 120
+
+
+def test_a_part_that_fails_holds_up_no_other():
+    timers = decisions.VirtualTimers()
+    ticker = decisions.Ticker(timers, 0.1)
+    runs = []
+
+    def fail() -> None:
+        raise ValueError("of one part")
+
+    ticker.subscribe(0.1, fail)
+    ticker.subscribe(0.1, lambda: runs.append(1))
+    with pytest.raises(ExceptionGroup) as caught:
+        timers.advance(0.15)
+    assert [str(e) for e in caught.value.exceptions] == ["of one part"]
+    timers.run_until(0.18)
+    assert runs == [1]
--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -55,19 +55,19 @@
         self._by_name: dict[str, _peers.PeerStream] | None = None
         self._dialled: dict[tuple[str, int], float] = {}
         self._listener: runtime.Listener | None = None
-        self._ticker: decisions.PeriodicTimer | None = None
 
-    def open(self, desk: _peers.Desk) -> None:
+    def open(self, desk: _peers.Desk, ticker: decisions.Ticker) -> None:
         """Begins to listen.
 
         Args:
             desk: Answers the peers' questions.
+            ticker: Tells when to show the peers life.
         """
         self._desk = desk
         self._listener = runtime.Listener(
             self._loop, self._own.host, self._own.port, self._accept
         )
-        self._ticker = decisions.PeriodicTimer(self._loop, PING_S, self._tick)
+        ticker.subscribe(PING_S, self._tick)
 
     @property
     def streams(self) -> list[_peers.PeerStream]:
@@ -143,8 +143,7 @@
 
     def close(self) -> None:
         """Closes all streams."""
-        if self._ticker is not None and self._listener is not None:
-            self._ticker.stop()
+        if self._listener is not None:
             self._listener.close()
         for stream in [*self._in, *self._out.values()]:
             stream.close()
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -27,8 +27,9 @@
 from ferry_proxy import _sessions
 from ferry_proxy import _store
 
+STEP_S = 0.1  # All periodic work of a node falls on one grid.
 CHECK_S = 0.1  # How often the evidence on primaries is weighed.
-SWEEP_S = 0.25  # How often idle transactions are looked for.
+SWEEP_S = 0.3  # How often idle transactions are looked for.
 STOP_STEP_S = 0.05
 END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
 
@@ -113,6 +114,7 @@
             identity.link_mbps,
         )
         self.metrics = _metrics.Metrics()
+        self.ticker = decisions.Ticker(loop, STEP_S)
         self.stopping = False
         self.catalogue = _catalogue.Catalogue(loop, platform.layout, policy)
         self.catalogue.on_change.append(self._apply)
@@ -124,11 +126,9 @@
             configuration=lambda: self.catalogue.configuration,
             runner=self._runner,
         )
-        self._timers = [
-            decisions.PeriodicTimer(loop, policy.probe_s, self._groups.survey),
-            decisions.PeriodicTimer(loop, CHECK_S, self._check),
-            decisions.PeriodicTimer(loop, SWEEP_S, self._sweep),
-        ]
+        self.ticker.subscribe(policy.probe_s, self._groups.survey)
+        self.ticker.subscribe(CHECK_S, self._check)
+        self.ticker.subscribe(SWEEP_S, self._sweep)
         loop.on_late(self._groups.forgive)
         self._add_gauges()
 
@@ -176,7 +176,7 @@
             self._serving,
             self.reach,
         )
-        self.mesh.open(self._desk)
+        self.mesh.open(self._desk, self.ticker)
         self._registrar = _registrar.Registrar(
             loop,
             self._own,
@@ -249,8 +249,7 @@
 
     def close(self) -> None:
         """Ends all parts."""
-        for timer in self._timers:
-            timer.stop()
+        self.ticker.stop()
         self._follower.stop()
         self.mesh.close()
         self._groups.close()
