--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -1,11 +1,13 @@
 """Signs of life between nodes, over streams without a network."""
 
+import random
 import typing
 
 import attrs
 import ferry_decisions as decisions
 import pytest
 
+from ferry_proxy import _mesh
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 
@@ -137,3 +139,20 @@
     assert len(pair.named) == 2
     assert isinstance(fut.exception(), _peers.PeerLostError)
     assert isinstance(fut, decisions.Future)
+
+
+@pytest.mark.parametrize("size", [7, 75, 195, 410])
+def test_news_pass_the_fleet_though_half_of_it_is_gone(size):
+    """In six hops. With steps of 3 a node was alone in 16 of 100 draws."""
+    names = [f"n{n:04}" for n in range(size)]
+    peers: dict[str, set[str]] = {n: set() for n in names}
+    for name in names:
+        for other in _mesh.neighbours(name, names):
+            peers[name].add(other)
+            peers[other].add(name)
+    for seed in range(100):
+        left = set(random.Random(seed).sample(names, size // 2 + 1))
+        heard = {min(left)}
+        for _ in range(6):
+            heard |= {p for n in heard for p in peers[n] & left}
+        assert heard == left
--- a/packages/runtime/src/ferry_runtime/_loop.py
+++ b/packages/runtime/src/ferry_runtime/_loop.py
@@ -20,6 +20,13 @@
 MAX_WAIT_S = 1.0
 
 
+class HasDescriptor(typing.Protocol):
+    """A socket, as far as waiting for it goes."""
+
+    def fileno(self) -> int:
+        """Returns its descriptor."""
+
+
 class EventLoop:
     """A timer service and a selector on one thread."""
 
@@ -78,7 +85,7 @@
 
     def register(
         self,
-        sock: socket.socket,
+        sock: HasDescriptor,
         events: int,
         callback: Callable[[int], object],
     ) -> None:
@@ -87,14 +94,14 @@
 
     def modify(
         self,
-        sock: socket.socket,
+        sock: HasDescriptor,
         events: int,
         callback: Callable[[int], object],
     ) -> None:
         """Changes the events that a registered socket waits for."""
         self._selector.modify(sock, events, callback)
 
-    def unregister(self, sock: socket.socket) -> None:
+    def unregister(self, sock: HasDescriptor) -> None:
         """Stops watching a socket."""
         self._selector.unregister(sock)
 
--- a/packages/runtime/src/ferry_runtime/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -4,11 +4,16 @@
 import errno
 import selectors
 import socket
-import ssl
 import struct
+import typing
 
 from ferry_runtime import _loop
 
+if typing.TYPE_CHECKING:
+    import ssl
+
+    from ferry_runtime import _tls
+
 RECV_BYTES = 65_536
 MAX_READS_PER_EVENT = 4
 
@@ -38,6 +43,7 @@
     __slots__ = (
         "_loop",
         "_sock",
+        "_tls",
         "_out",
         "_events",
         "_opening",
@@ -54,7 +60,8 @@
         self, loop: _loop.EventLoop, sock: socket.socket, opening: bool = False
     ) -> None:
         self._loop = loop
-        self._sock = sock
+        self._sock: socket.socket | _tls.TlsSocket = sock
+        self._tls: _tls.TlsSocket | None = None
         self._out: bytearray | None = None
         self._opening = opening
         self._handshaking = False
@@ -81,7 +88,7 @@
     @property
     def is_tls(self) -> bool:
         """Whether the stream is encrypted."""
-        return isinstance(self._sock, ssl.SSLSocket)
+        return self._tls is not None
 
     def send(self, data: bytes) -> None:
         """Sends bytes, or queues what the socket does not take now."""
@@ -92,7 +99,7 @@
             return
         try:
             sent = self._sock.send(data)
-        except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+        except BlockingIOError:
             sent = 0
         except OSError as exc:
             detail = str(exc)
@@ -111,12 +118,13 @@
         self._paused = False
         self._update()
 
-    def start_tls(self, context: ssl.SSLContext) -> None:
+    def start_tls(self, context: "ssl.SSLContext") -> None:
         """Starts TLS as the server; data flows after the handshake."""
+        from ferry_runtime import _tls
+
+        assert isinstance(self._sock, socket.socket)
         self._loop.unregister(self._sock)
-        self._sock = context.wrap_socket(
-            self._sock, server_side=True, do_handshake_on_connect=False
-        )
+        self._tls = self._sock = _tls.TlsSocket(self._sock, context)
         self._handshaking = True
         self._events = _READ
         self._loop.register(self._sock, self._events, self._ready)
@@ -193,6 +201,7 @@
             self._receive()
 
     def _finish_opening(self) -> None:
+        assert isinstance(self._sock, socket.socket)
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             self._fail(errno.errorcode.get(code, str(code)), _refused(code))
@@ -202,18 +211,16 @@
         self.on_open()
 
     def _continue_handshake(self) -> None:
-        assert isinstance(self._sock, ssl.SSLSocket)
-        events = _READ
+        from ferry_runtime import _tls
+
+        assert self._tls is not None
         try:
-            self._sock.do_handshake()
-            self._handshaking = False
-        except ssl.SSLWantReadError:
-            events = _READ
-        except ssl.SSLWantWriteError:
-            events = _WRITE
+            need = self._tls.handshake()
         except OSError as exc:
             self._fail(str(exc))
             return
+        self._handshaking = need is not _tls.Need.NOTHING
+        events = _WRITE if need is _tls.Need.WRITE else _READ
         if events != self._events:
             self._loop.modify(self._sock, events, self._ready)
             self._events = events
@@ -224,7 +231,7 @@
             return
         try:
             sent = self._sock.send(self._out)
-        except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
+        except BlockingIOError:
             return
         except OSError as exc:
             self._fail(str(exc))
@@ -241,11 +248,7 @@
         for _ in range(MAX_READS_PER_EVENT):
             try:
                 data = self._sock.recv(RECV_BYTES)
-            except (
-                BlockingIOError,
-                ssl.SSLWantReadError,
-                ssl.SSLWantWriteError,
-            ):
+            except BlockingIOError:
                 return
             except OSError as exc:
                 self._fail(str(exc))
@@ -260,9 +263,7 @@
                 return
 
     def _pending_tls(self) -> bool:
-        return isinstance(self._sock, ssl.SSLSocket) and bool(
-            self._sock.pending()
-        )
+        return self._tls is not None and self._tls.has_pending
 
     def _fail(self, detail: str, refused: bool = False) -> None:
         if self.closed:
