--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -21,6 +21,7 @@
 from ferry_proxy import _reach
 from ferry_proxy import _records
 from ferry_proxy import _registrar
+from ferry_proxy import _roster
 from ferry_proxy import _runners
 from ferry_proxy import _served_groups
 from ferry_proxy import _serving
@@ -31,6 +32,7 @@
 CHECK_S = 0.1  # How often the evidence on primaries is weighed.
 SWEEP_S = 0.3  # How often idle transactions are looked for.
 STOP_STEP_S = 0.05
+SEEDS_AFTER_S = 0.2  # Many round trips to the store, and a loaded machine's.
 END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
 
 
@@ -116,8 +118,10 @@
         self.metrics = _metrics.Metrics()
         self.ticker = decisions.Ticker(loop, STEP_S)
         self.stopping = False
+        self._begun = loop.now()
         self.catalogue = _catalogue.Catalogue(loop, platform.layout, policy)
         self.catalogue.on_change.append(self._apply)
+        self._roster = _roster.Roster(loop, self.catalogue, self._own.name)
         self._serving = _serving.Serving(loop, self._own_runner)
         self._connect_peers()
         self._ctx = _sessions.SessionContext(
@@ -150,6 +154,7 @@
                 policy=self._policy,
                 own=self._own,
                 catalogue=self.catalogue,
+                nodes=lambda: self._roster.nodes,
                 store=platform.store,
                 connector=platform.connector,
                 promotions=platform.promotions,
@@ -198,8 +203,6 @@
     def start(self) -> None:
         """Begins to work."""
         _events.emit(_events.NodeStarted(self._identity.data_centre))
-        self.mesh.set_nodes([], self._identity.seeds)
-        self.mesh.want([])
         self._follower.start()
 
     @property
@@ -259,13 +262,36 @@
 
     def _apply(self) -> None:
         """Brings groups and peers in line with the catalogue."""
+        if self._roster.look():
+            self._take_roster()
+        elif self._roster.is_known:
+            self._apply_groups()
+
+    def _take_roster(self) -> None:
+        self._apply_groups()
+        self._set_peers()
+
+    def _apply_groups(self) -> None:
         cfg = self.catalogue.configuration
         if cfg is not None:
             self._groups.apply(cfg)
-        nodes = self.catalogue.nodes.values()
-        self.mesh.set_nodes(nodes, self._identity.seeds)
+
+    def _set_peers(self) -> None:
+        """Connects to neighbours; to seeds while nobody else is known."""
+        seeds = self._identity.seeds if self._needs_seeds else ()
+        self.mesh.set_nodes(self._roster.nodes.values(), seeds)
         self._want_peers()
 
+    @property
+    def _needs_seeds(self) -> bool:
+        """Whether the store has not answered for so long that peers have to.
+
+        In a fleet that starts it answers within milliseconds, and all nodes
+        would connect to the same three.
+        """
+        waited = self._loop.now() - self._begun
+        return not self.catalogue.revision and waited > SEEDS_AFTER_S
+
     def _want_peers(self) -> None:
         extra = self._groups.peers()
         for service in self._groups.plans:
@@ -293,6 +319,10 @@
     def _check(self) -> None:
         self.reach.judge()
         self._groups.check()
+        if self._needs_seeds:
+            self._set_peers()
+        elif self._roster.look():
+            self._take_roster()
         self._want_peers()
         self._announce()
         if not self.stopping:
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -35,6 +35,7 @@
         policy: The tunables.
         own: This node.
         catalogue: The copy of the store.
+        nodes: Returns the nodes that count, by name.
         store: The store.
         connector: Opens links to members.
         promotions: The call that makes a member the primary.
@@ -47,6 +48,7 @@
     policy: _policy.Policy
     own: _records.NodeEntry
     catalogue: _catalogue.Catalogue
+    nodes: Callable[[], Mapping[str, _records.NodeEntry]]
     store: _store.Store
     connector: _links.Connector
     promotions: _store.Promotions
@@ -158,7 +160,7 @@
         groups among 195 nodes takes 4 ms of a core (timed apart).
         """
         own = self._ctx.own
-        nodes = {**self._ctx.catalogue.nodes, own.name: own}
+        nodes = {**self._ctx.nodes(), own.name: own}
         limits = {n: s.max_connections for n, s in cfg.services.items()}
         if (nodes, limits) == self._planned:
             return
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -81,6 +81,7 @@
                 policy=self.policy,
                 own=self.own,
                 catalogue=self.catalogue,
+                nodes=lambda: self.catalogue.nodes,
                 store=store,
                 connector=self.cluster,
                 promotions=self.cluster,
