A peer's survey is asked for just after its round

Cause: a floor that is learned from a peer was up to two pauses old, 0.8 s, by the phase of the two nodes, and counts as isolated from 0.7 s. It was so before, only that phases drifted: a quarter of the pairs flapped at a time, and entries left serving nodes that served well. Change: after an answer the next question is due just after the peer's next round. Floors are 0.44 s old at most whatever the phase, up to 0.80 s before (a test); the questions are as many.

--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -202,7 +202,7 @@
         served = Served(
             group,
             promoter,
-            _surveys.Surveys(ctx.clock, ctx.own.name, mesh),
+            _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
             _runners.LocalRunner(ctx.clock, ctx.policy, self._executor, group),
         )
         self._served[name] = served
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -4,6 +4,10 @@
 node asks for each group, and the others ask that node: the first by rendezvous
 hashing among those that are connected. Where nodes differ about who that is,
 a group is asked by two for a while, which does no harm.
+
+A node asks that one just after its round. Were it asked at any time, floors
+here would be up to two pauses old, 0.8 s, and a node counts as serving well
+with floors of 0.7 s: a quarter of all pairs of nodes would flap.
 """
 
 import ferry_decisions as decisions
@@ -16,26 +20,50 @@
 from ferry_proxy import _peers
 
 SURVEY_WAIT_S = 0.2  # A peer answers in a few milliseconds.
+ROUND_S = 0.04  # Calm members answer a round in 5 ms, busy ones in 30 ms.
+TICK_LIMIT_S = 1.0  # A group that is no longer surveyed is not asked about.
 
 
 class Surveys:
     """The rounds of one node, its own and those of its peers."""
 
     def __init__(
-        self, clock: _clocks.Clock, node: str, mesh: _peers.Peers
+        self,
+        clock: _clocks.Clock,
+        node: str,
+        mesh: _peers.Peers,
+        pause_s: float,
     ) -> None:
+        """Makes the surveys of one group.
+
+        Args:
+            clock: The clock.
+            node: This node's name.
+            mesh: The streams to the other nodes that serve the group.
+            pause_s: Seconds between two rounds; `survey` is called as often.
+        """
         self._clock = clock
         self._node = node
         self._mesh = mesh
+        self._pause_s = pause_s
+        self._planned: decisions.Timer | None = None
+        self._ticked_at = float("-inf")
 
     def survey(self, group: _groups.Group) -> None:
         """Brings a group's floor up to date, by a round or by a peer."""
+        self._ticked_at = self._clock.now()
         stream = self._surveyor(group)
         if stream is None or group.is_troubled:
             # Only this node's own question can end its own trouble.
             group.refresh()
-        if stream is None:
-            return
+        if stream is not None and not self._is_planned:
+            self._ask(group, stream)
+
+    @property
+    def _is_planned(self) -> bool:
+        return self._planned is not None and self._planned.callback is not None
+
+    def _ask(self, group: _groups.Group, stream: _peers.Peer) -> None:
         asked_at = self._clock.boot_now()
         question = _peer_messages.SurveyRequest(group.service.name)
         fut = decisions.within(
@@ -43,6 +71,25 @@
         )
         fut.add_done_callback(lambda f: self._take(group, asked_at, f))
 
+    def _plan(self, group: _groups.Group, age_s: float) -> None:
+        """Asks again just after the peer's next round.
+
+        Args:
+            group: The group.
+            age_s: The age of the floor that the peer has told just now.
+        """
+        left_s = self._pause_s - age_s + ROUND_S
+        is_late = age_s > self._pause_s
+        is_left = self._clock.now() - self._ticked_at > TICK_LIMIT_S
+        if is_late or is_left or self._is_planned:
+            return  # The next call of `survey` asks.
+        self._planned = self._clock.after(left_s, lambda: self._again(group))
+
+    def _again(self, group: _groups.Group) -> None:
+        stream = self._surveyor(group)
+        if stream is not None:
+            self._ask(group, stream)
+
     def answer(self, group: _groups.Group) -> _peer_messages.SurveyReply:
         """Returns what this node knows of a group, for a peer."""
         leader = group.leader
@@ -87,3 +134,4 @@
         )
         heard = self._clock.now() - reply.heard_ago_s
         group.take_survey(leader, sample, heard)
+        self._plan(group, reply.age_s)
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -428,7 +428,7 @@
     assert lab.group.is_troubled
     lab.cluster.members["a"].dark = False
     lab.stop_probing()
-    surveys = _surveys.Surveys(lab.clock, "n1", FakePeer(lab))
+    surveys = _surveys.Surveys(lab.clock, "n1", FakePeer(lab), 0.4)
     for _ in range(3):
         surveys.survey(lab.group)
         lab.run(POLICY.probe_s)
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_surveys.py
@@ -0,0 +1,118 @@
+"""How old floors are at the nodes that learn them from another one."""
+
+import types
+import typing
+
+import attrs
+import ferry_decisions as decisions
+import pytest
+
+from ferry_proxy import _freshness
+from ferry_proxy import _members
+from ferry_proxy import _peer_messages
+from ferry_proxy import _surveys
+
+PAUSE_S = 0.4
+NET_S = 0.002
+ISOLATED_S = 0.7
+
+
+@attrs.define
+class Surveyor:
+    """The peer that asks the members, at a phase of its own."""
+
+    clock: decisions.VirtualTimers
+    phase_s: float
+    peer: str = ""  # Ranks first among names.
+    silence_s: float = 0.0
+    asked: int = 0
+
+    def call(
+        self, body: _peer_messages.Message
+    ) -> "decisions.Future[_peer_messages.Message]":
+        self.asked += 1
+        since = (self.clock.now() - self.phase_s) % PAUSE_S
+        reply = _peer_messages.SurveyReply("a", 1, 1, 5, since, 0.0)
+        fut: decisions.Future[_peer_messages.Message] = decisions.Future()
+        self.clock.after(2 * NET_S, lambda: fut.set_result(reply))
+        return fut
+
+    def tell(self, body: _peer_messages.Message) -> None:
+        raise AssertionError(f"not awaited here: {body}")
+
+
+@attrs.define
+class FakeGroup:
+    """A group that notes the floors that it is told."""
+
+    clock: decisions.VirtualTimers
+    covers: float = float("-inf")
+    rounds: int = 0
+    is_troubled: bool = False
+    service: typing.Any = attrs.field(
+        factory=lambda: types.SimpleNamespace(name="orders")
+    )
+
+    def refresh(self) -> None:
+        self.rounds += 1
+
+    def take_survey(
+        self, leader: _members.Leader, sample: _freshness.Sample, heard: float
+    ) -> None:
+        self.covers = max(self.covers, sample.at)
+
+
+class Lab:
+    """A node that learns of a group from the surveyor."""
+
+    def __init__(self, phase_s: float) -> None:
+        self.clock = decisions.VirtualTimers()
+        self.peer = Surveyor(self.clock, phase_s)
+        self.group = FakeGroup(self.clock)
+        mesh = types.SimpleNamespace(streams=[self.peer])
+        self.surveys = _surveys.Surveys(
+            self.clock, "z", typing.cast(typing.Any, mesh), PAUSE_S
+        )
+        self._ticks = decisions.PeriodicTimer(self.clock, PAUSE_S, self._survey)
+
+    def _survey(self) -> None:
+        self.surveys.survey(typing.cast(typing.Any, self.group))
+
+    def oldest_s(self, seconds: float) -> float:
+        """Returns the greatest age of the floor within a time."""
+        oldest = 0.0
+        for _ in range(int(seconds * 100)):
+            self.clock.advance(0.01)
+            oldest = max(oldest, self.clock.now() - self.group.covers)
+        return oldest
+
+    def stop(self) -> None:
+        self._ticks.stop()
+
+
+@pytest.fixture(autouse=True)
+def surveyor_ranks_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        decisions, "rendezvous_score", lambda _, name: name != ""
+    )
+
+
+@pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.2, 0.3, 0.35, 0.39])
+def test_floors_are_younger_than_what_counts_as_isolated(phase_s):
+    """0.44 s at most, up to 0.80 s before, whenever the surveyor has its rounds."""
+    lab = Lab(phase_s)
+    lab.clock.advance(2.0)
+    asked = lab.peer.asked
+    assert lab.oldest_s(10.0) < ISOLATED_S - 0.2
+    assert lab.peer.asked - asked <= 10.0 / PAUSE_S + 2
+    assert lab.group.rounds == 0
+
+
+def test_a_group_that_is_let_go_is_not_asked_about_any_more():
+    lab = Lab(0.1)
+    lab.clock.advance(2.0)
+    lab.stop()
+    lab.clock.advance(2.0)
+    asked = lab.peer.asked
+    lab.clock.advance(5.0)
+    assert lab.peer.asked == asked
