--- a/packages/proxy/src/ferry_proxy/tests/test_surveys.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_surveys.py
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.2, 0.3, 0.35, 0.39])
 def test_floors_are_younger_than_what_counts_as_isolated(phase_s):
-    """0.44 s at most, up to 0.80 s before, whenever the surveyor has its rounds."""
+    """0.44 s at most, up to 0.80 s before, at any phase of the surveyor."""
     lab = Lab(phase_s)
     lab.clock.advance(2.0)
     asked = lab.peer.asked
