Revert "A node that has read the store waits for its first peers"

Cause: a node of a fleet that starts knows a part of the list when it first reads; without the second watch it still does when its roster takes the list over 0.4 s later, takes itself for one of a few, serves all groups and opens links to all members for 8 s. The watch that seemed to wait for nothing brings the whole list at once.

--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -27,8 +27,6 @@
 GATHER_S = 0.3  # All nodes of a fleet list themselves within 0.3 s of a start.
 # A watch ends with each: 6.3 watches a node among 24 that start, 0.75 so.
 NEWS_LIMIT_S = 5.0  # A watch in calm brings news each 3 s, and 4 s if it ends.
-FIRST_NEWS_S = 1.0  # For so long a node that has read the store once waits for
-# its first peers, which take 0.5 s. With 195 nodes, 195 watches less a start.
 
 
 class Informant(typing.Protocol):
@@ -94,7 +92,6 @@
         self._policy = policy
         self._needs_snapshot = True
         self._heard_at = float("-inf")
-        self._first_read_at = float("inf")
         self._seen_before = float("-inf")
         self._is_lost = False
         self._is_reader = True
@@ -114,9 +111,7 @@
         """Whether this node itself watches the store."""
         if self._is_reader or self._catalogue.revision == 0:
             return True
-        now = self._clock.now()
-        is_waiting = 0 <= now - self._first_read_at < FIRST_NEWS_S
-        return not is_waiting and now - self._told_at > NEWS_LIMIT_S
+        return self._clock.now() - self._told_at > NEWS_LIMIT_S
 
     @property
     def seen_at(self) -> float:
@@ -177,8 +172,6 @@
             self._note_answer()
             catalogue.take_snapshot(snapshot, "store")
             self._needs_snapshot = False
-            if math.isinf(self._first_read_at):
-                self._first_read_at = self._clock.now()
             yield decisions.sleep(self._clock, GATHER_S)
         while not self._stopped and self.is_watching:
             changes = yield self._store.changes(
