What the reading of the whole change found, mended

A configuration as its document lists it had two types, one of the adapter and one of the routes commands, and a copy from one to the other: it is one, beside the configuration itself. A planner took choices out of the one before it, which that one still held. Names of peers were forgotten at three places where the stream itself tells already. What a ping says but for its age was worked out in two places; peers were wanted twice in a check that took a roster over. The routes commands state their file and their switch once. Behaviour is as before.

--- a/packages/ctl/src/ferry_ctl/route_book.py
+++ b/packages/ctl/src/ferry_ctl/route_book.py
@@ -13,26 +13,10 @@
 import attrs
 import ferry_proxy as proxy
 
+Book = proxy.ConfigurationDraft
 SIMILAR = 3  # Names that are shown where one is not found.
 
 
-@attrs.frozen(slots=True)
-class Book:
-    """A configuration as its document lists it.
-
-    Attributes:
-        version: The configuration's number.
-        routes: The routes, in the document's order.
-        services: The groups of members, in its order.
-        mistakes: What was wrong with the document, in words.
-    """
-
-    version: int
-    routes: tuple[proxy.Route, ...]
-    services: tuple[proxy.Service, ...]
-    mistakes: tuple[str, ...] = ()
-
-
 @attrs.frozen(slots=True)
 class Terms:
     """All that a route says but for its names: routes alike share them."""
--- a/packages/ctl/src/ferry_ctl/routes.py
+++ b/packages/ctl/src/ferry_ctl/routes.py
@@ -22,6 +22,9 @@
 SHOWN_NAMES = 3  # Databases of a fold that its line names.
 MS_PER_S = 1000.0
 
+_DOCUMENT = click.Path(exists=True, dir_okay=False)
+_as_json = click.option("--json", "as_json", is_flag=True, help="For programs.")
+
 
 def group(read: Reader) -> click.Group:
     """Returns the commands for one kind of document.
@@ -36,11 +39,11 @@
         """Reads a configuration: its routes, and what is wrong with them."""
 
     @routes.command("list")
-    @click.argument("file", type=click.Path(exists=True, dir_okay=False))
+    @click.argument("file", type=_DOCUMENT)
     @click.option("--database", default="", help="Only names that hold this.")
     @click.option("--service", default="", help="Only this service.")
     @click.option("--kind", default="", help="Only this consistency.")
-    @click.option("--json", "as_json", is_flag=True, help="For programs.")
+    @_as_json
     def list_routes(
         file: str, database: str, service: str, kind: str, as_json: bool
     ) -> None:
@@ -57,9 +60,9 @@
         _show([attrs.asdict(f) for f in folds], _table(folds), as_json)
 
     @routes.command()
-    @click.argument("file", type=click.Path(exists=True, dir_okay=False))
+    @click.argument("file", type=_DOCUMENT)
     @click.argument("database")
-    @click.option("--json", "as_json", is_flag=True, help="For programs.")
+    @_as_json
     def which(file: str, database: str, as_json: bool) -> None:
         """Tells which route the callers of a database get, and why."""
         book = _load(read, file)
@@ -68,8 +71,8 @@
         _end(choice.route is None)
 
     @routes.command()
-    @click.argument("file", type=click.Path(exists=True, dir_okay=False))
-    @click.option("--json", "as_json", is_flag=True, help="For programs.")
+    @click.argument("file", type=_DOCUMENT)
+    @_as_json
     def check(file: str, as_json: bool) -> None:
         """Names everything that is wrong, each with its place."""
         found = list(route_book.problems(_load(read, file)))
@@ -77,9 +80,9 @@
         _end(bool(found))
 
     @routes.command()
-    @click.argument("before", type=click.Path(exists=True, dir_okay=False))
-    @click.argument("after", type=click.Path(exists=True, dir_okay=False))
-    @click.option("--json", "as_json", is_flag=True, help="For programs.")
+    @click.argument("before", type=_DOCUMENT)
+    @click.argument("after", type=_DOCUMENT)
+    @_as_json
     def diff(before: str, after: str, as_json: bool) -> None:
         """Tells which databases get another route, and what differs."""
         found = route_book.changes(_load(read, before), _load(read, after))
--- a/packages/ctl/src/ferry_ctl/tests/test_routes.py
+++ b/packages/ctl/src/ferry_ctl/tests/test_routes.py
@@ -18,7 +18,7 @@
     "r-lookup", "lookup", "registry", BOUNDED, 3.0, 0.8, 2, 1.5
 )
 REGISTRY = proxy.Service("registry", 117, 1)
-BOOK = route_book.Book(7, (ORDERS, LOOKUP), (REGISTRY,))
+BOOK = route_book.Book(7, (ORDERS, LOOKUP), (REGISTRY,), 3.0)
 MANY = 10_000
 
 
--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -7,6 +7,9 @@
 if typing.TYPE_CHECKING:
     from ferry_proxy._catalogue import Layout as Layout
     from ferry_proxy._configuration import Configuration as Configuration
+    from ferry_proxy._configuration import (
+        ConfigurationDraft as ConfigurationDraft,
+    )
     from ferry_proxy._configuration import Consistency as Consistency
     from ferry_proxy._configuration import Route as Route
     from ferry_proxy._configuration import Service as Service
@@ -65,7 +68,13 @@
 
 _NAMES = {
     "_catalogue": ["Layout"],
-    "_configuration": ["Configuration", "Consistency", "Route", "Service"],
+    "_configuration": [
+        "Configuration",
+        "ConfigurationDraft",
+        "Consistency",
+        "Route",
+        "Service",
+    ],
     "_events": [
         "DependencyLost",
         "EventLog",
--- a/packages/proxy/src/ferry_proxy/_configuration.py
+++ b/packages/proxy/src/ferry_proxy/_configuration.py
@@ -71,3 +71,22 @@
     services: dict[str, Service]
     transaction_idle_s: float
     max_message_bytes: int
+
+
+@attrs.frozen(slots=True)
+class ConfigurationDraft:
+    """A configuration as its document lists it, mistakes included.
+
+    Attributes:
+        version: Its number.
+        routes: All routes, in the document's order.
+        services: All services, in its order.
+        transaction_idle_s: How long a transaction may rest, in seconds.
+        mistakes: What was wrong, in words.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    transaction_idle_s: float
+    mistakes: tuple[str, ...] = ()
--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -82,8 +82,9 @@
     def by_name(self) -> dict[str, _peers.PeerStream]:
         """The open streams by the names of the peers.
 
-        Kept until a stream opens, ends or is named: each statement that is
-        passed on asks for it, and a serving node has 70 streams and more.
+        Kept until a stream is named or ends, which each tells: each statement
+        that is passed on asks for it, and a serving node has 70 streams and
+        more.
         """
         if self._by_name is None:
             found = [*self._in, *self._out.values()]
@@ -154,7 +155,6 @@
 
     def _tick(self) -> None:
         self._in = [s for s in self._in if not s.closed]
-        self._forget_names()
         pulse = _peers.Pulse.of(self._desk.describe())
         for stream in [*self._in, *self._out.values()]:
             stream.tick(pulse)
@@ -172,7 +172,6 @@
         for address in list(self._out.keys() - self._wanted):
             if not self._out[address].is_used:
                 self._out.pop(address).close()
-                self._forget_names()
         now = self._loop.now()
         for address in self._wanted:
             stream = self._out.get(address)
@@ -185,7 +184,6 @@
             self._dialled[address] = now
             raw = runtime.connect(self._loop, *address)
             self._out[address] = self._wrap(raw)
-            self._forget_names()
 
     def _accept(self, raw: runtime.Stream) -> None:
         self._in.append(self._wrap(raw))
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -78,6 +78,11 @@
     services: list[str]
     missed: list[str]
 
+    @property
+    def state(self) -> "Ping":
+        """What it tells but for the age of the news of the store."""
+        return attrs.evolve(self, store_age_s=0.0)
+
 
 @message("same")
 @attrs.frozen(slots=True, repr=False)
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -131,7 +131,7 @@
         age_s = ping.store_age_s
         age_ms = round(age_s * MS_PER_S) if age_s >= 0 else -1
         return cls(
-            attrs.evolve(ping, store_age_s=0.0),
+            ping.state,
             _peer_messages.encode(0, ping),
             _peer_messages.encode(0, _peer_messages.SamePing(age_ms)),
         )
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -323,7 +323,8 @@
             self._set_peers()
         elif self._roster.look():
             self._take_roster()
-        self._want_peers()
+        else:
+            self._want_peers()
         self._announce()
         if not self.stopping:
             self._registrar.look()
@@ -331,8 +332,7 @@
 
     def _announce(self) -> None:
         """Tells the peers at once of what they should not wait for."""
-        told = self._desk.describe()
-        news = attrs.evolve(told, store_age_s=0.0)
+        news = self._desk.describe().state
         if news != self._announced:
             self._announced = news
             self.mesh.announce()
--- a/packages/proxy/src/ferry_proxy/_serving_plan.py
+++ b/packages/proxy/src/ferry_proxy/_serving_plan.py
@@ -140,7 +140,6 @@
         key = (service, count)
         if key not in self._chosen:
             self._chosen[key] = self._choose(service, count)
-            self._before.pop(key, None)
         return self._chosen[key]
 
     def _choose(self, service: str, count: int) -> list[_records.NodeEntry]:
