Sight: reading all items tells at which revision, and what was passed over

Whether the store's revisions went back or its history is dropped again and again could not be told apart: nothing named the revision at which the store answered a node that read all items.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -146,9 +146,20 @@
             and item.value is not None
             and item.revision <= snapshot.revision
         ]
+        known = self.revision
         self._since = max(self._since, snapshot.revision)
         self._cover(snapshot)
-        self.take((*snapshot.items, *gone), source)
+        taken = self.take((*snapshot.items, *gone), source)
+        listed = len(snapshot.items)
+        _events.emit(
+            _events.ItemsRead(
+                source,
+                snapshot.revision,
+                known,
+                listed,
+                listed + len(gone) - taken,
+            )
+        )
 
     def _cover(self, changes: _store.Changes) -> None:
         self.revision = max(self.revision, changes.revision)
@@ -156,24 +167,28 @@
         # Pages of a snapshot may hold items that are newer than it.
         self.covered = max(self.covered, min(newest, self.revision))
 
-    def take(self, items: "tuple[_store.Item, ...]", source: str) -> None:
+    def take(self, items: "tuple[_store.Item, ...]", source: str) -> int:
         """Merges single items in.
 
         Args:
             items: Items or deletions, in any order.
             source: Where they come from, for the log.
+
+        Returns:
+            How many of them were newer than what was known.
         """
-        changed = False
+        taken = 0
         for item in sorted(items, key=lambda i: i.revision):
             known = self._items.get(item.key)
             if known is not None and known.revision >= item.revision:
                 continue
             self._items[item.key] = item
             self._apply(item, source)
-            changed = True
-        if changed:
+            taken += 1
+        if taken:
             for callback in self.on_change:
                 callback()
+        return taken
 
     def note_return(self) -> None:
         """Takes in that the store answers again after a while."""
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -80,6 +80,26 @@
     name: str
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class ItemsRead:
+    """All items were read, since changes could not be followed.
+
+    Attributes:
+        source: The store or a peer.
+        revision: The revision at which they were answered.
+        known: The revision up to which the node had known all changes.
+        items: How many there are.
+        passed_over: How many of them the node held to be no newer than its
+            own.
+    """
+
+    source: str
+    revision: int
+    known: int
+    items: int
+    passed_over: int
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class ConfigurationTaken:
     """A configuration is in force; `source` is the store or a peer."""
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -372,6 +372,7 @@
         metrics = self.metrics
         metrics.gauge("sessions", lambda: float(self.session_count))
         metrics.gauge("store_age_seconds", lambda: self._follower.age_s)
+        metrics.gauge("store_revision", lambda: float(self.catalogue.revision))
         metrics.gauge(
             "configuration_version",
             lambda: float(
