--- a/packages/runtime/src/ferry_runtime/_http.py
+++ b/packages/runtime/src/ferry_runtime/_http.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import typing
 
 import attrs
@@ -52,10 +54,20 @@
     Attributes:
         status: The status code.
         body: The whole body.
+        headers: The header fields, by name in lower case.
     """
 
     status: int
     body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict, eq=False)
+
+
+def _fields(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Returns header fields by name in lower case."""
+    return {
+        name.decode("ascii").lower(): value.decode("latin-1")
+        for name, value in raw
+    }
 
 
 class _ClientConn:
@@ -68,6 +80,7 @@
         )
         self._fut: decisions.Future[HttpReply] | None = None
         self._status = 0
+        self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._stream = _streams.connect(loop, host, port)
         self._stream.on_data = self._receive
@@ -125,6 +138,7 @@
         """Takes one event in; returns whether more may follow."""
         if isinstance(event, h11.Response):
             self._status = event.status_code
+            self._headers = _fields(event.headers)
         elif isinstance(event, h11.Data):
             self._body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -139,7 +153,8 @@
         else:
             self._stream.close()
         if fut is not None:
-            reply = HttpReply(self._status, b"".join(self._body))
+            body = b"".join(self._body)
+            reply = HttpReply(self._status, body, self._headers)
             decisions.resolve(fut, reply)
 
     def _lost(self, exc: _streams.StreamClosedError) -> None:
@@ -275,10 +290,7 @@
         if req is None:
             return
         path, _, query = req.target.decode("ascii").partition("?")
-        headers = {
-            name.decode("ascii").lower(): value.decode("latin-1")
-            for name, value in req.headers
-        }
+        headers = _fields(req.headers)
         method = req.method.decode("ascii")
         body = b"".join(self._body)
         reply = self._handler(HttpRequest(method, path, query, headers, body))
@@ -290,7 +302,10 @@
     def _send(self, reply: HttpReply) -> None:
         if self._stream.closed:
             return
-        headers = [("Content-Length", str(len(reply.body)))]
+        headers = [
+            *reply.headers.items(),
+            ("Content-Length", str(len(reply.body))),
+        ]
         head = h11.Response(status_code=reply.status, headers=headers)
         out = self._conn.send(head) or b""
         if reply.body:
--- a/packages/runtime/src/ferry_runtime/tests/test_http.py
+++ b/packages/runtime/src/ferry_runtime/tests/test_http.py
@@ -45,6 +45,15 @@
     assert len(client._idle) == 1
 
 
+def test_a_replys_header_fields_arrive(loop):
+    def handler(_):
+        return runtime.HttpReply(503, b"", {"Store-Era": "7"})
+
+    client = serve(loop, handler)
+    reply = finish(loop, client.call("GET", "/", LIMIT_S)).result()
+    assert (reply.status, reply.headers["store-era"]) == (503, "7")
+
+
 def test_a_late_reply_is_no_answer_to_the_next_call(loop):
     late: decisions.Future[runtime.HttpReply] = decisions.Future()
     replies = iter([late, runtime.HttpReply(200, b"second")])
