What the store says in a later era is newer, whatever its numbers

What callers saw: statements ran as a configuration allowed that had been replaced 3 s before, on all nodes, until the operator had written often enough. Cause: the store came back from an older copy and gave revisions out again; nodes order all knowledge by the number alone. They kept their own, larger one after reading all items, asked after it again and were refused, for ever; what was written at numbers they knew was passed over, and read by nobody. Class: an order that holds within one history used across two.

An answer to a watch or a change of another era than was asked about is no answer to it, since a number may have been reached again in the other history. Peers say the era with all that they tell.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -146,6 +146,8 @@
     from ferry_decisions._replicas import ReplicaTracker as ReplicaTracker
     from ferry_decisions._retries import RetryBudget as RetryBudget
     from ferry_decisions._retries import backoff as backoff
+    from ferry_decisions._revisions import UNREAD as UNREAD
+    from ferry_decisions._revisions import Revision as Revision
     from ferry_decisions._routing import READ_POLICIES as READ_POLICIES
     from ferry_decisions._routing import ReadRequest as ReadRequest
     from ferry_decisions._session_floors import SessionFloors as SessionFloors
@@ -279,6 +281,7 @@
     "_registry": ["Registry"],
     "_replicas": ["Fitness", "ReplicaTracker"],
     "_retries": ["RetryBudget", "backoff"],
+    "_revisions": ["Revision", "UNREAD"],
     "_routing": ["READ_POLICIES", "ReadRequest"],
     "_session_floors": ["SessionFloors"],
     "_sessions": ["SessionState", "staleness_of"],
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -1,11 +1,14 @@
 """A node's copy of what the store holds, from the store or from peers.
 
-Items are merged by revision, so nothing ever goes back, whatever the source.
+Items are merged by revision, so nothing ever goes back, whatever the source. A
+store that comes back from a copy begins an era: what it says then is newer than
+all that was known, and is read whole before anything else of that era counts.
 """
 
 from collections.abc import Callable
 
 import attrs
+import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
@@ -49,8 +52,8 @@
     """
 
     items: tuple[_store.Item, ...]
-    revision: int
-    covered: int
+    revision: decisions.Revision
+    covered: decisions.Revision
     is_whole: bool
 
 
@@ -82,9 +85,9 @@
         self._items: dict[str, _store.Item] = {}
         self._births: dict[str, int] = {}
         self._returned_at = float("-inf")
-        self._since = 0
-        self.revision = 0
-        self.covered = 0
+        self._since = decisions.UNREAD
+        self.revision = decisions.UNREAD
+        self.covered = decisions.UNREAD
         self.configuration: _configuration.Configuration | None = None
         self.homes = _homes.Homes({})
         self.members: dict[str, _members.Member] = {}
@@ -108,7 +111,17 @@
         found = self._items.get(key)
         return None if found is None or found.value is None else found
 
-    def batch_after(self, revision: int) -> Batch:
+    @property
+    def is_read(self) -> bool:
+        """Whether the store's items were read yet."""
+        return self.revision > decisions.UNREAD
+
+    def condition(self, key: str) -> decisions.Revision:
+        """Returns the revision that a key has, for a conditional write."""
+        found = self.item(key)
+        return found.revision if found else self.revision.beginning
+
+    def batch_after(self, revision: decisions.Revision) -> Batch:
         """Returns what a copy lacks that knows all up to a revision.
 
         It is the whole copy where deletions since then may have been missed.
@@ -133,6 +146,8 @@
 
     def take_changes(self, changes: _store.Changes, source: str) -> None:
         """Merges in all that changed after `revision`, up to a later one."""
+        if changes.revision.era != self.revision.era:
+            return  # They came too late: the store is read anew meanwhile.
         self._cover(changes)
         self.take(changes.items, source)
 
@@ -154,8 +169,10 @@
         _events.emit(
             _events.ItemsRead(
                 source,
-                snapshot.revision,
-                known,
+                snapshot.revision.era,
+                snapshot.revision.number,
+                known.era,
+                known.number,
                 listed,
                 listed + len(gone) - taken,
             )
@@ -163,7 +180,9 @@
 
     def _cover(self, changes: _store.Changes) -> None:
         self.revision = max(self.revision, changes.revision)
-        newest = max((i.revision for i in changes.items), default=0)
+        newest = max(
+            (i.revision for i in changes.items), default=decisions.UNREAD
+        )
         # Pages of a snapshot may hold items that are newer than it.
         self.covered = max(self.covered, min(newest, self.revision))
 
@@ -179,6 +198,8 @@
         """
         taken = 0
         for item in sorted(items, key=lambda i: i.revision):
+            if item.revision.era != self.revision.era:
+                continue  # Of a history that is gone, or not read yet.
             known = self._items.get(item.key)
             if known is not None and known.revision >= item.revision:
                 continue
@@ -223,7 +244,8 @@
         """
         self.refused += 1
         shown = detail[:MAX_DETAIL]
-        _events.emit(_events.DocumentRefused(item.key, item.revision, shown))
+        number = item.revision.number
+        _events.emit(_events.DocumentRefused(item.key, number, shown))
         name = item.key.removeprefix(self._layout.member_prefix)
         if name != item.key and name in self.members:
             lapse_s = self._policy.entry_lapse_s
@@ -240,9 +262,8 @@
         rates = cfg.teams.rates
         if rates != self.homes.rates:
             self.homes = _homes.Homes(rates)
-        _events.emit(
-            _events.ConfigurationTaken(cfg.version, item.revision, source)
-        )
+        number = item.revision.number
+        _events.emit(_events.ConfigurationTaken(cfg.version, number, source))
         mistakes = cfg.teams.mistakes
         if mistakes and (known is None or known.teams.mistakes != mistakes):
             detail = "; ".join(mistakes)[:MAX_DETAIL]
--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -50,10 +50,9 @@
             raise _fences.ChangeAbandonedError("another node holds the claim")
         token = known.claim.token + 1 if known else 1
         claim = _records.Claim(self._node, token)
+        key = _records.CLAIM_PREFIX + service
         item = yield self._store.put_if(
-            _records.CLAIM_PREFIX + service,
-            claim.encode(),
-            known.revision if known else 0,
+            key, claim.encode(), self._catalogue.condition(key)
         )
         if item is None:
             raise _fences.ChangeAbandonedError("another node was faster")
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -86,15 +86,19 @@
 
     Attributes:
         source: The store or a peer.
-        revision: The revision at which they were answered.
-        known: The revision up to which the node had known all changes.
+        era: The era in which they were answered.
+        revision: The number at which they were answered.
+        known_era: The era up to which the node had known all changes.
+        known: The number up to which it had.
         items: How many there are.
         passed_over: How many of them the node held to be no newer than its
             own.
     """
 
     source: str
+    era: int
     revision: int
+    known_era: int
     known: int
     items: int
     passed_over: int
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -119,7 +119,8 @@
     @property
     def is_watching(self) -> bool:
         """Whether this node itself watches the store."""
-        if self._is_reader or self._reads_once or self._catalogue.revision == 0:
+        is_new = not self._catalogue.is_read
+        if self._is_reader or self._reads_once or is_new:
             return True
         return self._clock.now() - self._told_at > NEWS_LIMIT_S
 
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -59,8 +59,10 @@
         """Returns what the peers should know of this node now."""
         well = [n for n in self.groups.groups if self.groups.serves_well(n)]
         age_s = self.follower.age_s
+        covered = self.catalogue.covered
         return _peer_messages.Ping(
-            self.catalogue.covered,
+            covered.era,
+            covered.number,
             age_s if math.isfinite(age_s) else -1.0,
             sorted(well),
             self.reach.missed,
@@ -82,7 +84,7 @@
 def _sync(
     desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.SyncRequest
 ) -> _peer_messages.SyncReply:
-    batch = desk.catalogue.batch_after(body.after)
+    batch = desk.catalogue.batch_after(body.revision)
     return _peer_messages.SyncReply.of(batch)
 
 
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -6,6 +6,7 @@
 import zlib
 
 import attrs
+import ferry_decisions as decisions
 import ferry_runtime as runtime
 import msgpack
 
@@ -72,18 +73,25 @@
     """Shows that the sender lives, and how new its copy of the store is.
 
     Attributes:
-        covered: The newest change in its copy of the store.
+        era: The era of the newest change in its copy of the store.
+        covered: The number of that change.
         store_age_s: Seconds since the store answered it or its informants;
             negative for never.
         services: The groups whose statements it can run well now.
         missed: The groups that other nodes serve and it has lost.
     """
 
+    era: int
     covered: int
     store_age_s: float
     services: list[str]
     missed: list[str]
 
+    @property
+    def newest(self) -> decisions.Revision:
+        """The newest change in its copy of the store."""
+        return decisions.Revision(self.era, self.covered)
+
     @property
     def state(self) -> "Ping":
         """What it tells but for the age of the news of the store."""
@@ -109,9 +117,25 @@
 @message("sync")
 @attrs.frozen(slots=True, repr=False)
 class SyncRequest:
-    """Asks for all that changed after a revision."""
+    """Asks for all that changed after a revision.
 
-    after: int
+    Attributes:
+        era: The revision's era.
+        number: The revision's number.
+    """
+
+    era: int
+    number: int
+
+    @classmethod
+    def after(cls, revision: decisions.Revision) -> "SyncRequest":
+        """Returns the message for a revision."""
+        return cls(revision.era, revision.number)
+
+    @property
+    def revision(self) -> decisions.Revision:
+        """The revision, typed."""
+        return decisions.Revision(self.era, self.number)
 
 
 @message("items")
@@ -120,14 +144,16 @@
     """What the sender's copy of the store holds besides.
 
     Attributes:
-        rows: Items, as rows of key, value and revision, and whether the value
-            is compressed.
-        revision: The revision up to which they lead.
-        covered: The newest change that the sender knows.
+        rows: Items, as rows of key, value and number of the revision, and
+            whether the value is compressed.
+        era: The era of all revisions.
+        revision: The number of the revision up to which they lead.
+        covered: The number of the newest change that the sender knows.
         is_whole: Whether keys that are missing do not exist.
     """
 
     rows: list[tuple[str, bytes | None, int, bool]]
+    era: int
     revision: int
     covered: int
     is_whole: bool
@@ -136,7 +162,14 @@
     def of(cls, batch: _catalogue.Batch) -> "SyncReply":
         """Returns the message for a batch."""
         rows = [_row(i) for i in batch.items]
-        return cls(rows, batch.revision, batch.covered, batch.is_whole)
+        revision, covered = batch.revision, batch.covered
+        return cls(
+            rows,
+            revision.era,
+            revision.number,
+            covered.number,
+            batch.is_whole,
+        )
 
     @property
     def batch(self) -> "_catalogue.Batch":
@@ -145,17 +178,20 @@
         Raises:
             PeerProtocolError: A compressed value is none.
         """
-        items = tuple(_item(*row) for row in self.rows)
+        era = self.era
         return _catalogue.Batch(
-            items, self.revision, self.covered, self.is_whole
+            tuple(_item(era, *row) for row in self.rows),
+            decisions.Revision(era, self.revision),
+            decisions.Revision(era, self.covered),
+            self.is_whole,
         )
 
 
 def _row(item: _store.Item) -> tuple[str, bytes | None, int, bool]:
     value = item.value
     if value is None or len(value) < PACKED_BYTES:
-        return item.key, value, item.revision, False
-    return item.key, _packed(value), item.revision, True
+        return item.key, value, item.revision.number, False
+    return item.key, _packed(value), item.revision.number, True
 
 
 @functools.lru_cache(maxsize=4)
@@ -165,8 +201,9 @@
 
 
 def _item(
-    key: str, value: bytes | None, revision: int, is_packed: bool
+    era: int, key: str, value: bytes | None, number: int, is_packed: bool
 ) -> _store.Item:
+    revision = decisions.Revision(era, number)
     if value is None or not is_packed:
         return _store.Item(key, value, revision)
     unpacker = zlib.decompressobj()
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -50,7 +50,7 @@
 
     def describe(self) -> _peer_messages.Ping:
         """Returns that nothing is known or served."""
-        return _peer_messages.Ping(0, -1.0, [], [])
+        return _peer_messages.Ping(0, 0, -1.0, [], [])
 
     def answer(
         self, stream: "PeerStream", body: _peer_messages.Message
@@ -179,7 +179,7 @@
         self._numbers = itertools.count(1)
         self._heard = loop.now()
         self.peer = ""
-        self.covered = 0
+        self.covered = decisions.UNREAD
         self.store_seen = float("-inf")
         self.services: frozenset[str] = frozenset()
         self.missed: frozenset[str] = frozenset()
@@ -278,7 +278,7 @@
             self.peer = body.node
             self._on_change()
         elif isinstance(body, _peer_messages.Ping):
-            self.covered = body.covered
+            self.covered = body.newest
             self._note_store(body.store_age_s)
             self.services = frozenset(body.services)
             self.missed = frozenset(body.missed)
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -272,7 +272,7 @@
         would connect to the same three.
         """
         waited = self._loop.now() - self._begun
-        return not self.catalogue.revision and waited > SEEDS_AFTER_S
+        return not self.catalogue.is_read and waited > SEEDS_AFTER_S
 
     def _want_peers(self) -> None:
         extra = self._groups.peers()
@@ -372,7 +372,11 @@
         metrics = self.metrics
         metrics.gauge("sessions", lambda: float(self.session_count))
         metrics.gauge("store_age_seconds", lambda: self._follower.age_s)
-        metrics.gauge("store_revision", lambda: float(self.catalogue.revision))
+        catalogue = self.catalogue
+        metrics.gauge("store_era", lambda: float(catalogue.revision.era))
+        metrics.gauge(
+            "store_revision", lambda: float(catalogue.revision.number)
+        )
         metrics.gauge(
             "configuration_version",
             lambda: float(
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -5,6 +5,7 @@
 import typing
 
 import attrs
+import ferry_decisions as decisions
 
 NODE_PREFIX = "ferry/nodes/"
 CLAIM_PREFIX = "ferry/claims/"
@@ -134,5 +135,5 @@
     """A claim as it lies in the store, and since when this node knows it."""
 
     claim: Claim
-    revision: int
+    revision: decisions.Revision
     seen_at: float
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -28,7 +28,7 @@
     """A stream to a peer, and what it knows."""
 
     @property
-    def covered(self) -> int:
+    def covered(self) -> decisions.Revision:
         """The newest change in the peer's copy of the store."""
 
     @property
@@ -74,7 +74,7 @@
         not come: the watch is silent, or the store turns this node away.
         """
         self._follower.check()
-        if self._follower.is_connected and self._catalogue.revision:
+        if self._follower.is_connected and self._catalogue.is_read:
             self._register()
         covered = self._catalogue.covered
         ahead = [s for s in self._mesh.streams if s.covered > covered]
@@ -104,7 +104,7 @@
 
     def _copy(self, stream: Informant) -> "decisions.Flow[None]":
         """Asks a peer for what is lacking, for as long as it shows life."""
-        question = _peer_messages.SyncRequest(self._catalogue.revision)
+        question = _peer_messages.SyncRequest.after(self._catalogue.revision)
         fut = stream.call(question)
         try:
             while not fut.done():
@@ -131,10 +131,9 @@
         if known == self._own or self._registering:
             return
         key = _records.NODE_PREFIX + self._own.name
-        item = self._catalogue.item(key)
         self._registering = True
         fut = self._store.put_if(
-            key, self._own.encode(), item.revision if item else 0
+            key, self._own.encode(), self._catalogue.condition(key)
         )
         fut.add_done_callback(self._registered)
 
--- a/packages/proxy/src/ferry_proxy/_roster.py
+++ b/packages/proxy/src/ferry_proxy/_roster.py
@@ -51,7 +51,7 @@
         stands: its first list is whole.
         """
         listed = self._catalogue.nodes
-        if not self._catalogue.revision:
+        if not self._catalogue.is_read:
             return False
         if self.is_known and listed == self.nodes:
             return False
--- a/packages/proxy/src/ferry_proxy/_store.py
+++ b/packages/proxy/src/ferry_proxy/_store.py
@@ -11,7 +11,10 @@
 
 
 class HistoryLostError(Exception):
-    """The store has dropped the changes that were asked for."""
+    """The store does not have the changes that were asked for.
+
+    It has dropped them, or it came back from a copy that was made before.
+    """
 
 
 @attrs.frozen(slots=True)
@@ -26,7 +29,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: decisions.Revision
 
 
 @attrs.frozen(slots=True)
@@ -35,39 +38,43 @@
 
     Attributes:
         items: The items, or what changed.
-        revision: The store's revision.
+        revision: The store's revision; all items are of its era.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    revision: decisions.Revision
 
 
 class Store(typing.Protocol):
     """A linearizable store with revisions.
 
-    Each call fails with `StoreUnavailableError` without an answer.
+    Each call fails with `StoreUnavailableError` without an answer. A change
+    whose answer is of another era than its condition counts as unanswered: the
+    condition was meant for a history that is gone.
     """
 
     def list(self, prefix: str) -> "decisions.Future[Changes]":
         """Reads all items whose keys begin with `prefix`."""
 
     def changes(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: decisions.Revision, wait_s: float
     ) -> "decisions.Future[Changes]":
         """Waits for changes after a revision; none in time is an answer.
 
-        Fails with `HistoryLostError` where they are not kept any more.
+        Fails with `HistoryLostError` where the store does not have them.
         """
 
     def put_if(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: decisions.Revision
     ) -> "decisions.Future[Item | None]":
-        """Writes a key that still has `revision`; 0 for a key that is new.
+        """Writes a key that still has `revision`; number 0 for a new key.
 
         The result is None where it has another.
         """
 
-    def remove_if(self, key: str, revision: int) -> "decisions.Future[bool]":
+    def remove_if(
+        self, key: str, revision: decisions.Revision
+    ) -> "decisions.Future[bool]":
         """Deletes a key that still has `revision`.
 
         The result is False where it has another.
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -1,5 +1,6 @@
 """A database group, a store and callers in virtual time."""
 
+from collections.abc import Callable
 import functools
 
 import attrs
@@ -358,26 +359,64 @@
     return _links.ConnectFailedError(decisions.NO_CONNECTION, "silent")
 
 
+def at(number: int, era: int = 0) -> decisions.Revision:
+    """Returns a revision of the store."""
+    return decisions.Revision(era, number)
+
+
+@attrs.frozen
+class Copy:
+    """What a store held at a moment."""
+
+    items: dict[str, _store.Item]
+    number: int
+
+
 class FakeStore:
     """A store in one process; calls may be lost, executed or not."""
 
     def __init__(self, clock: decisions.VirtualTimers) -> None:
         self.clock = clock
         self.items: dict[str, _store.Item] = {}
-        self.revision = 0
+        self.number = 0
+        self.era = 0
         self.down = False
         self.lost_answers = 0
+        self.late_writes = 0
         self.calls = 0
+        self._late: list[Callable[[], object]] = []
+
+    @property
+    def revision(self) -> decisions.Revision:
+        return decisions.Revision(self.era, self.number)
 
     def put(self, key: str, value: bytes) -> None:
-        self.revision += 1
+        self.number += 1
         self.items[key] = _store.Item(key, value, self.revision)
 
     def delete(self, key: str) -> None:
-        self.revision += 1
+        self.number += 1
         self.items[key] = _store.Item(key, None, self.revision)
 
-    def _answer(self, work):
+    def copy(self) -> Copy:
+        return Copy(dict(self.items), self.number)
+
+    def restore(self, copy: Copy) -> None:
+        """Comes back from a copy; all that was written since is gone."""
+        self.era += 1
+        self.number = copy.number
+        self.items = {
+            k: _store.Item(k, i.value, at(i.revision.number, self.era))
+            for k, i in copy.items.items()
+        }
+
+    def run_late_writes(self) -> None:
+        """Executes the writes that were kept back; nobody is told."""
+        late, self._late = self._late, []
+        for work in late:
+            work()
+
+    def _answer(self, work, is_write=False):
         self.calls += 1
         fut: decisions.Future[object] = decisions.Future()
 
@@ -385,7 +424,16 @@
             if self.down:
                 fut.set_exception(_store.StoreUnavailableError("down"))
                 return
-            result = work()
+            if is_write and self.late_writes:
+                self.late_writes -= 1
+                self._late.append(work)
+                fut.set_exception(_store.StoreUnavailableError("late"))
+                return
+            try:
+                result = work()
+            except _store.StoreUnavailableError as exc:
+                fut.set_exception(exc)
+                return
             if self.lost_answers:
                 self.lost_answers -= 1
                 fut.set_exception(_store.StoreUnavailableError("lost"))
@@ -413,8 +461,11 @@
 
         def look() -> None:
             found = tuple(i for i in self.items.values() if i.revision > after)
+            is_gone = after.era != self.era or after > self.revision
             if self.down:
                 fut.set_exception(_store.StoreUnavailableError("down"))
+            elif is_gone:
+                fut.set_exception(_store.HistoryLostError(str(after)))
             elif found or self.clock.now() >= until:
                 fut.set_result(_store.Changes(found, self.revision))
             else:
@@ -425,24 +476,36 @@
 
     def put_if(self, key, value, revision):
         def work():
-            known = self.items.get(key)
-            present = known.revision if known and known.value else 0
-            if present != revision:
+            if self._number_of(key) != revision.number:
                 return None
             self.put(key, value)
             return self.items[key]
 
-        return self._answer(work)
+        return self._change(work, revision)
 
     def remove_if(self, key, revision):
         def work():
-            known = self.items.get(key)
-            if known is None or known.revision != revision:
+            if self._number_of(key) != revision.number:
                 return False
             self.delete(key)
             return True
 
-        return self._answer(work)
+        return self._change(work, revision)
+
+    def _number_of(self, key):
+        known = self.items.get(key)
+        return known.revision.number if known and known.value else 0
+
+    def _change(self, work, revision):
+        """Only the number is compared, as the platform's store does."""
+
+        def change():
+            result = work()
+            if revision.era != self.era:
+                raise _store.StoreUnavailableError("another era")
+            return result
+
+        return self._answer(change, is_write=True)
 
 
 class FakeMesh:
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -36,12 +36,12 @@
     delay_s: float = 0.0
 
     @property
-    def covered(self) -> int:
+    def covered(self) -> decisions.Revision:
         return self.theirs.covered
 
     def call(self, body):
         self.calls += 1
-        batch = self.theirs.batch_after(body.after)
+        batch = self.theirs.batch_after(body.revision)
         data = _peer_messages.encode(1, _peer_messages.SyncReply.of(batch))
         reply = _peer_messages.Decoder().feed(data)[0].body
         fut: decisions.Future[object] = decisions.Future()
@@ -165,8 +165,8 @@
 def test_a_copy_that_may_have_missed_deletions_is_replaced_whole():
     lab = Lab()
     behind = _catalogue.Catalogue(lab.clock, LAYOUT, lab.policy)
-    gone = _store.Item("members/z", b"orders", 1)
-    behind.take_changes(_store.Changes((gone,), 1), "store")
+    gone = _store.Item("members/z", b"orders", fakes.at(1))
+    behind.take_changes(_store.Changes((gone,), fakes.at(1)), "store")
     assert set(behind.members) == {"z"}
     batch = lab.reader.copy.batch_after(behind.revision)
     assert batch.is_whole
@@ -338,8 +338,9 @@
 
 @pytest.mark.parametrize("value", VALUES)
 def test_values_pass_between_copies_unchanged(value):
-    item = _store.Item("key", value, 7)
-    batch = _catalogue.Batch((item,), 7, 7, False)
+    revision = fakes.at(7, era=2)
+    item = _store.Item("key", value, revision)
+    batch = _catalogue.Batch((item,), revision, revision, False)
     data = _peer_messages.encode(1, _peer_messages.SyncReply.of(batch))
     reply = _peer_messages.Decoder().feed(data)[0].body
     assert isinstance(reply, _peer_messages.SyncReply)
@@ -349,9 +350,11 @@
 
 @pytest.mark.parametrize("cut", [0, 5, -1])
 def test_a_compressed_value_that_is_none_is_refused(cut):
-    batch = _catalogue.Batch((_store.Item("k", b"x" * 9000, 7),), 7, 7, False)
-    (key, value, revision, _), *_ = _peer_messages.SyncReply.of(batch).rows
+    revision = fakes.at(7)
+    item = _store.Item("k", b"x" * 9000, revision)
+    batch = _catalogue.Batch((item,), revision, revision, False)
+    (key, value, number, _), *_ = _peer_messages.SyncReply.of(batch).rows
     assert value is not None
-    row = (key, value[:cut], revision, True)
+    row = (key, value[:cut], number, True)
     with pytest.raises(_peer_messages.PeerProtocolError):
-        _ = _peer_messages.SyncReply([row], 7, 7, False).batch
+        _ = _peer_messages.SyncReply([row], 0, 7, 7, False).batch
--- a/packages/proxy/src/ferry_proxy/tests/test_lives.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_lives.py
@@ -57,7 +57,7 @@
     def write(self, text: str | None) -> None:
         self.revision += 1
         value = None if text is None else text.encode()
-        item = _store.Item("members/i-1", value, self.revision)
+        item = _store.Item("members/i-1", value, fakes.at(self.revision))
         self.copy.take((item,), "test")
 
 
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -14,7 +14,7 @@
 from ferry_proxy import _records
 
 GROUPS = [f"group{n}" for n in range(10)]
-CALM = _peer_messages.Ping(17, 0.5, GROUPS, [])
+CALM = _peer_messages.Ping(0, 17, 0.5, GROUPS, [])
 
 
 class FakeLoop:
@@ -96,7 +96,7 @@
     def seen(self) -> tuple[object, ...]:
         peer = self.receiver
         age_s = round(self.loop.time - peer.store_seen, 3)
-        return peer.covered, peer.services, peer.missed, age_s
+        return peer.covered.number, peer.services, peer.missed, age_s
 
 
 @pytest.mark.parametrize(
@@ -149,7 +149,7 @@
     ticker.subscribe(_mesh.OWING_PING_S, mesh._show_life)
     pulse = _peers.Pulse.of(CALM)
     ticker.subscribe(_mesh.PING_S, lambda: pair.receiver.tick(pulse))
-    pair.receiver.call(_peer_messages.SyncRequest(0))
+    pair.receiver.call(_peer_messages.SyncRequest(0, 0))
     for _ in range(40):
         timers.advance(0.05)
         assert pair.receiver.owed_s < _forwarder.QUIET_S
@@ -163,7 +163,7 @@
 def test_a_silent_stream_ends_and_tells_so():
     pair = Pair()
     assert pair.named == ["a"]
-    fut = pair.receiver.call(_peer_messages.SyncRequest(0))
+    fut = pair.receiver.call(_peer_messages.SyncRequest(0, 0))
     pair.loop.time += _peers.SILENT_S + 0.1
     pair.receiver.tick(_peers.Pulse.of(CALM))
     assert pair.receiver.closed
--- a/packages/proxy/src/ferry_proxy/tests/test_roster.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_roster.py
@@ -11,11 +11,11 @@
 class FakeCatalogue:
     """A copy of the store, as far as nodes go."""
 
-    revision: int = 0
+    is_read: bool = False
     nodes: dict[str, _records.NodeEntry] = attrs.field(factory=dict)
 
     def add(self, name: str) -> None:
-        self.revision += 1
+        self.is_read = True
         self.nodes[name] = _records.NodeEntry(name, "h", 1)
 
 
@@ -74,7 +74,7 @@
     lab = Lab()
     lab.clock.advance(1.0)
     assert not lab.roster.is_known
-    lab.catalogue.revision = 7  # Read, and it holds no node.
+    lab.catalogue.is_read = True  # And it holds no node.
     lab.clock.advance(1.0)
     assert lab.roster.is_known
     assert len(lab.changes) == 1
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -101,7 +101,7 @@
 
     def put(self, key: str, value: bytes | None) -> None:
         self._revision += 1
-        item = _store.Item(key, value, self._revision)
+        item = _store.Item(key, value, fakes.at(self._revision))
         self.catalogue.take((item,), "test")
         self.groups.apply(self.cfg)
 
