An entry that may be of an older copy waits for its member to write again

What callers saw: their statements went to a member that was leaving, later than allowed, and a member that had joined took none. Cause: a store that comes back from a copy holds entries of some seconds ago, and the node took them for news: ready where the member has said since that it leaves, missing where it joined, there again where it went. Class: what is read first is held to be what was written last.

Now an entry of a later era whose number is no higher than that of the entry that is believed counts only if the member's own count of writes is higher; else it waits until members have had time to write again (the grace that holds after an outage), and then the store's word stands. Missing members are kept for as long. Why this holds: a copy has no number above those that were given out before it was made, and the count orders two entries of one life whatever the store says; a second restore compares with what is believed, not with what the first one brought.

The list of members is a module of its own now, and so is the grace.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -13,7 +13,9 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _events
+from ferry_proxy import _grace
 from ferry_proxy import _homes
+from ferry_proxy import _member_entries
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _records
@@ -66,7 +68,6 @@
             before it.
         configuration: The configuration in force.
         homes: Which node each team is at home at.
-        members: The members by id.
         nodes: The nodes by name.
         claims: The claims by group.
         refused: Items that could not be read or named nothing to use.
@@ -81,16 +82,23 @@
     ) -> None:
         self._clock = clock
         self._layout = layout
-        self._policy = policy
         self._items: dict[str, _store.Item] = {}
-        self._births: dict[str, int] = {}
-        self._returned_at = float("-inf")
+        self._grace = _grace.ReturnGrace(clock, policy.return_grace_s)
+        self._entries = _member_entries.MemberEntries(
+            _member_entries.EntriesContext(
+                clock,
+                policy,
+                layout.decode_member,
+                self._is_current,
+                self._note_change,
+            ),
+            self._grace,
+        )
         self._since = decisions.UNREAD
         self.revision = decisions.UNREAD
         self.covered = decisions.UNREAD
         self.configuration: _configuration.Configuration | None = None
         self.homes = _homes.Homes({})
-        self.members: dict[str, _members.Member] = {}
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
         self.refused = 0
@@ -111,6 +119,11 @@
         found = self._items.get(key)
         return None if found is None or found.value is None else found
 
+    @property
+    def members(self) -> dict[str, _members.Member]:
+        """The members by id."""
+        return self._entries.members
+
     @property
     def is_read(self) -> bool:
         """Whether the store's items were read yet."""
@@ -162,6 +175,9 @@
             and item.revision <= snapshot.revision
         ]
         known = self.revision
+        if self.is_read and snapshot.revision.era > known.era:
+            _events.emit(_events.StoreRestored(snapshot.revision.era, source))
+            self._grace.begin()
         self._since = max(self._since, snapshot.revision)
         self._cover(snapshot)
         taken = self.take((*snapshot.items, *gone), source)
@@ -207,13 +223,19 @@
             self._apply(item, source)
             taken += 1
         if taken:
-            for callback in self.on_change:
-                callback()
+            self._note_change()
         return taken
 
     def note_return(self) -> None:
         """Takes in that the store answers again after a while."""
-        self._returned_at = self._clock.now()
+        self._grace.begin()
+
+    def _note_change(self) -> None:
+        for callback in self.on_change:
+            callback()
+
+    def _is_current(self, item: _store.Item) -> bool:
+        return self._items.get(item.key) == item
 
     # -- decoding --------------------------------------------------------
 
@@ -224,7 +246,7 @@
                 self._apply_configuration(item, source)
             elif item.key.startswith(layout.member_prefix):
                 member = item.key.removeprefix(layout.member_prefix)
-                self._apply_member(member, item)
+                self._entries.take(member, item)
             elif item.key.startswith(_records.NODE_PREFIX):
                 self._apply_node(
                     item.key.removeprefix(_records.NODE_PREFIX), item
@@ -237,19 +259,14 @@
             self._refuse(item, str(exc))
 
     def _refuse(self, item: _store.Item, detail: str) -> None:
-        """Passes over an item that names nothing to use.
-
-        A known member whose entry cannot be read is kept for as long as a
-        silent one stays listed: its own next entry may put it right.
-        """
+        """Passes over an item that names nothing to use."""
         self.refused += 1
         shown = detail[:MAX_DETAIL]
         number = item.revision.number
         _events.emit(_events.DocumentRefused(item.key, number, shown))
         name = item.key.removeprefix(self._layout.member_prefix)
-        if name != item.key and name in self.members:
-            lapse_s = self._policy.entry_lapse_s
-            self._clock.after(lapse_s, lambda: self._remove_if_gone(name, item))
+        if name != item.key:
+            self._entries.doubt(name, item)
 
     def _apply_configuration(self, item: _store.Item, source: str) -> None:
         if item.value is None:
@@ -269,43 +286,6 @@
             detail = "; ".join(mistakes)[:MAX_DETAIL]
             _events.emit(_events.TeamsPassedOver(cfg.version, detail))
 
-    def _apply_member(self, name: str, item: _store.Item) -> None:
-        if item.value is None:
-            self._remove_member(name, item)
-            return
-        member = self._layout.decode_member(name, item.value)
-        if member.born < self._births.get(name, 0):
-            raise _records.InvalidItemError(
-                f"of a life that has ended (born {member.born})"
-            )
-        known = self.members.get(name)
-        self._births[name] = member.born
-        self.members[name] = member
-        if known != member:
-            change = _change(known, member)
-            _events.emit(_events.MemberChanged(name, member.service, change))
-
-    def _remove_member(self, name: str, item: _store.Item) -> None:
-        """Removes a member; entries that lapsed meanwhile may come back."""
-        grace = self._policy.return_grace_s
-        left = self._returned_at + grace - self._clock.now()
-        if left > 0:
-            self._clock.after(left, lambda: self._remove_if_gone(name, item))
-        else:
-            self._forget_member(name)
-
-    def _remove_if_gone(self, name: str, item: _store.Item) -> None:
-        key = self._layout.member_prefix + name
-        if self._items.get(key) == item:
-            self._forget_member(name)
-            for callback in self.on_change:
-                callback()
-
-    def _forget_member(self, name: str) -> None:
-        member = self.members.pop(name, None)
-        if member is not None:
-            _events.emit(_events.MemberChanged(name, member.service, "gone"))
-
     def _apply_node(self, name: str, item: _store.Item) -> None:
         if item.value is None:
             self.nodes.pop(name, None)
@@ -319,10 +299,3 @@
         claim = _records.Claim.decode(service, item.value)
         now = self._clock.boot_now()
         self.claims[service] = _records.HeldClaim(claim, item.revision, now)
-
-
-def _change(known: _members.Member | None, member: _members.Member) -> str:
-    """Returns what a member's new entry says, in one word for the log."""
-    if known is not None and member.is_next_life_of(known):
-        return "born again"
-    return "draining" if member.draining else "seen"
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -80,6 +80,14 @@
     name: str
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class StoreRestored:
+    """The store came back from an older copy; `source` tells who said so."""
+
+    era: int
+    source: str
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class ItemsRead:
     """All items were read, since changes could not be followed.
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
@@ -24,6 +24,12 @@
 CALM_S = 20.0  # Longer than anybody waits for the holder of an older claim.
 
 
+class NoPeers:
+    """A node that hears of the store from nobody else."""
+
+    streams: list[_followers.Informant] = []
+
+
 class Lab(fakes.Lab):
     """A group whose promoters follow the store."""
 
@@ -36,7 +42,7 @@
             self.store,
             self.catalogue,
             own,
-            fakes.FakeMesh(),
+            NoPeers(),
             self.policy,
         )
         self.follower.start()
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_members.py
@@ -135,3 +135,14 @@
     assert "i-1" not in lab.copy.members
     lab.write(KEY, "8 ready")
     assert "i-1" in lab.copy.members
+
+
+def test_a_second_restore_makes_the_copys_entry_no_truer():
+    lab = leaving()
+    lab.store.restore(lab.store.copy())
+    lab.read()
+    assert lab.drains
+    lab.clock.advance(ENTRY_S)
+    lab.write(KEY, "10 draining")
+    lab.clock.advance(10.0)
+    assert lab.drains
