Claims are of an era of the store, and tokens grow over eras

What callers saw, in the worst case: an acknowledged commit that is not in the log of the member that leads, since two nodes changed the primary at once; members saw a fencing token twice or a lower one. Cause: a claim lives in the store alone. A copy lacks the claims of the last seconds, so the next holder was given a token that was out, and acted beside a holder that did not know that its claim was lost. A conditional write that was sent before could meet its number again under the same key and overwrite a later claim; and a fence was raised by a list that may lack a replica.

Now each era has claim keys of its own, created under the condition that they are new, and tokens of its own range above those of all earlier eras. A holder that hears of a new era acts no more; nobody claims until the longest time that a holder acts, and a call is under way, has passed since the node read the new era; a node that has just started waits likewise. A list of members of another era ends the change. Why this holds: within an era the store loses nothing, and nothing that decides is kept across eras but numbers that grow with them. A store without eras has the keys, tokens and waits that it had.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -69,7 +69,9 @@
         configuration: The configuration in force.
         homes: Which node each team is at home at.
         nodes: The nodes by name.
-        claims: The claims by group.
+        claims: The claims of the store's present era, by group.
+        era_seen_at: When this node first read the store in its present era,
+            in boot time; long ago where the store names no eras.
         refused: Items that could not be read or named nothing to use.
         on_change: Called after each change.
     """
@@ -101,6 +103,7 @@
         self.homes = _homes.Homes({})
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
+        self.era_seen_at = float("-inf")
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
@@ -175,9 +178,8 @@
             and item.revision <= snapshot.revision
         ]
         known = self.revision
-        if self.is_read and snapshot.revision.era > known.era:
-            _events.emit(_events.StoreRestored(snapshot.revision.era, source))
-            self._grace.begin()
+        if snapshot.revision.era > known.era:
+            self._begin_era(snapshot.revision.era, source)
         self._since = max(self._since, snapshot.revision)
         self._cover(snapshot)
         taken = self.take((*snapshot.items, *gone), source)
@@ -194,6 +196,26 @@
             )
         )
 
+    def _begin_era(self, era: int, source: str) -> None:
+        """Takes in that the store came back from a copy, or is read first."""
+        self.era_seen_at = self._clock.boot_now()
+        self.claims.clear()
+        if self.is_read:
+            _events.emit(_events.StoreRestored(era, source))
+            self._grace.begin()
+
+    def outdated_claims(self, service: str) -> list[_store.Item]:
+        """Returns the claims of a group that are of eras which are over."""
+        present = _records.claim_key(self.revision.era, service)
+        return [
+            item
+            for key, item in self._items.items()
+            if key.startswith(_records.CLAIM_PREFIX)
+            and key != present
+            and item.value is not None
+            and _records.claim_of_key(key)[1] == service
+        ]
+
     def _cover(self, changes: _store.Changes) -> None:
         self.revision = max(self.revision, changes.revision)
         newest = max(
@@ -252,9 +274,7 @@
                     item.key.removeprefix(_records.NODE_PREFIX), item
                 )
             elif item.key.startswith(_records.CLAIM_PREFIX):
-                self._apply_claim(
-                    item.key.removeprefix(_records.CLAIM_PREFIX), item
-                )
+                self._apply_claim(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
@@ -292,7 +312,10 @@
         else:
             self.nodes[name] = _records.NodeEntry.decode(name, item.value)
 
-    def _apply_claim(self, service: str, item: _store.Item) -> None:
+    def _apply_claim(self, item: _store.Item) -> None:
+        era, service = _records.claim_of_key(item.key)
+        if era != self.revision.era:
+            return
         if item.value is None:
             self.claims.pop(service, None)
             return
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -153,9 +153,16 @@
         yield decisions.settled(asked)
 
     def _list_members(self) -> "decisions.Flow[None]":
-        """Reads the list anew: an unknown replica could acknowledge."""
+        """Reads the list anew: an unknown replica could acknowledge.
+
+        Raises:
+            ChangeAbandonedError: The store came back from a copy, which may
+                lack a replica.
+        """
         prefix = self._catalogue.member_prefix
         listed = yield self._store.list(prefix)
+        if listed.revision.era != self._catalogue.revision.era:
+            raise ChangeAbandonedError("the store has come back from a copy")
         self._catalogue.take(listed.items, "store")
 
     def _next_term(self) -> int:
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -10,9 +10,41 @@
 NODE_PREFIX = "ferry/nodes/"
 CLAIM_PREFIX = "ferry/claims/"
 MAX_PORT = 65_535
+TOKENS_OF_AN_ERA = 1_000_000  # One a second for eleven days.
 MAX_SHOWN = 40  # Characters of a parser's words that a message repeats.
 
 
+def claim_key(era: int, service: str) -> str:
+    """Returns the store's key of a group's claim.
+
+    Each era of the store has a key of its own: a conditional write that was
+    sent in an earlier one would meet its number again in a key that lives on,
+    and take a later claim away.
+    """
+    prefix = f"{CLAIM_PREFIX}{era}/" if era else CLAIM_PREFIX
+    return prefix + service
+
+
+def claim_of_key(key: str) -> tuple[int, str]:
+    """Returns the era and the group of a claim's key.
+
+    Raises:
+        InvalidItemError: It is none.
+    """
+    era, _, service = key.removeprefix(CLAIM_PREFIX).rpartition("/")
+    if era and not (era.isascii() and era.isdigit()):
+        raise InvalidItemError(f"{key}: no era")
+    return int(era or 0), service
+
+
+def first_token(era: int) -> int:
+    """Returns the fencing token of the first claim of an era.
+
+    It is above all of earlier eras, whose claims the store may have lost.
+    """
+    return era * TOKENS_OF_AN_ERA + 1
+
+
 class InvalidItemError(ValueError):
     """An item of the store does not hold what its key says."""
 
