Peers tell the configuration in force where the store lost it

What callers saw: a node that started while the store's copy held an older configuration refused them routes that all other nodes served. Cause: copies of the store are ordered by revision, and peers passed on the store's older item, for it is the newer revision; the configuration in force was known to them, and told to nobody. Class: an order of the store used for what has an order of its own.

A configuration is ordered by its version. Nodes say theirs with each ping, one that has an older one asks, and the answer holds the document where the store's copy is another. A node that starts wants no callers before a peer has told, for a second at most, and only where the store has ever come back from a copy. Why this holds: versions grow with each change of the operator, so the highest one that any node took is in force; nothing is written.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -51,12 +51,15 @@
         revision: The revision up to which the items lead.
         covered: The revision of the newest change among all these.
         is_whole: Whether keys that are missing do not exist.
+        kept: The configuration in force, where the store's own copy of it is
+            an older one.
     """
 
     items: tuple[_store.Item, ...]
     revision: decisions.Revision
     covered: decisions.Revision
     is_whole: bool
+    kept: _store.Item | None = None
 
 
 class Catalogue:
@@ -100,6 +103,7 @@
         self.revision = decisions.UNREAD
         self.covered = decisions.UNREAD
         self.configuration: _configuration.Configuration | None = None
+        self._in_force: _store.Item | None = None
         self.homes = _homes.Homes({})
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
@@ -137,10 +141,21 @@
         found = self.item(key)
         return found.revision if found else self.revision.beginning
 
-    def batch_after(self, revision: decisions.Revision) -> Batch:
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    def batch_after(
+        self, revision: decisions.Revision, version: int = 0
+    ) -> Batch:
         """Returns what a copy lacks that knows all up to a revision.
 
         It is the whole copy where deletions since then may have been missed.
+
+        Args:
+            revision: The revision.
+            version: The version of the configuration that it has.
         """
         is_whole = revision < self._since
         items = tuple(
@@ -148,7 +163,14 @@
             for i in self._items.values()
             if (i.value is not None if is_whole else i.revision > revision)
         )
-        return Batch(items, self.revision, self.covered, is_whole)
+        kept = self._kept if version < self.version else None
+        return Batch(items, self.revision, self.covered, is_whole, kept)
+
+    @property
+    def _kept(self) -> _store.Item | None:
+        """The configuration in force, if the store's copy is another one."""
+        current = self._items.get(self._layout.configuration_key)
+        return None if current == self._in_force else self._in_force
 
     def take_batch(self, batch: Batch, source: str) -> None:
         """Merges in what another copy knows."""
@@ -159,6 +181,11 @@
             changes = _store.Changes(batch.items, batch.revision)
             self.take_changes(changes, source)
         self.covered = max(self.covered, batch.covered)
+        if batch.kept is not None:
+            # A node that has just started knows the store's copy, which may
+            # hold an older configuration than the one in force.
+            self._apply(batch.kept, source)
+            self._note_change()
 
     def take_changes(self, changes: _store.Changes, source: str) -> None:
         """Merges in all that changed after `revision`, up to a later one."""
@@ -296,6 +323,7 @@
         if known is not None and cfg.version <= known.version:
             return
         self.configuration = cfg
+        self._in_force = item
         rates = cfg.teams.rates
         if rates != self.homes.rates:
             self.homes = _homes.Homes(rates)
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -63,6 +63,7 @@
         return _peer_messages.Ping(
             covered.era,
             covered.number,
+            self.catalogue.version,
             age_s if math.isfinite(age_s) else -1.0,
             sorted(well),
             self.reach.missed,
@@ -84,7 +85,7 @@
 def _sync(
     desk: PeerDesk, _: _peers.PeerStream, body: _peer_messages.SyncRequest
 ) -> _peer_messages.SyncReply:
-    batch = desk.catalogue.batch_after(body.revision)
+    batch = desk.catalogue.batch_after(body.revision, body.version)
     return _peer_messages.SyncReply.of(batch)
 
 
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -75,6 +75,7 @@
     Attributes:
         era: The era of the newest change in its copy of the store.
         covered: The number of that change.
+        version: The version of the configuration that it has; 0 for none.
         store_age_s: Seconds since the store answered it or its informants;
             negative for never.
         services: The groups whose statements it can run well now.
@@ -83,6 +84,7 @@
 
     era: int
     covered: int
+    version: int
     store_age_s: float
     services: list[str]
     missed: list[str]
@@ -122,15 +124,18 @@
     Attributes:
         era: The revision's era.
         number: The revision's number.
+        version: The version of the configuration that the sender has.
     """
 
     era: int
     number: int
+    version: int
 
     @classmethod
-    def after(cls, revision: decisions.Revision) -> "SyncRequest":
-        """Returns the message for a revision."""
-        return cls(revision.era, revision.number)
+    def of(cls, known: _catalogue.Catalogue) -> "SyncRequest":
+        """Returns the message for what a copy of the store lacks."""
+        revision = known.revision
+        return cls(revision.era, revision.number, known.version)
 
     @property
     def revision(self) -> decisions.Revision:
@@ -150,6 +155,8 @@
         revision: The number of the revision up to which they lead.
         covered: The number of the newest change that the sender knows.
         is_whole: Whether keys that are missing do not exist.
+        kept: None or one such row: the configuration in force, where the
+            store's own copy of it is an older one.
     """
 
     rows: list[tuple[str, bytes | None, int, bool]]
@@ -157,6 +164,7 @@
     revision: int
     covered: int
     is_whole: bool
+    kept: tuple[str, bytes | None, int, bool] | None
 
     @classmethod
     def of(cls, batch: _catalogue.Batch) -> "SyncReply":
@@ -169,6 +177,7 @@
             revision.number,
             covered.number,
             batch.is_whole,
+            _row(batch.kept) if batch.kept else None,
         )
 
     @property
@@ -184,6 +193,7 @@
             decisions.Revision(era, self.revision),
             decisions.Revision(era, self.covered),
             self.is_whole,
+            _item(era, *self.kept) if self.kept else None,
         )
 
 
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -50,7 +50,7 @@
 
     def describe(self) -> _peer_messages.Ping:
         """Returns that nothing is known or served."""
-        return _peer_messages.Ping(0, 0, -1.0, [], [])
+        return _peer_messages.Ping(0, 0, 0, -1.0, [], [])
 
     def answer(
         self, stream: "PeerStream", body: _peer_messages.Message
@@ -180,6 +180,7 @@
         self._heard = loop.now()
         self.peer = ""
         self.covered = decisions.UNREAD
+        self.version = 0
         self.store_seen = float("-inf")
         self.services: frozenset[str] = frozenset()
         self.missed: frozenset[str] = frozenset()
@@ -279,6 +280,7 @@
             self._on_change()
         elif isinstance(body, _peer_messages.Ping):
             self.covered = body.newest
+            self.version = body.version
             self._note_store(body.store_age_s)
             self.services = frozenset(body.services)
             self.missed = frozenset(body.missed)
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _followers
 from ferry_proxy import _forwarder
 from ferry_proxy import _forwarding
+from ferry_proxy import _gauges
 from ferry_proxy import _identity
 from ferry_proxy import _lost_nodes
 from ferry_proxy import _mesh
@@ -20,6 +21,7 @@
 from ferry_proxy import _peer_messages
 from ferry_proxy import _policy
 from ferry_proxy import _reach
+from ferry_proxy import _readiness
 from ferry_proxy import _records
 from ferry_proxy import _registrar
 from ferry_proxy import _roster
@@ -96,7 +98,13 @@
         self.ticker.subscribe(CHECK_S, self._check)
         self.ticker.subscribe(SWEEP_S, self._sweep)
         loop.on_late(self._groups.forgive)
-        self._add_gauges()
+        _gauges.add(
+            self.metrics,
+            _gauges.Sources(
+                self.catalogue, self._follower, self.mesh, self._allowances
+            ),
+            lambda: self.session_count,
+        )
 
     def _connect_peers(self) -> None:
         """Wires what speaks to other nodes and what serves them."""
@@ -185,22 +193,33 @@
     @property
     def is_ready(self) -> bool:
         """Whether new sessions are wanted."""
-        cfg = self.catalogue.configuration
-        if self.stopping or cfg is None or self.reach.is_cut_off:
-            return False
-        groups = self._groups.groups.values()
-        if any(g.leader is not None for g in groups):
-            return True
-        return any(self._forwarder.is_served(n) for n in cfg.services)
+        return self._why_not is None
 
     @property
     def readiness(self) -> str:
         """What decides whether new sessions are wanted, in words."""
-        if self.stopping:
-            return "stopping"
-        if not self.has_configuration:
-            return "no configuration yet"
-        return "cut off" if self.reach.is_cut_off else "members are known"
+        why = self._why_not
+        return "members are known" if why is None else why.value
+
+    @property
+    def _why_not(self) -> _readiness.Unready | None:
+        standing = _readiness.Standing(
+            is_stopping=self.stopping,
+            has_configuration=self.has_configuration,
+            awaits_peers=self._registrar.awaits_peers,
+            is_cut_off=self.reach.is_cut_off,
+            knows_primary=self._knows_primary,
+        )
+        return _readiness.why_not(standing)
+
+    @property
+    def _knows_primary(self) -> bool:
+        groups = self._groups.groups.values()
+        if any(g.leader is not None for g in groups):
+            return True
+        cfg = self.catalogue.configuration
+        names = cfg.services if cfg is not None else ()
+        return any(self._forwarder.is_served(n) for n in names)
 
     @property
     def has_configuration(self) -> bool:
@@ -367,26 +386,3 @@
         for session in list(self._sessions.values()):
             session.end_transaction(decisions.TRANSACTION_LOST)
         self._serving.end_transactions(decisions.TRANSACTION_LOST)
-
-    def _add_gauges(self) -> None:
-        metrics = self.metrics
-        metrics.gauge("sessions", lambda: float(self.session_count))
-        metrics.gauge("store_age_seconds", lambda: self._follower.age_s)
-        catalogue = self.catalogue
-        metrics.gauge("store_era", lambda: float(catalogue.revision.era))
-        metrics.gauge(
-            "store_revision", lambda: float(catalogue.revision.number)
-        )
-        metrics.gauge(
-            "configuration_version",
-            lambda: float(
-                self.catalogue.configuration.version
-                if self.catalogue.configuration
-                else 0
-            ),
-        )
-        metrics.gauge(
-            "documents_refused", lambda: float(self.catalogue.refused)
-        )
-        metrics.gauge("limit_share", lambda: self._allowances.share)
-        metrics.gauge("peers", lambda: float(len(self.mesh.connected)))
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -20,6 +20,7 @@
 # after a fixed time was sent again whole, for ever: 429 KB each 0.4 s.
 LOOK_S = 0.1
 PATIENCE_S = 0.4  # A change comes from the store within a round trip.
+PEERS_WORD_S = 1.0  # A node that starts reaches its peers within half of it.
 STORE_AFTER_S = 1.0  # Behind for so long, a node reads the store itself: a
 # third of the shortest time in which a configuration must be in force.
 
@@ -31,6 +32,10 @@
     def covered(self) -> decisions.Revision:
         """The newest change in the peer's copy of the store."""
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration that the peer has; 0 for none."""
+
     @property
     def owed_s(self) -> float:
         """Seconds since the peer was heard, while it owes an answer."""
@@ -62,11 +67,28 @@
         self._catalogue = catalogue
         self._follower = follower
         self._mesh = mesh
+        self._begun = clock.now()
         self._registering = False
         self._asking = False
         self._failures: collections.Counter[str] = collections.Counter()
+        self._refused: dict[str, int] = {}
         self._behind_since: float | None = None
 
+    @property
+    def awaits_peers(self) -> bool:
+        """Whether peers may yet tell of a newer configuration than the store.
+
+        A store that came back from a copy holds an older one until the
+        operator has written it again; a node that has just started would
+        refuse callers of routes that all others serve.
+        """
+        catalogue = self._catalogue
+        is_new = self._clock.now() - self._begun < PEERS_WORD_S
+        may_be_old = catalogue.revision.era > 0 and len(catalogue.nodes) > 1
+        told = max((s.version for s in self._mesh.streams), default=0)
+        is_told = 0 < told <= catalogue.version
+        return is_new and may_be_old and not is_told
+
     def look(self) -> None:
         """Looks after this node's entry, and after what it has missed.
 
@@ -76,8 +98,7 @@
         self._follower.check()
         if self._follower.is_connected and self._catalogue.is_read:
             self._register()
-        covered = self._catalogue.covered
-        ahead = [s for s in self._mesh.streams if s.covered > covered]
+        ahead = [s for s in self._mesh.streams if self._is_ahead(s)]
         if not ahead:
             self._behind_since = None
             self._failures.clear()
@@ -86,13 +107,29 @@
         if self._behind_since is None:
             self._behind_since = now
         behind_s = now - self._behind_since
-        patience = PATIENCE_S if self._follower.is_watching else 0.0
+        patience = PATIENCE_S if self._may_come(ahead) else 0.0
         if behind_s >= patience and not self._asking:
             self._asking = True
             decisions.start(self._copy(min(ahead, key=self._distance)))
         if behind_s >= STORE_AFTER_S:
             self._follower.read_once()
 
+    def _may_come(self, ahead: Sequence[Informant]) -> bool:
+        """Whether what peers know may soon come from the store itself."""
+        is_written = any(self._has_change(s) for s in ahead)
+        return is_written and self._follower.is_watching
+
+    def _has_change(self, stream: Informant) -> bool:
+        return stream.covered > self._catalogue.covered
+
+    def _is_ahead(self, stream: Informant) -> bool:
+        """Whether a peer knows what this node does not."""
+        if self._has_change(stream):
+            return True
+        version = stream.version
+        is_useless = self._refused.get(stream.peer) == version
+        return version > self._catalogue.version and not is_useless
+
     def _distance(self, stream: Informant) -> tuple[int, bool]:
         """Returns how dear a copy from a peer is; the least is asked.
 
@@ -104,7 +141,7 @@
 
     def _copy(self, stream: Informant) -> "decisions.Flow[None]":
         """Asks a peer for what is lacking, for as long as it shows life."""
-        question = _peer_messages.SyncRequest.after(self._catalogue.revision)
+        question = _peer_messages.SyncRequest.of(self._catalogue)
         fut = stream.call(question)
         try:
             while not fut.done():
@@ -116,6 +153,9 @@
             if isinstance(reply, _peer_messages.SyncReply):
                 self._catalogue.take_batch(reply.batch, "peer")
                 self._behind_since = None
+                if stream.version > self._catalogue.version:
+                    # It cannot be read here; asking again would not help.
+                    self._refused[stream.peer] = stream.version
         except (
             _peers.PeerLostError,
             _peer_messages.PeerProtocolError,
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -39,9 +39,13 @@
     def covered(self) -> decisions.Revision:
         return self.theirs.covered
 
+    @property
+    def version(self) -> int:
+        return self.theirs.version
+
     def call(self, body):
         self.calls += 1
-        batch = self.theirs.batch_after(body.revision)
+        batch = self.theirs.batch_after(body.revision, body.version)
         data = _peer_messages.encode(1, _peer_messages.SyncReply.of(batch))
         reply = _peer_messages.Decoder().feed(data)[0].body
         fut: decisions.Future[object] = decisions.Future()
@@ -360,4 +364,4 @@
     assert value is not None
     row = (key, value[:cut], number, True)
     with pytest.raises(_peer_messages.PeerProtocolError):
-        _ = _peer_messages.SyncReply([row], 0, 7, 7, False).batch
+        _ = _peer_messages.SyncReply([row], 0, 7, 7, False, None).batch
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -14,7 +14,7 @@
 from ferry_proxy import _records
 
 GROUPS = [f"group{n}" for n in range(10)]
-CALM = _peer_messages.Ping(0, 17, 0.5, GROUPS, [])
+CALM = _peer_messages.Ping(0, 17, 3, 0.5, GROUPS, [])
 
 
 class FakeLoop:
@@ -96,13 +96,15 @@
     def seen(self) -> tuple[object, ...]:
         peer = self.receiver
         age_s = round(self.loop.time - peer.store_seen, 3)
-        return peer.covered.number, peer.services, peer.missed, age_s
+        return peer.covered, peer.version, peer.services, peer.missed, age_s
 
 
 @pytest.mark.parametrize(
     "changes",
     [
         {"covered": 18},
+        {"era": 1, "covered": 2},
+        {"version": 4},
         {"services": []},
         {"missed": ["group3"]},
         {"store_age_s": 2.25},
@@ -114,7 +116,12 @@
     pair.tick()
     pair.tick(**changes)
     ping = pair.desk.ping
-    expected = (ping.covered, frozenset(ping.services), frozenset(ping.missed))
+    expected = (
+        ping.newest,
+        ping.version,
+        frozenset(ping.services),
+        frozenset(ping.missed),
+    )
     assert pair.seen == (*expected, ping.store_age_s)
     pair.tick()
     assert pair.seen == (*expected, ping.store_age_s)
@@ -149,7 +156,7 @@
     ticker.subscribe(_mesh.OWING_PING_S, mesh._show_life)
     pulse = _peers.Pulse.of(CALM)
     ticker.subscribe(_mesh.PING_S, lambda: pair.receiver.tick(pulse))
-    pair.receiver.call(_peer_messages.SyncRequest(0, 0))
+    pair.receiver.call(_peer_messages.SyncRequest(0, 0, 0))
     for _ in range(40):
         timers.advance(0.05)
         assert pair.receiver.owed_s < _forwarder.QUIET_S
@@ -163,7 +170,7 @@
 def test_a_silent_stream_ends_and_tells_so():
     pair = Pair()
     assert pair.named == ["a"]
-    fut = pair.receiver.call(_peer_messages.SyncRequest(0, 0))
+    fut = pair.receiver.call(_peer_messages.SyncRequest(0, 0, 0))
     pair.loop.time += _peers.SILENT_S + 0.1
     pair.receiver.tick(_peers.Pulse.of(CALM))
     assert pair.receiver.closed
