Nodes whose entries the store lost are kept, and list themselves spread out

What callers saw: after the store came back from a copy that lacks nodes, their groups changed hands and changed back a moment later, with links of other nodes to the members; at size all nodes wrote in the same tenth of a second (16 of 24 in the test), more than a store takes. Cause: an entry that is missing meant that the node is gone; members have had a grace after an outage, nodes had none. Class: absence from the store taken for a fact about the world.

Nodes have the same grace now, and a node's own entry is looked for in the store itself, not among the nodes that are believed. Each waits for its own share of a second, by a hash of its name, before it writes. Why this holds: the grace is longer than that second and a call; one that does not write within it is gone, as before.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -58,6 +58,7 @@
     from ferry_decisions._flows import start as start
     from ferry_decisions._flows import within as within
     from ferry_decisions._hashing import rendezvous_score as rendezvous_score
+    from ferry_decisions._hashing import spread_share as spread_share
     from ferry_decisions._logs import log_debug as log_debug
     from ferry_decisions._logs import log_exception as log_exception
     from ferry_decisions._logs import log_warning as log_warning
@@ -211,7 +212,7 @@
         "start",
         "within",
     ],
-    "_hashing": ["rendezvous_score"],
+    "_hashing": ["rendezvous_score", "spread_share"],
     "_logs": ["log_debug", "log_exception", "log_warning"],
     "_membership": ["Membership"],
     "_outcomes": [
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -71,6 +71,7 @@
             before it.
         configuration: The configuration in force.
         homes: Which node each team is at home at.
+        grace: How long entries that are missing are still believed.
         nodes: The nodes by name.
         claims: The claims of the store's present era, by group.
         era_seen_at: When this node first read the store in its present era,
@@ -88,7 +89,7 @@
         self._clock = clock
         self._layout = layout
         self._items: dict[str, _store.Item] = {}
-        self._grace = _grace.ReturnGrace(clock, policy.return_grace_s)
+        self.grace = _grace.ReturnGrace(clock, policy.return_grace_s)
         self._entries = _member_entries.MemberEntries(
             _member_entries.EntriesContext(
                 clock,
@@ -97,7 +98,7 @@
                 self._is_current,
                 self._note_change,
             ),
-            self._grace,
+            self.grace,
         )
         self._since = decisions.UNREAD
         self.revision = decisions.UNREAD
@@ -229,7 +230,7 @@
         self.claims.clear()
         if self.is_read:
             _events.emit(_events.StoreRestored(era, source))
-            self._grace.begin()
+            self.grace.begin()
 
     def outdated_claims(self, service: str) -> list[_store.Item]:
         """Returns the claims of a group that are of eras which are over."""
@@ -277,7 +278,7 @@
 
     def note_return(self) -> None:
         """Takes in that the store answers again after a while."""
-        self._grace.begin()
+        self.grace.begin()
 
     def _note_change(self) -> None:
         for callback in self.on_change:
@@ -335,10 +336,21 @@
             _events.emit(_events.TeamsPassedOver(cfg.version, detail))
 
     def _apply_node(self, name: str, item: _store.Item) -> None:
-        if item.value is None:
-            self.nodes.pop(name, None)
-        else:
+        if item.value is not None:
             self.nodes[name] = _records.NodeEntry.decode(name, item.value)
+        elif self.grace.left_s > 0:
+            # The groups of a node that is there would change hands, and back
+            # once it has listed itself again.
+            self._clock.after(
+                self.grace.left_s, lambda: self._drop_node(name, item)
+            )
+        else:
+            self.nodes.pop(name, None)
+
+    def _drop_node(self, name: str, item: _store.Item) -> None:
+        if self._is_current(item):
+            self.nodes.pop(name, None)
+            self._note_change()
 
     def _apply_claim(self, item: _store.Item) -> None:
         era, service = _records.claim_of_key(item.key)
--- a/packages/proxy/src/ferry_proxy/_grace.py
+++ b/packages/proxy/src/ferry_proxy/_grace.py
@@ -26,7 +26,12 @@
         """Notes that the store has just come back."""
         self._begun = self._clock.now()
 
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since the store came back; infinite before it ever did."""
+        return self._clock.now() - self._begun
+
     @property
     def left_s(self) -> float:
         """Seconds until it ends; zero or less once it has."""
-        return self._begun + self._grace_s - self._clock.now()
+        return self._grace_s - self.elapsed_s
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -19,6 +19,8 @@
 # passed over. A copy may take long, on narrow links; one that was given up
 # after a fixed time was sent again whole, for ever: 429 KB each 0.4 s.
 LOOK_S = 0.1
+SPREAD_S = 1.0  # 410 writes: below what a store takes a second; others miss a
+# node later.
 PATIENCE_S = 0.4  # A change comes from the store within a round trip.
 PEERS_WORD_S = 1.0  # A node that starts reaches its peers within half of it.
 STORE_AFTER_S = 1.0  # Behind for so long, a node reads the store itself: a
@@ -68,6 +70,7 @@
         self._follower = follower
         self._mesh = mesh
         self._begun = clock.now()
+        self._delay_s = SPREAD_S * decisions.spread_share("entry", own.name)
         self._registering = False
         self._asking = False
         self._failures: collections.Counter[str] = collections.Counter()
@@ -166,11 +169,18 @@
             self._asking = False
 
     def _register(self) -> None:
-        """Puts this node's entry into the store where it is missing."""
+        """Puts this node's entry into the store where it is missing.
+
+        Entries that a copy of the store lacks are missing for many nodes at
+        one moment; each waits for a part of a while that is its own.
+        """
+        key = _records.NODE_PREFIX + self._own.name
         known = self._catalogue.nodes.get(self._own.name)
-        if known == self._own or self._registering:
+        is_listed = self._catalogue.item(key) is not None and known == self._own
+        if is_listed or self._registering:
+            return
+        if self._catalogue.grace.elapsed_s < self._delay_s:
             return
-        key = _records.NODE_PREFIX + self._own.name
         self._registering = True
         fut = self._store.put_if(
             key, self._own.encode(), self._catalogue.condition(key)
