--- a/packages/ctl/src/ferry_ctl/_bench_spread.py
+++ b/packages/ctl/src/ferry_ctl/_bench_spread.py
@@ -55,9 +55,8 @@
         nodes = list(self.swarm.nodes.values())
         node = self.swarm.random.choice(nodes)
         self.made_at[version] = self.swarm.timers.now()
-        known = self.swarm.store.entries.get(KEY)
-        revision = known.revision if known else 0
-        node.store.put_if(KEY, _value(version), revision)
+        condition = self.swarm.store.condition(KEY)
+        node.store.put_if(KEY, _value(version), condition)
 
 
 def _run(size: int, seed: int) -> _report.Figures:
--- a/packages/standins/src/ferry_standins/_kv.py
+++ b/packages/standins/src/ferry_standins/_kv.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+ERA_HEADER = "Store-Era"
+
 
 @attrs.define
 class KvFaults:
@@ -46,8 +48,20 @@
     lease: int = 0
 
 
+@attrs.frozen
+class KvCopy:
+    """What the service held at a moment."""
+
+    values: dict[str, KvValue]
+    revision: int
+
+
 class KvState:
-    """The service's contents, for any number of threads."""
+    """The service's contents, for any number of threads.
+
+    Attributes:
+        era: How often the service came back from a copy.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
@@ -55,8 +69,22 @@
         self._watchers: list[queue.Queue[tuple[str, KvValue]]] = []
         self._leases: dict[int, float] = {}
         self.revision = 1
+        self.era = 0
         self.calls = 0
 
+    def copy(self) -> KvCopy:
+        """Returns what a later `restore` brings back."""
+        with self._lock:
+            return KvCopy(dict(self._values), self.revision)
+
+    def restore(self, copy: KvCopy) -> None:
+        """Comes back from a copy; all that was written since is gone."""
+        with self._lock:
+            self.era += 1
+            self._values = dict(copy.values)
+            self._leases.clear()
+            self.revision = copy.revision
+
     def range(self, key: str, end: str) -> list[tuple[str, KvValue]]:
         """Returns the values of one key, or of all in `[key, end)`."""
         with self._lock:
@@ -190,6 +218,7 @@
         request.send_response(200 if reply else 404)
         request.send_header("Content-Type", "application/json")
         request.send_header("Content-Length", str(len(data)))
+        request.send_header(ERA_HEADER, str(self.state.era))
         request.end_headers()
         request.wfile.write(data)
 
@@ -215,17 +244,22 @@
         self, request: http.server.BaseHTTPRequestHandler, create: typing.Any
     ) -> None:
         watcher = self.state.watch()
+        era = self.state.era
         request.close_connection = True
         try:
             request.send_response(200)
             request.send_header("Transfer-Encoding", "chunked")
+            request.send_header(ERA_HEADER, str(self.state.era))
             request.end_headers()
             if "start_revision" in create:
                 for key, value in self.state.since(
                     int(create["start_revision"])
                 ):
                     self._send_event(request, create, key, value)
+            # A service that comes back from a copy keeps no connection.
             while not self._closing.is_set() and not self.faults.down:
+                if self.state.era != era:
+                    return
                 try:
                     key, value = watcher.get(timeout=0.1)
                 except queue.Empty:
--- a/packages/standins/src/ferry_standins/_virtual_store.py
+++ b/packages/standins/src/ferry_standins/_virtual_store.py
@@ -10,6 +10,14 @@
 _List = list
 
 
+@attrs.frozen
+class StoreCopy:
+    """What the virtual store held at a moment."""
+
+    entries: dict[str, decisions.StoreEntry]
+    revision: int
+
+
 @attrs.define
 class StoreState:
     """The contents of the virtual store, shared by all nodes' clients.
@@ -17,22 +25,41 @@
     Attributes:
         entries: Entries by key.
         revision: The last revision.
+        era: How often the store came back from a copy.
         down: Whether no call is answered or takes effect.
         lose_answers: How many of the next writes take effect unanswered.
         delay_s: Time that a call takes, in seconds.
         calls: Calls so far.
+        refused_writes: Writes so far whose condition did not hold.
     """
 
     entries: dict[str, decisions.StoreEntry] = attrs.field(factory=dict)
     revision: int = 1
+    era: int = 0
     down: bool = False
     lose_answers: int = 0
     delay_s: float = 0.003
     calls: int = 0
+    refused_writes: int = 0
     watchers: list[tuple[str, Callable[[decisions.StoreEntry], object]]] = (
         attrs.field(factory=list)
     )
 
+    def condition(self, key: str) -> int:
+        """Returns the revision that a key has; 0 for no key."""
+        known = self.entries.get(key)
+        return known.revision if known else 0
+
+    def copy(self) -> StoreCopy:
+        """Returns what a later `restore` brings back."""
+        return StoreCopy(dict(self.entries), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from a copy; all that was written since is gone."""
+        self.era += 1
+        self.entries = dict(copy.entries)
+        self.revision = copy.revision
+
 
 class VirtualStore:
     """One node's client of the virtual store."""
@@ -66,8 +93,8 @@
 
         def work() -> decisions.StoreEntry | None:
             state = self._state
-            known = state.entries.get(key)
-            if (known.revision if known else 0) != revision:
+            if state.condition(key) != revision:
+                state.refused_writes += 1
                 return None
             state.revision += 1
             entry = decisions.StoreEntry(key, value, state.revision)
