--- a/packages/ctl/src/ferry_ctl/_bench_capacity.py
+++ b/packages/ctl/src/ferry_ctl/_bench_capacity.py
@@ -175,7 +175,9 @@
             (decisions.RECORD_PREFIX, record),
         ):
             raw = json.dumps(decisions.unstructure(value)).encode()
-            entry = decisions.StoreEntry(f"{prefix}{index}", raw, index + 1)
+            entry = decisions.StoreEntry(
+                f"{prefix}{index}", raw, decisions.Revision(0, index + 1)
+            )
             directory.merge([entry])
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -168,6 +168,9 @@
     from ferry_decisions._timers import Timer as Timer
     from ferry_decisions._timers import TimerService as TimerService
     from ferry_decisions._timers import VirtualTimers as VirtualTimers
+    from ferry_decisions._versions import Rank as Rank
+    from ferry_decisions._versions import Version as Version
+    from ferry_decisions._versions import lost_entries as lost_entries
     from ferry_decisions._watch import DatabaseWatch as DatabaseWatch
     from ferry_decisions._watch import WatchContext as WatchContext
     from ferry_decisions._watch import WatchSettings as WatchSettings
@@ -295,6 +298,7 @@
         "TimerService",
         "VirtualTimers",
     ],
+    "_versions": ["Rank", "Version", "lost_entries"],
     "_watch": ["DatabaseWatch", "WatchContext", "WatchSettings"],
 }
 __all__ = sorted(n for names in _NAMES.values() for n in names)
--- a/packages/decisions/src/ferry_decisions/_directory.py
+++ b/packages/decisions/src/ferry_decisions/_directory.py
@@ -1,8 +1,8 @@
 """A node's copy of the operators' configuration and the databases' records.
 
-The store's entries are merged by the revision that the store gave them, so
-the source does not matter: a watch, a read, a peer, or a store that answers
-from the past. An entry never goes back to an earlier revision.
+The store's entries are merged by how new they are, so the source does not
+matter: a watch, a read, a peer, or a store that answers from the past or came
+back from a copy. An entry never goes back to an earlier state.
 """
 
 from collections.abc import Callable
@@ -10,6 +10,7 @@
 import hashlib
 
 from ferry_decisions import _ports
+from ferry_decisions import _versions
 
 DIGEST_BYTES = 8
 
@@ -19,6 +20,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, _ports.StoreEntry] = {}
+        self._versions: dict[str, _versions.Version] = {}
         self._subscribers: list[Callable[[_ports.StoreEntry], object]] = []
         self._digest = 0
 
@@ -35,12 +37,17 @@
         taken = []
         for entry in entries:
             known = self._entries.get(entry.key)
-            if known is not None and known.revision >= entry.revision:
+            if known is not None and _says_the_same(entry, known):
+                continue
+            version = _versions.version_of(entry)
+            before = self._versions.get(entry.key)
+            if before is not None and not version.replaces(before):
                 continue
             if known is not None:
                 self._digest ^= _mark(known)
             self._digest ^= _mark(entry)
             self._entries[entry.key] = entry
+            self._versions[entry.key] = version
             taken.append(entry)
         for entry in taken:
             for callback in self._subscribers:
@@ -56,16 +63,18 @@
         found = [e for k, e in self._entries.items() if k.startswith(prefix)]
         return sorted(found, key=lambda e: e.key)
 
-    def revisions(self) -> dict[str, int]:
-        """Returns the revision known of each key."""
-        return {key: e.revision for key, e in self._entries.items()}
+    def versions(self) -> dict[str, _versions.Version]:
+        """Returns how new what is known of each key is."""
+        return dict(self._versions)
 
-    def newer_than(self, revisions: dict[str, int]) -> list[_ports.StoreEntry]:
-        """Returns the entries of which `revisions` shows an older state."""
+    def newer_than(
+        self, versions: dict[str, _versions.Version]
+    ) -> list[_ports.StoreEntry]:
+        """Returns the entries of which `versions` shows an older state."""
         return [
-            entry
-            for key, entry in self._entries.items()
-            if entry.revision > revisions.get(key, 0)
+            self._entries[key]
+            for key, own in self._versions.items()
+            if key not in versions or own.replaces(versions[key])
         ]
 
     @property
@@ -77,8 +86,19 @@
         return len(self._entries)
 
 
+def _says_the_same(entry: _ports.StoreEntry, known: _ports.StoreEntry) -> bool:
+    """Whether an entry is a known one that came back in another era.
+
+    It is left as it is: all entries of the store are read again then, and each
+    node would send all of them to others as new.
+    """
+    is_same_era = entry.revision.era == known.revision.era
+    return entry.value == known.value and not is_same_era
+
+
 def _mark(entry: _ports.StoreEntry) -> int:
-    text = f"{entry.key}@{entry.revision}".encode()
+    revision = entry.revision
+    text = f"{entry.key}@{revision.era}.{revision.number}".encode()
     digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, "big")
 
--- a/packages/decisions/src/ferry_decisions/_ports.py
+++ b/packages/decisions/src/ferry_decisions/_ports.py
@@ -11,6 +11,7 @@
 
 from ferry_decisions import _databases
 from ferry_decisions import _futures
+from ferry_decisions import _revisions
 
 Future = _futures.Future
 
@@ -116,12 +117,12 @@
     Attributes:
         key: Its key.
         value: Its bytes, at most a megabyte.
-        revision: The store's revision that last changed it; 1 or more.
+        revision: The store's revision that last changed it.
     """
 
     key: str
     value: bytes
-    revision: int
+    revision: _revisions.Revision
 
 
 class StoreWatch(typing.Protocol):
@@ -134,6 +135,10 @@
 class Store(typing.Protocol):
     """The platform's key-value service."""
 
+    @property
+    def era(self) -> int:
+        """The era in which it last answered."""
+
     def get(self, key: str) -> "Future[StoreEntry | None]":
         """Reads a key."""
 
@@ -141,15 +146,27 @@
         """Reads all keys that begin with `prefix`."""
 
     def put_if(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: _revisions.Revision
     ) -> "Future[StoreEntry | None]":
-        """Writes a key if its revision is still `revision`; 0 for no key.
+        """Writes a key if its revision is still `revision`.
 
-        Returns the new entry, or None where another writer came first. Fails
-        with `StoreUnavailableError` when the outcome is not known.
+        A number of 0 stands for no key. Returns the new entry, or None where
+        another writer came first. Fails with `StoreUnavailableError` when the
+        outcome is not known, as it is where the store answers in another era
+        than the revision's.
         """
 
     def watch(
-        self, prefix: str, notify: Callable[[StoreEntry], None]
+        self,
+        prefix: str,
+        notify: Callable[[StoreEntry], None],
+        restored: Callable[[], None],
     ) -> StoreWatch:
-        """Reports each change below a prefix from now on."""
+        """Reports each change below a prefix from now on.
+
+        Args:
+            prefix: What the keys begin with.
+            notify: Called with each change.
+            restored: Called when the store has come back from a copy; what
+                changed meanwhile is not reported.
+        """
--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -15,12 +15,14 @@
 """
 
 import json
+import typing
 
 import attrs
 
 from ferry_decisions import _databases
 from ferry_decisions import _flows
 from ferry_decisions import _ports
+from ferry_decisions import _revisions
 from ferry_decisions import _structuring
 from ferry_decisions import _timers
 
@@ -142,14 +144,14 @@
 
     def _claim(
         self, known: _databases.Record
-    ) -> "_flows.Flow[tuple[_databases.Record, int]]":
+    ) -> "_flows.Flow[tuple[_databases.Record, _revisions.Revision]]":
         entry = yield _flows.within(
             self._timers,
             READ_TIMEOUT_S,
             self._store.get(record_key(known.database)),
         )
         current = known
-        revision = 0
+        revision = _revisions.Revision(self._store.era)
         if entry is not None:
             current = decode_record(entry.value)
             revision = entry.revision
@@ -166,8 +168,8 @@
         return claim, written
 
     def _write(
-        self, record: _databases.Record, revision: int
-    ) -> "_flows.Flow[int]":
+        self, record: _databases.Record, revision: _revisions.Revision
+    ) -> "_flows.Flow[_revisions.Revision]":
         """Writes the record; returns its revision, reading back if needed."""
         key = record_key(record.database)
         try:
@@ -179,12 +181,12 @@
         except (_ports.StoreUnavailableError, _flows.TimeoutExpiredError):
             entry = None
         if entry is not None:
-            return int(entry.revision)
+            return typing.cast(_revisions.Revision, entry.revision)
         return (yield from self._read_back(record, revision))
 
     def _read_back(
-        self, record: _databases.Record, revision: int
-    ) -> "_flows.Flow[int]":
+        self, record: _databases.Record, revision: _revisions.Revision
+    ) -> "_flows.Flow[_revisions.Revision]":
         """Learns whether a write whose answer was lost took effect."""
         key = record_key(record.database)
         failure: Exception = _ports.StoreUnavailableError(key)
@@ -204,7 +206,7 @@
                 break
             found = decode_record(entry.value)
             if found == record:
-                return int(entry.revision)
+                return typing.cast(_revisions.Revision, entry.revision)
             raise ClaimLostError(found)
         raise _ports.StoreUnavailableError(str(failure))
 
--- a/packages/decisions/src/ferry_decisions/tests/test_small_parts.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_small_parts.py
@@ -105,21 +105,23 @@
 def test_directory_never_goes_back(order):
     directory = decisions.Directory()
     for revision in order:
-        entry = decisions.StoreEntry("k", b"%d" % revision, revision)
+        entry = decisions.StoreEntry(
+            "k", b"%d" % revision, decisions.Revision(0, revision)
+        )
         directory.merge([entry])
     assert [e.value for e in directory.entries()] == [b"3"]
     other = decisions.Directory()
-    other.merge([decisions.StoreEntry("k", b"3", 3)])
+    other.merge([decisions.StoreEntry("k", b"3", decisions.Revision(0, 3))])
     assert other.digest == directory.digest
 
 
 def test_directory_digests_differ_when_contents_do():
     one, two = decisions.Directory(), decisions.Directory()
-    one.merge([decisions.StoreEntry("k", b"", 1)])
-    two.merge([decisions.StoreEntry("k", b"", 2)])
+    one.merge([decisions.StoreEntry("k", b"", decisions.Revision(0, 1))])
+    two.merge([decisions.StoreEntry("k", b"", decisions.Revision(0, 2))])
     assert one.digest != two.digest
-    assert one.newer_than(two.revisions()) == []
-    assert [e.revision for e in two.newer_than(one.revisions())] == [2]
+    assert one.newer_than(two.versions()) == []
+    assert [e.revision.number for e in two.newer_than(one.versions())] == [2]
 
 
 def nodes_in(*centres):
--- a/packages/node/src/ferry_node/_codec.py
+++ b/packages/node/src/ferry_node/_codec.py
@@ -96,23 +96,57 @@
 def pack_entries(
     entries: typing.Iterable[decisions.StoreEntry],
 ) -> list[list[typing.Any]]:
-    """Returns entries of the store as triples."""
-    return [[e.key, e.value, e.revision] for e in entries]
+    """Returns entries of the store as rows."""
+    return [
+        [e.key, e.value, e.revision.era, e.revision.number] for e in entries
+    ]
 
 
 def unpack_entries(
-    triples: list[list[typing.Any]],
+    rows: list[list[typing.Any]],
 ) -> list[decisions.StoreEntry]:
-    """Returns entries of the store from triples.
+    """Returns entries of the store from rows.
 
     Raises:
         PeerProtocolError: One has another form.
     """
     entries = []
-    for triple in triples:
-        match triple:
-            case [str(key), bytes(value), int(revision)]:
+    for row in rows:
+        match row:
+            case [str(key), bytes(value), int(era), int(number)]:
+                revision = decisions.Revision(era, number)
                 entries.append(decisions.StoreEntry(key, value, revision))
             case _:
                 raise PeerProtocolError("entry")
     return entries
+
+
+def pack_versions(
+    versions: dict[str, decisions.Version],
+) -> dict[str, list[int]]:
+    """Returns how new entries are, as a row for each key."""
+    return {
+        key: [v.revision.era, v.revision.number, v.rank.count, v.rank.step]
+        for key, v in versions.items()
+    }
+
+
+def unpack_versions(
+    rows: dict[str, list[int]],
+) -> dict[str, decisions.Version]:
+    """Returns how new entries are, from rows.
+
+    Raises:
+        PeerProtocolError: One has another form.
+    """
+    versions = {}
+    for key, row in rows.items():
+        match row:
+            case [int(era), int(number), int(count), int(step)]:
+                versions[key] = decisions.Version(
+                    decisions.Revision(era, number),
+                    decisions.Rank(count, step),
+                )
+            case _:
+                raise PeerProtocolError("version")
+    return versions
--- a/packages/node/src/ferry_node/_contracts_api.py
+++ b/packages/node/src/ferry_node/_contracts_api.py
@@ -140,7 +140,7 @@
         key = decisions.CONTRACT_PREFIX + customer
         entry = yield self._node.store.get(key)
         current = None
-        revision = 0
+        revision = decisions.Revision(self._node.store.era)
         if entry is not None:
             revision = entry.revision
             current = decisions.contract_from_json(json.loads(entry.value))
@@ -156,7 +156,11 @@
         return wanted
 
     def _write(
-        self, key: str, value: bytes, revision: int, change_id: str
+        self,
+        key: str,
+        value: bytes,
+        revision: decisions.Revision,
+        change_id: str,
     ) -> "decisions.Flow[decisions.StoreEntry]":
         store = self._node.store
         try:
@@ -169,7 +173,7 @@
         return typing.cast(decisions.StoreEntry, entry)
 
     def _read_back(
-        self, key: str, change_id: str, revision: int
+        self, key: str, change_id: str, revision: decisions.Revision
     ) -> "decisions.Flow[decisions.StoreEntry]":
         """Learns by the change's id whether a write took effect."""
         for _ in range(READ_BACK_TRIES):
@@ -195,7 +199,8 @@
         shown = decisions.unstructure(contract)
         shown["logins"] = [login.name for login in contract.logins]
         try:
-            yield self._node.store.put_if(key, json.dumps(shown).encode(), 0)
+            new = decisions.Revision(self._node.store.era)
+            yield self._node.store.put_if(key, json.dumps(shown).encode(), new)
         except decisions.StoreUnavailableError:
             return
 
--- a/packages/node/src/ferry_node/_messages.py
+++ b/packages/node/src/ferry_node/_messages.py
@@ -185,7 +185,7 @@
     """Entries of the store, newer than what the receiver may know.
 
     Attributes:
-        entries: Triples of a key, a value and a revision.
+        entries: Rows of a key, a value, an era and a number.
     """
 
     entries: list[list[typing.Any]]
@@ -198,12 +198,13 @@
 
     Attributes:
         digest: The sender's digest; equal digests need no more.
-        revisions: The sender's revisions by key; empty at the first ask.
-        full: Whether `revisions` is filled in.
+        versions: How new the sender's entries are, by key: rows of an era, a
+            number, and the two counts of a rank; empty at the first ask.
+        full: Whether `versions` is filled in.
     """
 
     digest: bytes
-    revisions: dict[str, int]
+    versions: dict[str, list[int]]
     full: bool
 
 
@@ -214,13 +215,13 @@
 
     Attributes:
         differs: Whether the digests differ.
-        entries: Triples of a key, a value and a revision.
-        revisions: The answering node's revisions by key, if they differ.
+        entries: Rows of a key, a value, an era and a number.
+        versions: How new the answering node's entries are, if they differ.
     """
 
     differs: bool
     entries: list[list[typing.Any]]
-    revisions: dict[str, int]
+    versions: dict[str, list[int]]
 
 
 @_message(12)
--- a/packages/node/src/ferry_node/_spread.py
+++ b/packages/node/src/ferry_node/_spread.py
@@ -67,7 +67,8 @@
         is_reader = self._board.read(_board.STORE_READER)
         if is_reader and not self._watches:
             self._watches = [
-                self._store.watch(prefix, self._notified) for prefix in PREFIXES
+                self._store.watch(prefix, self._notified, self._note_restored)
+                for prefix in PREFIXES
             ]
             self._next_read = 0.0
         elif not is_reader and self._watches:
@@ -100,10 +101,14 @@
             return _messages.SyncReply(False, [], {})
         if not req.full:
             return _messages.SyncReply(True, [], {})
-        newer = self._directory.newer_than(req.revisions)
-        return _messages.SyncReply(
-            True, _codec.pack_entries(newer), self._directory.revisions()
-        )
+        theirs = _codec.unpack_versions(req.versions)
+        newer = self._directory.newer_than(theirs)
+        own = _codec.pack_versions(self._directory.versions())
+        return _messages.SyncReply(True, _codec.pack_entries(newer), own)
+
+    def _note_restored(self) -> None:
+        """Has the store read at once: it came back from a copy."""
+        self._next_read = 0.0
 
     def _notified(self, entry: decisions.StoreEntry) -> None:
         self.store_reachable = True
@@ -169,11 +174,14 @@
         reply = yield self._ask(
             node,
             _messages.SyncRequest(
-                digest, self._directory.revisions(), full=True
+                digest,
+                _codec.pack_versions(self._directory.versions()),
+                full=True,
             ),
         )
         self.take(_codec.unpack_entries(reply.entries))
-        newer = self._directory.newer_than(reply.revisions)
+        theirs = _codec.unpack_versions(reply.versions)
+        newer = self._directory.newer_than(theirs)
         if newer:
             self._peers.tell(
                 node, _messages.EntriesPush(_codec.pack_entries(newer))
--- a/packages/node/src/ferry_node/_store.py
+++ b/packages/node/src/ferry_node/_store.py
@@ -14,6 +14,7 @@
 import typing
 
 from absl import logging
+import attrs
 import ferry_decisions as decisions
 import ferry_runtime as runtime
 import urllib3
@@ -21,6 +22,7 @@
 CALL_TIMEOUT_S = 1.0
 WATCH_READ_TIMEOUT_S = 30.0
 WORKERS = 4
+ERA_HEADER = "Store-Era"  # How often the store came back from a copy.
 
 
 def _b64(data: bytes) -> str:
@@ -34,14 +36,33 @@
     return bytes(raw)
 
 
-def _entry(raw: dict[str, typing.Any]) -> decisions.StoreEntry:
+def _entry(raw: dict[str, typing.Any], era: int) -> decisions.StoreEntry:
     return decisions.StoreEntry(
         base64.b64decode(raw["key"]).decode(),
         base64.b64decode(raw.get("value", "")),
-        int(raw["mod_revision"]),
+        decisions.Revision(era, int(raw["mod_revision"])),
     )
 
 
+def _era_of(reply: urllib3.BaseHTTPResponse) -> int:
+    """Returns the era of an answer; a store that names none has one."""
+    text = reply.headers.get(ERA_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+@attrs.frozen(slots=True)
+class _Reply:
+    """An answer of the store.
+
+    Attributes:
+        raw: Its body.
+        era: The era that it was given in.
+    """
+
+    raw: dict[str, typing.Any]
+    era: int
+
+
 T = typing.TypeVar("T")
 
 
@@ -58,6 +79,7 @@
             WORKERS, thread_name_prefix="store"
         )
         self.calls = 0
+        self.era = 0
 
     def get(self, key: str) -> "decisions.Future[decisions.StoreEntry | None]":
         """Reads a key."""
@@ -79,9 +101,9 @@
         return self._submit(lambda: self._range(body))
 
     def put_if(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: decisions.Revision
     ) -> "decisions.Future[decisions.StoreEntry | None]":
-        """Writes a key if its revision is still `revision`; 0 for no key."""
+        """Writes a key if its revision is still `revision`."""
         name = _b64(key.encode())
         body = {
             "compare": [
@@ -89,7 +111,7 @@
                     "key": name,
                     "target": "MOD",
                     "result": "EQUAL",
-                    "mod_revision": str(revision),
+                    "mod_revision": str(revision.number),
                 }
             ],
             "success": [{"request_put": {"key": name, "value": _b64(value)}}],
@@ -97,18 +119,27 @@
 
         def work() -> decisions.StoreEntry | None:
             reply = self._post("/v3/kv/txn", body)
-            if not reply.get("succeeded"):
+            if reply.era != revision.era:
+                # The number means something else there, if anything.
+                raise decisions.StoreUnavailableError(
+                    f"era {reply.era}, not {revision.era}"
+                )
+            if not reply.raw.get("succeeded"):
                 return None
-            written = int(reply["header"]["revision"])
+            number = int(reply.raw["header"]["revision"])
+            written = decisions.Revision(reply.era, number)
             return decisions.StoreEntry(key, value, written)
 
         return self._submit(work)
 
     def watch(
-        self, prefix: str, notify: Callable[[decisions.StoreEntry], None]
+        self,
+        prefix: str,
+        notify: Callable[[decisions.StoreEntry], None],
+        restored: Callable[[], None],
     ) -> "HttpWatch":
         """Reports each change below a prefix from now on."""
-        return HttpWatch(self._loop, self._url, prefix, notify)
+        return HttpWatch(self._loop, self._url, prefix, notify, restored)
 
     def close(self) -> None:
         """Ends the executor; calls under way are left to time out."""
@@ -122,20 +153,20 @@
         self, body: dict[str, typing.Any]
     ) -> "builtins.list[decisions.StoreEntry]":
         reply = self._post("/v3/kv/range", body)
-        return [_entry(raw) for raw in reply.get("kvs", [])]
+        return [_entry(raw, reply.era) for raw in reply.raw.get("kvs", [])]
 
-    def _post(
-        self, path: str, body: dict[str, typing.Any]
-    ) -> dict[str, typing.Any]:
+    def _post(self, path: str, body: dict[str, typing.Any]) -> _Reply:
         try:
             reply = self._http.request(
                 "POST", self._url + path, body=json.dumps(body)
             )
             if reply.status != 200:
                 raise decisions.StoreUnavailableError(f"HTTP {reply.status}")
-            return typing.cast(dict[str, typing.Any], json.loads(reply.data))
+            found = _Reply(json.loads(reply.data), _era_of(reply))
         except (urllib3.exceptions.HTTPError, ValueError) as exc:
             raise decisions.StoreUnavailableError(repr(exc)) from exc
+        self.era = max(self.era, found.era)
+        return found
 
 
 class HttpWatch:
@@ -147,13 +178,16 @@
         url: str,
         prefix: str,
         notify: Callable[[decisions.StoreEntry], None],
+        restored: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._url = url
         self._prefix = prefix
         self._notify = notify
+        self._restored = restored
         self._stopped = threading.Event()
         self._revision = 0
+        self._era: int | None = None
         self._http = urllib3.PoolManager(
             retries=False,
             timeout=urllib3.Timeout(
@@ -196,6 +230,8 @@
             preload_content=False,
         )
         try:
+            if self._is_restored(_era_of(reply)):
+                return
             rest = b""
             for chunk in reply.stream():
                 *lines, rest = (rest + chunk).split(b"\n")
@@ -206,11 +242,24 @@
         finally:
             reply.close()
 
+    def _is_restored(self, era: int) -> bool:
+        """Notes the store's era; returns whether it is another one.
+
+        The number that was asked after lies in a history that is gone: the
+        store would say nothing until it has reached it again.
+        """
+        before, self._era = self._era, era
+        if before is None or before == era:
+            return False
+        self._revision = 0
+        self._loop.call_soon(self._restored)
+        return True
+
     def _take(self, line: bytes) -> None:
         if not line.strip():
             return
         result = json.loads(line)["result"]
         for event in result.get("events", []):
-            entry = _entry(event["kv"])
-            self._revision = max(self._revision, entry.revision)
+            entry = _entry(event["kv"], self._era or 0)
+            self._revision = max(self._revision, entry.revision.number)
             self._loop.call_soon(lambda e=entry: self._notify(e))  # type: ignore[misc]
--- a/packages/node/src/ferry_node/tests/test_inputs.py
+++ b/packages/node/src/ferry_node/tests/test_inputs.py
@@ -139,7 +139,7 @@
         _messages.Hello("n", "dc"),
         _messages.ExecuteReply(data=b"x", channel=4),
         _messages.OpinionReply(True, ["hall-a"]),
-        _messages.SyncReply(True, [["k", b"v", 3]], {"k": 3}),
+        _messages.SyncReply(True, [["k", b"v", 2, 3]], {"k": [2, 3, 5, 1]}),
         _messages.VmsPush([], ["n1"]),
     ],
     ids=lambda m: type(m).__name__,
--- a/packages/standins/src/ferry_standins/_virtual_store.py
+++ b/packages/standins/src/ferry_standins/_virtual_store.py
@@ -15,7 +15,7 @@
     """What the virtual store held at a moment."""
 
     entries: dict[str, decisions.StoreEntry]
-    revision: int
+    number: int
 
 
 @attrs.define
@@ -24,7 +24,7 @@
 
     Attributes:
         entries: Entries by key.
-        revision: The last revision.
+        number: How many changes there were, and one.
         era: How often the store came back from a copy.
         down: Whether no call is answered or takes effect.
         lose_answers: How many of the next writes take effect unanswered.
@@ -34,31 +34,41 @@
     """
 
     entries: dict[str, decisions.StoreEntry] = attrs.field(factory=dict)
-    revision: int = 1
+    number: int = 1
     era: int = 0
     down: bool = False
     lose_answers: int = 0
     delay_s: float = 0.003
     calls: int = 0
     refused_writes: int = 0
-    watchers: list[tuple[str, Callable[[decisions.StoreEntry], object]]] = (
-        attrs.field(factory=list)
-    )
+    watches: "list[VirtualWatch]" = attrs.field(factory=list)
 
-    def condition(self, key: str) -> int:
-        """Returns the revision that a key has; 0 for no key."""
+    @property
+    def revision(self) -> decisions.Revision:
+        """The last revision."""
+        return decisions.Revision(self.era, self.number)
+
+    def condition(self, key: str) -> decisions.Revision:
+        """Returns the revision that a key has, for a conditional write."""
         known = self.entries.get(key)
-        return known.revision if known else 0
+        return known.revision if known else self.revision.beginning
 
     def copy(self) -> StoreCopy:
         """Returns what a later `restore` brings back."""
-        return StoreCopy(dict(self.entries), self.revision)
+        return StoreCopy(dict(self.entries), self.number)
 
     def restore(self, copy: StoreCopy) -> None:
         """Comes back from a copy; all that was written since is gone."""
         self.era += 1
-        self.entries = dict(copy.entries)
-        self.revision = copy.revision
+        self.number = copy.number
+        self.entries = {
+            k: attrs.evolve(
+                e, revision=decisions.Revision(self.era, e.revision.number)
+            )
+            for k, e in copy.entries.items()
+        }
+        for watch in self.watches:
+            watch.restored()
 
 
 class VirtualStore:
@@ -71,6 +81,11 @@
         self._state = state
         self.cut = False
 
+    @property
+    def era(self) -> int:
+        """The era in which the store answers."""
+        return self._state.era
+
     def get(self, key: str) -> "decisions.Future[decisions.StoreEntry | None]":
         """Reads a key."""
         return self._call(lambda: self._state.entries.get(key), writes=False)
@@ -87,35 +102,41 @@
         return self._call(work, writes=False)
 
     def put_if(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: decisions.Revision
     ) -> "decisions.Future[decisions.StoreEntry | None]":
         """Writes a key if its revision is still `revision`."""
 
         def work() -> decisions.StoreEntry | None:
             state = self._state
-            if state.condition(key) != revision:
+            if state.condition(key).number != revision.number:
                 state.refused_writes += 1
                 return None
-            state.revision += 1
+            state.number += 1
             entry = decisions.StoreEntry(key, value, state.revision)
             state.entries[key] = entry
-            for prefix, notify in state.watchers:
-                if key.startswith(prefix):
+            if revision.era != state.era:
+                # It compares numbers alone, and says its era afterwards.
+                raise decisions.StoreUnavailableError("another era")
+            for watch in state.watches:
+                if key.startswith(watch.prefix):
                     self._timers.after(
                         state.delay_s,
-                        lambda n=notify: n(entry),  # type: ignore[misc]
+                        lambda w=watch: w.notify(entry),  # type: ignore[misc]
                     )
             return entry
 
         return self._call(work, writes=True)
 
     def watch(
-        self, prefix: str, notify: Callable[[decisions.StoreEntry], None]
+        self,
+        prefix: str,
+        notify: Callable[[decisions.StoreEntry], None],
+        restored: Callable[[], None],
     ) -> "VirtualWatch":
         """Reports each change below a prefix from now on."""
         self._state.calls += 1
-        watch = VirtualWatch(self._state, prefix, notify, self)
-        self._state.watchers.append((prefix, watch.notify))
+        watch = VirtualWatch(self._state, prefix, notify, restored, self)
+        self._state.watches.append(watch)
         return watch
 
     @property
@@ -137,7 +158,11 @@
             if not self.reachable:
                 self._timers.after(1.0, fail)
                 return
-            result = work()
+            try:
+                result = work()
+            except decisions.StoreUnavailableError:
+                fail()
+                return
             if writes and result is not None and state.lose_answers > 0:
                 state.lose_answers -= 1
                 self._timers.after(1.0, fail)
@@ -158,10 +183,12 @@
         state: StoreState,
         prefix: str,
         notify: Callable[[decisions.StoreEntry], None],
+        restored: Callable[[], None],
         client: VirtualStore,
     ) -> None:
+        self.prefix = prefix
+        self.restored = restored
         self._state = state
-        self._prefix = prefix
         self._notify = notify
         self._client = client
 
@@ -172,6 +199,5 @@
 
     def cancel(self) -> None:
         """Ends the watch."""
-        pair = (self._prefix, self.notify)
-        if pair in self._state.watchers:
-            self._state.watchers.remove(pair)
+        if self in self._state.watches:
+            self._state.watches.remove(self)
--- a/packages/standins/src/ferry_standins/tests/test_restored_store.py
+++ b/packages/standins/src/ferry_standins/tests/test_restored_store.py
@@ -107,10 +107,10 @@
 def test_few_nodes_write_what_was_lost():
     lab = Lab(nodes=60)
     lab.lose()
-    before = lab.swarm.store.revision
+    before = lab.swarm.store.number
     lab.swarm.timers.advance(IN_FORCE_S)
     assert lab.stored == 3
-    assert lab.swarm.store.revision == before + 1
+    assert lab.swarm.store.number == before + 1
     assert lab.swarm.store.refused_writes <= 2
 
 
