PostgreSQL side: nodes write again what the store lost of theirs

What callers saw: an operator was told that a contract is in force; after the store came back from a copy its change was refused as a conflict, a node that started later had the older contract, and the record of who changed it was gone. Cause: contracts, their audit records and the records of who leads are written by nodes, and nobody else writes them again; the interface of operators looked at the store alone. Class: an acknowledgement that only the store remembers.

The readers of the store compare what it lists in a new era with what they know of an earlier one, by the counts that grow, and write what is behind, under the revision that they just read; each waits for its own share of two seconds, so that one writes and the others find it done. A change is judged against the newer one of what the store and the node know. One whose answer was lost is not called a conflict because an older state came back: its outcome is unknown. Why this holds: what was acknowledged was published to other nodes before the answer, and entries without a count, or of the present era, are left to whoever writes them.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -171,6 +171,7 @@
     from ferry_decisions._versions import Rank as Rank
     from ferry_decisions._versions import Version as Version
     from ferry_decisions._versions import lost_entries as lost_entries
+    from ferry_decisions._versions import newest as newest
     from ferry_decisions._watch import DatabaseWatch as DatabaseWatch
     from ferry_decisions._watch import WatchContext as WatchContext
     from ferry_decisions._watch import WatchSettings as WatchSettings
@@ -298,7 +299,7 @@
         "TimerService",
         "VirtualTimers",
     ],
-    "_versions": ["Rank", "Version", "lost_entries"],
+    "_versions": ["Rank", "Version", "lost_entries", "newest"],
     "_watch": ["DatabaseWatch", "WatchContext", "WatchSettings"],
 }
 __all__ = sorted(n for names in _NAMES.values() for n in names)
--- a/packages/decisions/src/ferry_decisions/_versions.py
+++ b/packages/decisions/src/ferry_decisions/_versions.py
@@ -92,6 +92,15 @@
     return Version(entry.revision, rank_of(entry))
 
 
+def newest(
+    one: _ports.StoreEntry | None, other: _ports.StoreEntry | None
+) -> _ports.StoreEntry | None:
+    """Returns the newer one of two states of an entry."""
+    if one is None or other is None:
+        return one or other
+    return other if version_of(other).replaces(version_of(one)) else one
+
+
 def lost_entries(
     held: list[_ports.StoreEntry],
     listed: dict[str, _ports.StoreEntry],
--- a/packages/node/src/ferry_node/_contracts_api.py
+++ b/packages/node/src/ferry_node/_contracts_api.py
@@ -9,6 +9,7 @@
 import ferry_decisions as decisions
 import ferry_runtime as runtime
 
+from ferry_node import _audits
 from ferry_node import _auth
 
 if typing.TYPE_CHECKING:
@@ -17,7 +18,6 @@
 WAIT_S = 8.0
 READ_BACK_TRIES = 4
 READ_BACK_PAUSE_S = 0.3
-AUDIT_PREFIX = "audit/"
 MAX_HISTORY = 50
 SALT_BYTES = 16
 
@@ -94,7 +94,7 @@
 
     def history(self, customer: str) -> list[typing.Any]:
         """Returns the audit records of a customer's contract, newest first."""
-        prefix = f"{AUDIT_PREFIX}{customer}/"
+        prefix = _audits.prefix_of(customer)
         entries = self._run(lambda: self._list(prefix))
         records = [json.loads(e.value) for e in entries]
         records.sort(key=lambda r: int(r["version"]), reverse=True)
@@ -143,7 +143,11 @@
         revision = decisions.Revision(self._node.store.era)
         if entry is not None:
             revision = entry.revision
-            current = decisions.contract_from_json(json.loads(entry.value))
+        # The store may have come back from a copy that lacks what an operator
+        # was told is in force.
+        newest = decisions.newest(entry, self._node.directory.get(key))
+        if newest is not None:
+            current = decisions.contract_from_json(json.loads(newest.value))
         change_id = change.change_id or secrets.token_hex(8)
         if current is not None and current.change_id == change_id:
             return current
@@ -186,7 +190,8 @@
                 found = decisions.contract_from_json(json.loads(entry.value))
                 if found.change_id == change_id:
                     return typing.cast(decisions.StoreEntry, entry)
-                raise _conflict(entry)
+                if entry.revision.era == revision.era:
+                    raise _conflict(entry)
         raise ApiError(
             504,
             "unknown",
@@ -195,12 +200,10 @@
 
     def _audit(self, contract: decisions.Contract) -> "decisions.Flow[None]":
         """Keeps who changed what; a failure does not undo the change."""
-        key = f"{AUDIT_PREFIX}{contract.customer}/{contract.version:08d}"
-        shown = decisions.unstructure(contract)
-        shown["logins"] = [login.name for login in contract.logins]
+        record = _audits.record_of(contract)
+        new = decisions.Revision(self._node.store.era)
         try:
-            new = decisions.Revision(self._node.store.era)
-            yield self._node.store.put_if(key, json.dumps(shown).encode(), new)
+            yield self._node.store.put_if(record.key, record.value, new)
         except decisions.StoreUnavailableError:
             return
 
--- a/packages/node/src/ferry_node/_spread.py
+++ b/packages/node/src/ferry_node/_spread.py
@@ -17,6 +17,7 @@
 from ferry_node import _codec
 from ferry_node import _entry
 from ferry_node import _messages
+from ferry_node import _restoring
 from ferry_node import _settings
 
 COMPARE_S = 2.0
@@ -53,6 +54,7 @@
         self._peers = peers
         self._random = random.Random(cfg.node)
         self._watches: list[decisions.StoreWatch] = []
+        self._restorer = _restoring.Restorer(timers, cfg.node, store, directory)
         self._reading = False
         self._failures = 0
         self._next_read = 0.0
@@ -153,9 +155,12 @@
             logging.warning("event=store_unavailable detail=%s", exc)
 
     def _read(self) -> "decisions.Flow[None]":
+        listed: dict[str, decisions.StoreEntry] = {}
         for prefix in PREFIXES:
             entries = yield self._store.list(prefix)
             self.take(entries)
+            listed.update({e.key: e for e in entries})
+        self._restorer.look(listed)
 
     def _compare(self) -> None:
         others = self._others()
--- a/packages/standins/src/ferry_standins/tests/test_restored_store.py
+++ b/packages/standins/src/ferry_standins/tests/test_restored_store.py
@@ -7,6 +7,7 @@
 next primary was claimed at terms that members had promised before.
 """
 
+import concurrent.futures
 import json
 
 import ferry_decisions as decisions
@@ -110,7 +111,9 @@
     before = lab.swarm.store.number
     lab.swarm.timers.advance(IN_FORCE_S)
     assert lab.stored == 3
-    assert lab.swarm.store.number == before + 1
+    written = set(lab.swarm.store.entries) - set(lab.copy.entries)
+    assert written == {f"audit/{CUSTOMER}/{3:08d}"}
+    assert lab.swarm.store.number == before + 2  # With the contract itself.
     assert lab.swarm.store.refused_writes <= 2
 
 
@@ -200,3 +203,28 @@
         return shown[0]["version"] if status == 200 else 0
 
     helpers.eventually(lambda: newest() == 1 + lost, seconds=IN_FORCE_S)
+
+
+def test_a_change_whose_answer_the_restore_took_is_not_called_a_conflict(
+    own_fleet,
+):
+    """It took effect, was lost by the store, and is written again by nodes."""
+    fleet = own_fleet
+    assert test_admin.create(fleet, "unsure")[0] == 200
+    copy = fleet.kv.state.copy()
+    fleet.kv.faults.lose_answers = 1
+    body = {**test_admin.DOCUMENT, "logins": ["clerk"], "share": 9}
+    headers = {"If_Match": '"1"', "Idempotency_Key": "once"}
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(
+            test_admin.call,
+            fleet,
+            "PUT",
+            "/v1/contracts/unsure",
+            body,
+            **headers,
+        )
+        helpers.eventually(lambda: fleet.kv.state.revision > copy.revision)
+        fleet.kv.state.restore(copy)
+        status, shown = fut.result()
+    assert (status, shown["error"]) == (504, "unknown")
