PostgreSQL side: a primary is claimed above the term that the node knows

What callers saw: orders without an answer for longer while a primary was replaced, 0.12 s for each change of primary that the store had lost. Cause: the next term was counted on from the store's record, although the node's own was newer; members had promised those terms and refused each claim until the store had counted past them. No promise was broken: members keep what they promised.

The claim counts on from the newer of the two, which is the node's own wherever the store's is not newer (then another node's change is followed, as before). Why this holds: a record's term only grows, and the condition of the write is still the revision that the store has now.

--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -157,6 +157,9 @@
             revision = entry.revision
         if current.newer_than(known):
             raise ClaimLostError(current)
+        # A store that came back from a copy lacks the last terms; members
+        # promised them, and refuse what is claimed at one again.
+        current = known
         claim = attrs.evolve(
             current,
             term=current.term + 1,
