--- a/packages/ctl/src/ferry_ctl/_explain.py
+++ b/packages/ctl/src/ferry_ctl/_explain.py
@@ -25,6 +25,7 @@
         "DependencyLost",
         "DependencyBack",
         "ConfigurationTaken",
+        "StoreRestored",
         "NodeStarted",
         "NodeStopping",
         "Ready",
