A team's new home begins its bucket with little after a change of homes

What operators saw: a team got more than its limit, up to the size of its burst, while it sent several times as much. Cause: homes are dealt out by the teams' limits, so each change of any limit moves teams; the new home took itself for the old one and filled the bucket for all the time since its nodes were planned: a second full burst beside the one that was spent. Class: a right counted from when a place was assigned, not from when it was taken over.

A node notes which teams come to be at home with it when the homes change, and begins their buckets with part of what is borne over a limit, as who stands in for a lost home does; more comes in 0.3 s later, since the home before may not have heard yet; nothing to begin with where homes changed within the span before.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -24,6 +24,8 @@
 
 ASK_S = 0.1  # Many network trips; a keeper that says nothing is passed over.
 UNUSED_S = 5.0  # A bucket of which nothing was taken for so long is dropped.
+OVERLAP_S = 0.3  # Most nodes that the store turns away have heard of a change
+# from peers by then; until then the home before may give out the rate, too.
 SPARE_S = 1.0  # For so long tokens that were given in advance may be used.
 PLENTY = 0.5  # Of a burst: above it, a keeper gives tokens in advance.
 ADVANCE = 4  # Tokens at once. 4 in the hands of each of 81 nodes are more than
@@ -60,6 +62,19 @@
     until: float
 
 
+@attrs.frozen(slots=True)
+class _Arrival:
+    """A team that came to be at home at this node.
+
+    Attributes:
+        tokens: What its bucket began with.
+        at: From when on more comes in, in the clock's seconds.
+    """
+
+    tokens: float
+    at: float
+
+
 @attrs.frozen(slots=True)
 class AllowanceContext:
     """What allowances are decided by.
@@ -108,6 +123,9 @@
         self._buckets: dict[str, _limits.Bucket] = {}
         self._advances: dict[str, _Advance] = {}
         self._used: dict[str, float] = {}
+        self._homes = ctx.homes()
+        self._arrivals: dict[str, _Arrival] = {}
+        self._dealt_at = -math.inf
         self._share = 1.0
 
     @property
@@ -173,12 +191,52 @@
         limit_s = ctx.policy.isolated_s
         heard = {n for n, s in ctx.streams().items() if s.silence_s < limit_s}
         self._share = _limits.share_in_reach(ctx.own, heard, ctx.nodes())
+        self._note_homes()
         for team, used in list(self._used.items()):
             if now - used > UNUSED_S:
                 del self._used[team]
                 self._buckets.pop(team, None)
                 self._advances.pop(team, None)
 
+    def _note_homes(self) -> None:
+        """Begins buckets of teams that have come to be at home here.
+
+        Each change of a limit deals the teams out anew. Whoever kept a bucket
+        before has given out its burst; with a full one here, 559 operations
+        in 5 s passed where 548 were allowed.
+        """
+        homes = self._ctx.homes()
+        before, self._homes = self._homes, homes
+        if homes is before or not before.rates:
+            return
+        now = self._ctx.clock.now()
+        names = self._ctx.keepers().names
+        own = self._ctx.own.name
+        for team in homes.rates:
+            is_here = bool(names) and homes.home(team, names) == own
+            if is_here and before.home(team, names) != own:
+                self._begin_bucket(team, now)
+        self._dealt_at = now
+
+    def _begin_bucket(self, team: str, now: float) -> None:
+        """Begins a bucket with little; with nothing soon after the last one."""
+        arrival = _Arrival(0.0, now)
+        if now - self._dealt_at >= self._ctx.policy.limit_window_s:
+            little = self._little(self._ctx.limit_of(team))
+            arrival = _Arrival(little, now + OVERLAP_S)
+        self._arrivals[team] = arrival
+        self._buckets[team] = _limits.Bucket(arrival.tokens, arrival.at)
+        self._used[team] = now
+
+    def _little(self, limit: _teams.Limit) -> float:
+        policy = self._ctx.policy
+        return _limits.first_tokens(
+            limit,
+            policy.limit_window_s,
+            policy.limit_overage,
+            policy.limit_slack,
+        )
+
     def _heard_keeper(self, team: str) -> _peers.Peer | None:
         """Returns the stream to a team's keeper; None where it is this node.
 
@@ -218,6 +276,7 @@
         return AllowanceReply(0, min(left_s, self._ctx.policy.limit_window_s))
 
     def _refilled(self, team: str, limit: _teams.Limit) -> _limits.Bucket:
+        self._note_homes()
         now = self._ctx.clock.now()
         self._used[team] = now
         bucket = self._buckets.get(team)
@@ -235,20 +294,18 @@
         The team's own keeper has been filling it for as long as it has been
         that. Whoever stands in for it cannot know what it gave out.
         """
-        policy = self._ctx.policy
-        tokens = _limits.first_tokens(
-            limit,
-            policy.limit_window_s,
-            policy.limit_overage,
-            policy.limit_slack,
-        )
+        tokens = self._little(limit)
         keepers = self._ctx.keepers()
         if not keepers.names:
             return tokens, now
         home = self._ctx.homes().home(team, keepers.names)
-        if home == self._ctx.own.name:
-            return tokens, max(self._begun, keepers.since)
-        return tokens, now
+        if home != self._ctx.own.name:
+            return tokens, now
+        since = max(self._begun, keepers.since)
+        arrival = self._arrivals.get(team)
+        if arrival is not None and arrival.at > since:
+            return arrival.tokens, arrival.at
+        return tokens, since
 
 
 def _refused(team: str, retry_after_s: float) -> decisions.RequestFailedError:
--- a/packages/proxy/src/ferry_proxy/_limits.py
+++ b/packages/proxy/src/ferry_proxy/_limits.py
@@ -32,7 +32,8 @@
 
     Attributes:
         tokens: Operations that may begin now.
-        at: When that was so, in the clock's seconds.
+        at: When that was so, in the clock's seconds; later than now where
+            nothing comes in yet.
     """
 
     tokens: float
@@ -46,9 +47,9 @@
             share: The part of it that this node may give out.
             now: The time.
         """
-        gained = (now - self.at) * limit.rate_per_s * share
+        gained = max(0.0, now - self.at) * limit.rate_per_s * share
         self.tokens = min(limit.burst * share, self.tokens + gained)
-        self.at = now
+        self.at = max(now, self.at)
 
     def take(self, count: int) -> int:
         """Takes up to so many whole tokens; returns how many."""
--- a/packages/proxy/src/ferry_proxy/tests/test_limits.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_limits.py
@@ -136,6 +136,7 @@
         self.clock = decisions.VirtualTimers()
         self.limit = LIMIT
         self.homes = _homes.Homes({"t1": LIMIT.rate_per_s})
+        self.late_homes = {}  # Of nodes that know an older configuration.
         self.cut = set()
         self.down = set()
         self.nodes = {}
@@ -157,7 +158,7 @@
                 own=NODES[name],
                 limit_of=lambda _: self.limit,
                 keepers=lambda: _allowances.Keepers(tuple(NODES), 0.0),
-                homes=lambda: self.homes,
+                homes=lambda: self.late_homes.get(name, self.homes),
                 nodes=lambda: NODES,
                 streams=functools.partial(self._streams, name),
             )
@@ -236,10 +237,15 @@
             fleet.clock.after(1.0, lambda: _lose(fut, self.peer))
             return fut
         reply = fleet.nodes[self.peer].answer(body.team)
+        if not isinstance(reply, decisions.Future):
+            reply = decisions.completed(reply)
+        reply.add_done_callback(lambda f: self._carry(f.result(), fut))
+        return fut
+
+    def _carry(self, reply, fut):
         data = _peer_messages.encode(1, reply)
         body = _peer_messages.Decoder().feed(data)[0].body
-        fleet.clock.after(2 * NET_S, lambda: fut.set_result(body))
-        return fut
+        self._fleet.clock.after(2 * NET_S, lambda: fut.set_result(body))
 
 
 def _lose(fut, peer):
@@ -357,7 +363,8 @@
     fleet = Fleet()
     keeper = fleet.home("t1", ALL)
     other = next(n for n in ALL if n != keeper)
-    fleet.nodes[other].answer("t1")  # It stood in for the keeper before.
+    # It stood in for the keeper before.
+    fleet.nodes[other].answer("t1")
     for _ in range(200):
         fleet.ask(other, "t1")
         fleet.clock.advance(0.02)
@@ -382,7 +389,7 @@
     """
     for number in range(1000):
         homes = _homes.Homes({"t1": LIMIT.rate_per_s, f"x{number}": 900.0})
-        if homes.home("t1", NODES) not in than:
+        if homes.home("t1", NODES) != than:
             return homes
     raise AssertionError("none found")
 
@@ -393,10 +400,8 @@
     """As each change of a limit does; the new homes had a full burst each."""
     fleet = Fleet()
     fleet.flood("t1", 500.0, 1.0, ALL)
-    before = [fleet.home("t1", ALL)]
     for _ in range(changes):
-        fleet.homes = homes_elsewhere(before)
-        before.append(fleet.home("t1", ALL))
+        fleet.homes = homes_elsewhere(fleet.home("t1", ALL))
         fleet.flood("t1", 500.0, gap_s, ALL)
     fleet.flood("t1", 500.0, 6.0, ALL)
     assert fleet.most("t1") <= bound()
@@ -417,3 +422,19 @@
         fleet.flood("t1", 500.0, 0.4, ALL)
     fleet.flood("t1", 500.0, 5.0, ALL)
     assert fleet.most("t1") <= bound()
+
+
+@pytest.mark.parametrize("gap_s", [0.5, 2.0, 6.0])
+def test_a_change_of_homes_costs_little_below_the_limit(gap_s):
+    """A new home begins with little: 9 of 1,281 are refused, none before.
+
+    In four changes, at 0.62 of the limit's rate; 0 of 1,180 where a window
+    lies between two.
+    """
+    fleet = Fleet()
+    for _ in range(4):
+        fleet.homes = homes_elsewhere(fleet.home("t1", ALL))
+        fleet.flood("t1", LIMIT.rate_per_s / 1.6, gap_s, ALL)
+    fleet.flood("t1", LIMIT.rate_per_s / 1.6, 18.0 - 4 * gap_s + 6.0, ALL)
+    let_through = len(fleet.let_through["t1"])
+    assert fleet.refused["t1"] <= 0.03 * let_through
