--- a/packages/proxy/src/ferry_proxy/tests/test_limits.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_limits.py
@@ -424,6 +424,41 @@
     assert fleet.most("t1") <= bound()
 
 
+def flood_beside_late_nodes(fleet, late, late_s, seed):
+    """Floods a fleet in which some nodes hear later of a change of homes."""
+    fleet.flood("t1", 500.0, 3.0, ALL)
+    fleet.late_homes = dict.fromkeys(late, fleet.homes)
+    fleet.homes = homes_elsewhere(fleet.home("t1", ALL))
+    rng = random.Random(seed)
+    end = fleet.clock.now() + late_s
+    while fleet.clock.now() < end:
+        fleet.clock.advance(rng.expovariate(500.0))
+        fleet.ask(rng.choice(ALL), "t1")
+    fleet.late_homes = {}
+    fleet.flood("t1", 500.0, 6.0, ALL)
+
+
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("late_s", [0.2, 0.5])
+def test_a_flood_while_nodes_know_different_homes(seed, late_s):
+    """The old home is among those that hear later, or not."""
+    fleet = Fleet()
+    late = random.Random(seed).sample(ALL, 4)
+    flood_beside_late_nodes(fleet, late, late_s, seed)
+    assert fleet.most("t1") <= bound()
+
+
+@pytest.mark.parametrize("late_s", [1.0, 3.0])
+def test_nodes_that_hear_late_are_counted_by_the_new_home(late_s):
+    """They ask the old one, which knows; it gave them the rate once more."""
+    fleet = Fleet()
+    old = fleet.home("t1", ALL)
+    new = homes_elsewhere(old).home("t1", ALL)
+    late = [n for n in ALL if n not in (old, new)][:4]
+    flood_beside_late_nodes(fleet, late, late_s, seed=1)
+    assert fleet.most("t1") <= bound()
+
+
 @pytest.mark.parametrize("gap_s", [0.5, 2.0, 6.0])
 def test_a_change_of_homes_costs_little_below_the_limit(gap_s):
     """A new home begins with little: 9 of 1,281 are refused, none before.
