A node that is asked for a team that is at home elsewhere asks there

What operators saw: a team got more than its limit while some nodes had an older configuration than others. Cause: whoever was asked answered from a bucket of its own, though by its own configuration the team's home was another node; two buckets gave out one limit. Class: answering for what one knows oneself not to keep.

It asks the home, once: what was passed on is answered by whoever gets it, so that two nodes with different views do not ask each other for ever. It costs a network trip for such requests alone.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -35,9 +35,16 @@
 @_peer_messages.message("allow?")
 @attrs.frozen(slots=True, repr=False)
 class AllowanceRequest:
-    """Asks a team's keeper whether an operation may begin."""
+    """Asks a team's keeper whether an operation may begin.
+
+    Attributes:
+        team: The team.
+        is_passed_on: Whether a node sends it that was asked itself; it is
+            answered by whoever gets it then.
+    """
 
     team: str
+    is_passed_on: bool
 
 
 @_peer_messages.message("allow")
@@ -175,8 +182,28 @@
         if bucket is not None:
             bucket.tokens += 1  # The next refill cuts it to the burst.
 
-    def answer(self, team: str) -> AllowanceReply:
-        """Answers another node's request; gives more while there is plenty."""
+    def answer(
+        self, body: AllowanceRequest
+    ) -> "AllowanceReply | decisions.Future[AllowanceReply]":
+        """Answers another node's request; asks the team's keeper itself.
+
+        The other node may know another configuration, or not hear the keeper:
+        were it answered here, two nodes would give out one limit.
+        """
+        self._note_homes()
+        keeper = None if body.is_passed_on else self._heard_keeper(body.team)
+        if keeper is None:
+            return self._answer_here(body.team)
+        return decisions.start(self._pass_on(keeper, body.team))
+
+    def _pass_on(
+        self, keeper: _peers.Peer, team: str
+    ) -> "decisions.Flow[AllowanceReply]":
+        reply = yield from self._ask(keeper, team, is_passed_on=True)
+        return self._answer_here(team) if reply is None else reply
+
+    def _answer_here(self, team: str) -> AllowanceReply:
+        """Gives from this node's bucket; more while there is plenty."""
         limit = self._ctx.limit_of(team)
         if math.isinf(limit.rate_per_s):
             return AllowanceReply(ADVANCE, 0.0)
@@ -255,10 +282,10 @@
         return streams.get(ctx.homes().first(team, names, present))
 
     def _ask(
-        self, keeper: _peers.Peer, team: str
+        self, keeper: _peers.Peer, team: str, is_passed_on: bool = False
     ) -> "decisions.Flow[AllowanceReply | None]":
         """Asks a team's keeper; returns None where it does not answer."""
-        fut = keeper.call(AllowanceRequest(team))
+        fut = keeper.call(AllowanceRequest(team, is_passed_on))
         try:
             reply: object = yield decisions.within(self._ctx.clock, ASK_S, fut)
         except (decisions.TimeoutExpiredError, _peers.PeerLostError) as exc:
--- a/packages/proxy/src/ferry_proxy/_peer_desk.py
+++ b/packages/proxy/src/ferry_proxy/_peer_desk.py
@@ -127,8 +127,8 @@
     desk: PeerDesk,
     _: _peers.PeerStream,
     body: _allowances.AllowanceRequest,
-) -> _allowances.AllowanceReply:
-    return desk.allowances.answer(body.team)
+) -> "_allowances.AllowanceReply | decisions.Future[typing.Any]":
+    return desk.allowances.answer(body)
 
 
 @_handles(_forward_messages.RunRequest)
--- a/packages/proxy/src/ferry_proxy/tests/test_limits.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_limits.py
@@ -236,7 +236,7 @@
         if self.silence_s:
             fleet.clock.after(1.0, lambda: _lose(fut, self.peer))
             return fut
-        reply = fleet.nodes[self.peer].answer(body.team)
+        reply = fleet.nodes[self.peer].answer(body)
         if not isinstance(reply, decisions.Future):
             reply = decisions.completed(reply)
         reply.add_done_callback(lambda f: self._carry(f.result(), fut))
@@ -364,7 +364,7 @@
     keeper = fleet.home("t1", ALL)
     other = next(n for n in ALL if n != keeper)
     # It stood in for the keeper before.
-    fleet.nodes[other].answer("t1")
+    fleet.nodes[other].answer(_allowances.AllowanceRequest("t1", True))
     for _ in range(200):
         fleet.ask(other, "t1")
         fleet.clock.advance(0.02)
