A team's bucket takes in only while it is the one that is given from

What operators saw: a team got more than its limit through cuts that come and go. Cause: buckets are filled when they are next asked, by the part of the limit that is given out at that moment, for all the time since: a home that was cut off filled up, once it was back, as if nobody had stood in for it, and who stood in filled up while the home was back. Class: a rate that changes, applied to a time in which it was another one.

When a node's part of all limits changes, its buckets are filled up to then by the part that held; buckets of teams that are at home at a node that is heard take nothing in. Why this holds: over any time, what comes into all buckets of a team is at most its rate, plus what each begins with.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -217,14 +217,33 @@
         now = ctx.clock.now()
         limit_s = ctx.policy.isolated_s
         heard = {n for n, s in ctx.streams().items() if s.silence_s < limit_s}
-        self._share = _limits.share_in_reach(ctx.own, heard, ctx.nodes())
+        share = _limits.share_in_reach(ctx.own, heard, ctx.nodes())
+        if share != self._share:
+            self._change_share(share, now)
         self._note_homes()
+        self._rest_buckets(now)
         for team, used in list(self._used.items()):
             if now - used > UNUSED_S:
                 del self._used[team]
                 self._buckets.pop(team, None)
                 self._advances.pop(team, None)
 
+    def _change_share(self, share: float, now: float) -> None:
+        """Fills the buckets by the part that was given out until now.
+
+        Else a node that was cut off would fill them, once it is back, as if
+        nobody had stood in for it.
+        """
+        for team, bucket in self._buckets.items():
+            bucket.refill(self._ctx.limit_of(team), self._share, now)
+        self._share = share
+
+    def _rest_buckets(self, now: float) -> None:
+        """Lets nothing come into buckets that are kept elsewhere now."""
+        for team, bucket in self._buckets.items():
+            if self._heard_keeper(team) is not None:
+                bucket.at = max(bucket.at, now)
+
     def _note_homes(self) -> None:
         """Begins buckets of teams that have come to be at home here.
 
