--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -248,8 +248,8 @@
         """Begins buckets of teams that have come to be at home here.
 
         Each change of a limit deals the teams out anew. Whoever kept a bucket
-        before has given out its burst; with a full one here, 559 operations
-        in 5 s passed where 548 were allowed.
+        before may have given out its burst already; a full one here would be
+        a second burst.
         """
         homes = self._ctx.homes()
         before, self._homes = self._homes, homes
