--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -150,19 +150,17 @@
             READ_TIMEOUT_S,
             self._store.get(record_key(known.database)),
         )
-        current = known
         revision = _revisions.Revision(self._store.era)
         if entry is not None:
-            current = decode_record(entry.value)
+            stored = decode_record(entry.value)
+            if stored.newer_than(known):
+                raise ClaimLostError(stored)
             revision = entry.revision
-        if current.newer_than(known):
-            raise ClaimLostError(current)
-        # A store that came back from a copy lacks the last terms; members
-        # promised them, and refuse what is claimed at one again.
-        current = known
+        # Counted on from the node's own: a store that came back from a copy
+        # lacks the last terms, and members refuse what they promised before.
         claim = attrs.evolve(
-            current,
-            term=current.term + 1,
+            known,
+            term=known.term + 1,
             primary="",
             claimant=self._claimant,
             claim_id=self._claim_id,
--- a/packages/decisions/src/ferry_decisions/_versions.py
+++ b/packages/decisions/src/ferry_decisions/_versions.py
@@ -118,13 +118,20 @@
     return [
         entry
         for entry in held
-        if entry.revision.era < era
-        and rank_of(entry) > NO_RANK
-        and _is_behind(listed.get(entry.key), entry)
+        if entry.revision.era < era and _is_lost(entry, listed.get(entry.key))
     ]
 
 
-def _is_behind(
-    stored: _ports.StoreEntry | None, entry: _ports.StoreEntry
+def _is_lost(
+    entry: _ports.StoreEntry, stored: _ports.StoreEntry | None
 ) -> bool:
-    return stored is None or rank_of(stored) < rank_of(entry)
+    """Whether the store holds less than an entry that has a count.
+
+    Most came back unchanged, and are looked at in each read from then on: these
+    are not decoded.
+    """
+    if stored is not None and stored.value == entry.value:
+        return False
+    rank = rank_of(entry)
+    stored_rank = NO_RANK if stored is None else rank_of(stored)
+    return rank > stored_rank
--- a/packages/decisions/src/ferry_decisions/tests/test_versions.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_versions.py
@@ -103,4 +103,6 @@
     decoded: list[bytes] = []
     monkeypatch.setattr(json, "loads", decoded.append)
     directory.merge(known)
+    again = {known[-1].key: entry(2, 40, version=3)}
+    assert decisions.lost_entries([known[-1]], again, era=2) == []
     assert decoded == []
