Refusals that rest on the configuration are logged with their evidence

What callers saw: a confirmed route refused. A refused session left no line at all, so the hypotheses of the incident could not be told apart: which version decided, of which era, told by whom, how old the news of the store were, and whether a peer told of a newer one. A line and a gauge say so now. The configuration in force and its origin are a class of their own, out of the catalogue; behaviour is as before.

Tests: the line of a refusal, and of a session on an unknown database; both failed before, for there was no line.

--- a/packages/proxy/src/ferry_proxy/_access.py
+++ b/packages/proxy/src/ferry_proxy/_access.py
@@ -12,6 +12,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _configuration
+from ferry_proxy import _refusals
 from ferry_proxy import _teams
 
 SHOWN_DIGITS = 8  # Of a key's digest in messages: enough to tell keys apart.
@@ -24,10 +25,12 @@
     Attributes:
         has_teams: Whether callers belong to teams.
         configuration: Returns the configuration in force.
+        refusals: Makes refusals of what it does not allow.
     """
 
     has_teams: bool
     configuration: Callable[[], _configuration.Configuration | None]
+    refusals: _refusals.Refusals
 
     def identify(self, route: _configuration.Route, key: str) -> _teams.Caller:
         """Returns in whose name a caller's statement runs.
@@ -45,7 +48,7 @@
         digest = _teams.digest_of(key)
         team = cfg.teams.by_digest.get(digest)
         if team is None:
-            raise _refused(digest)
+            raise self._refused(digest)
         return _teams.Caller(team, digest, cfg.version)
 
     def confirm(self, caller: _teams.Caller) -> _teams.Caller:
@@ -63,12 +66,11 @@
             return caller
         team = cfg.teams.by_digest.get(caller.digest)
         if team is None:
-            raise _refused(caller.digest)
+            raise self._refused(caller.digest)
         return attrs.evolve(caller, team=team, version=cfg.version)
 
-
-def _refused(digest: bytes) -> decisions.RequestFailedError:
-    shown = digest.hex()[:SHOWN_DIGITS]
-    return decisions.RequestFailedError(
-        decisions.LOGIN_REFUSED, f"no team holds key {shown}"
-    )
+    def _refused(self, digest: bytes) -> decisions.RequestFailedError:
+        shown = digest.hex()[:SHOWN_DIGITS]
+        return self.refusals.of(
+            decisions.LOGIN_REFUSED, f"no team holds key {shown}"
+        )
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -15,6 +15,7 @@
 from ferry_proxy import _events
 from ferry_proxy import _grace
 from ferry_proxy import _homes
+from ferry_proxy import _in_force
 from ferry_proxy import _member_entries
 from ferry_proxy import _members
 from ferry_proxy import _policy
@@ -22,8 +23,6 @@
 from ferry_proxy import _store
 from ferry_proxy import _teams
 
-MAX_DETAIL = 400  # Characters of a log line on an item that was passed over.
-
 
 @attrs.frozen(slots=True)
 class Layout:
@@ -69,8 +68,7 @@
         revision: The store's revision up to which all changes are known.
         covered: The revision of the newest change that is known with all
             before it.
-        configuration: The configuration in force.
-        homes: Which node each team is at home at.
+        in_force: The configuration in force.
         grace: How long entries that are missing are still believed.
         nodes: The nodes by name.
         claims: The claims of the store's present era, by group.
@@ -103,9 +101,7 @@
         self._since = decisions.UNREAD
         self.revision = decisions.UNREAD
         self.covered = decisions.UNREAD
-        self.configuration: _configuration.Configuration | None = None
-        self._in_force: _store.Item | None = None
-        self.homes = _homes.Homes({})
+        self.in_force = _in_force.InForce(clock)
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
         self.era_seen_at = float("-inf")
@@ -142,10 +138,20 @@
         found = self.item(key)
         return found.revision if found else self.revision.beginning
 
+    @property
+    def configuration(self) -> _configuration.Configuration | None:
+        """The configuration in force; None before the first one."""
+        return self.in_force.configuration
+
     @property
     def version(self) -> int:
-        """The version of the configuration in force; 0 without one."""
-        return self.configuration.version if self.configuration else 0
+        """Its version; 0 without one."""
+        return self.in_force.version
+
+    @property
+    def homes(self) -> _homes.Homes:
+        """Which node each team is at home at."""
+        return self.in_force.homes
 
     def batch_after(
         self, revision: decisions.Revision, version: int = 0
@@ -170,8 +176,11 @@
     @property
     def _kept(self) -> _store.Item | None:
         """The configuration in force, if the store's copy is another one."""
+        origin = self.in_force.origin
         current = self._items.get(self._layout.configuration_key)
-        return None if current == self._in_force else self._in_force
+        if origin is None or current == origin.item:
+            return None
+        return origin.item
 
     def take_batch(self, batch: Batch, source: str) -> None:
         """Merges in what another copy knows."""
@@ -309,7 +318,7 @@
     def _refuse(self, item: _store.Item, detail: str) -> None:
         """Passes over an item that names nothing to use."""
         self.refused += 1
-        shown = detail[:MAX_DETAIL]
+        shown = detail[: _in_force.MAX_DETAIL]
         number = item.revision.number
         _events.emit(_events.DocumentRefused(item.key, number, shown))
         name = item.key.removeprefix(self._layout.member_prefix)
@@ -317,25 +326,9 @@
             self._entries.doubt(name, item)
 
     def _apply_configuration(self, item: _store.Item, source: str) -> None:
-        if item.value is None:
-            return
-        cfg = self._layout.decode_configuration(item.value)
-        known = self.configuration
-        if known is not None and cfg.version < known.version:
-            return
-        self._in_force = item
-        if known is not None and cfg.version == known.version:
-            return  # Written again, under another revision.
-        self.configuration = cfg
-        rates = cfg.teams.rates
-        if rates != self.homes.rates:
-            self.homes = _homes.Homes(rates)
-        number = item.revision.number
-        _events.emit(_events.ConfigurationTaken(cfg.version, number, source))
-        mistakes = cfg.teams.mistakes
-        if mistakes and (known is None or known.teams.mistakes != mistakes):
-            detail = "; ".join(mistakes)[:MAX_DETAIL]
-            _events.emit(_events.TeamsPassedOver(cfg.version, detail))
+        if item.value is not None:
+            cfg = self._layout.decode_configuration(item.value)
+            self.in_force.take(cfg, item, source)
 
     def _apply_node(self, name: str, item: _store.Item) -> None:
         if item.value is not None:
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -117,10 +117,26 @@
     """A configuration is in force; `source` is the store or a peer."""
 
     version: int
+    era: int
     revision: int
     source: str
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class RefusedByConfiguration:
+    """A caller was refused what the configuration does not allow.
+
+    Attributes:
+        reason: The name of the reason.
+        subject: The database, or what stands for the caller's key.
+        evidence: What the configuration's age was judged by.
+    """
+
+    reason: str
+    subject: str
+    evidence: attrs.AttrsInstance
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class DocumentRefused:
     """A document in the store is invalid and was passed over."""
@@ -232,7 +248,8 @@
     blocked: int
 
 
-_BOUNDED = (RequestDone, RequestServed, DocumentRefused)
+_SUCCESSES = (RequestDone, RequestServed)
+_BOUNDED = (*_SUCCESSES, DocumentRefused, RefusedByConfiguration)
 
 
 class _Budget:
@@ -279,12 +296,8 @@
             self._line(LinesLeftOut(**counts))
         self._line(event)
 
-    def _allowed(
-        self, event: RequestDone | RequestServed | DocumentRefused
-    ) -> bool:
-        went_well = (
-            not isinstance(event, DocumentRefused) and event.outcome == "ran"
-        )
+    def _allowed(self, event: attrs.AttrsInstance) -> bool:
+        went_well = isinstance(event, _SUCCESSES) and event.outcome == "ran"
         budget = self._requests if went_well else self._failures
         if budget.take():
             return True
--- a/packages/proxy/src/ferry_proxy/_gauges.py
+++ b/packages/proxy/src/ferry_proxy/_gauges.py
@@ -6,6 +6,7 @@
 
 from ferry_proxy import _allowances
 from ferry_proxy import _catalogue
+from ferry_proxy import _currency
 from ferry_proxy import _followers
 from ferry_proxy import _mesh
 from ferry_proxy import _metrics
@@ -19,6 +20,7 @@
     follower: _followers.Follower
     mesh: _mesh.Mesh
     allowances: _allowances.Allowances
+    currency: _currency.Currency
 
 
 def add(
@@ -40,6 +42,7 @@
         "store_era": lambda: catalogue.revision.era,
         "store_revision": lambda: catalogue.revision.number,
         "configuration_version": lambda: catalogue.version,
+        "configuration_version_told": lambda: sources.currency.told_version,
         "documents_refused": lambda: catalogue.refused,
         "limit_share": lambda: sources.allowances.share,
         "peers": lambda: len(sources.mesh.connected),
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_in_force.py
@@ -0,0 +1,88 @@
+"""The configuration that a node serves callers by, and where it came from."""
+
+import attrs
+
+from ferry_proxy import _clocks
+from ferry_proxy import _configuration
+from ferry_proxy import _events
+from ferry_proxy import _homes
+from ferry_proxy import _store
+
+MAX_DETAIL = 400  # Characters of a log line on what was passed over.
+
+
+@attrs.frozen(slots=True)
+class Origin:
+    """Where a configuration was learned.
+
+    Attributes:
+        item: The item that holds it.
+        source: The store or a peer.
+        learned_at: When, in the clock's seconds.
+    """
+
+    item: _store.Item
+    source: str
+    learned_at: float
+
+
+class InForce:
+    """The newest configuration that a node has heard of.
+
+    Attributes:
+        configuration: The configuration; None before the first one.
+        origin: Where it was learned; None before the first one.
+        homes: Which node each team is at home at.
+    """
+
+    def __init__(self, clock: _clocks.Clock) -> None:
+        self._clock = clock
+        self.configuration: _configuration.Configuration | None = None
+        self.origin: Origin | None = None
+        self.homes = _homes.Homes({})
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
+    def take(
+        self,
+        cfg: _configuration.Configuration,
+        item: _store.Item,
+        source: str,
+    ) -> None:
+        """Puts a configuration in force, unless a newer one is.
+
+        Args:
+            cfg: The configuration.
+            item: The item that holds it.
+            source: The store or a peer.
+        """
+        known = self.configuration
+        if known is not None and cfg.version < known.version:
+            return
+        self.origin = Origin(item, source, self._clock.now())
+        if known is not None and cfg.version == known.version:
+            return  # Written again, under another revision.
+        self.configuration = cfg
+        rates = cfg.teams.rates
+        if rates != self.homes.rates:
+            self.homes = _homes.Homes(rates)
+        self._report(cfg, known, item, source)
+
+    def _report(
+        self,
+        cfg: _configuration.Configuration,
+        known: _configuration.Configuration | None,
+        item: _store.Item,
+        source: str,
+    ) -> None:
+        era, number = item.revision.era, item.revision.number
+        _events.emit(
+            _events.ConfigurationTaken(cfg.version, era, number, source)
+        )
+        mistakes = cfg.teams.mistakes
+        if mistakes and (known is None or known.teams.mistakes != mistakes):
+            detail = "; ".join(mistakes)[:MAX_DETAIL]
+            _events.emit(_events.TeamsPassedOver(cfg.version, detail))
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -8,6 +8,7 @@
 from ferry_proxy import _access
 from ferry_proxy import _allowances
 from ferry_proxy import _catalogue
+from ferry_proxy import _currency
 from ferry_proxy import _events
 from ferry_proxy import _followers
 from ferry_proxy import _forwarder
@@ -23,6 +24,7 @@
 from ferry_proxy import _reach
 from ferry_proxy import _readiness
 from ferry_proxy import _records
+from ferry_proxy import _refusals
 from ferry_proxy import _registrar
 from ferry_proxy import _roster
 from ferry_proxy import _runners
@@ -82,8 +84,9 @@
         self.catalogue = _catalogue.Catalogue(loop, platform.layout, policy)
         self.catalogue.on_change.append(self._apply)
         self._roster = _roster.Roster(loop, self.catalogue, self._own.name)
+        refusals = _refusals.Refusals(lambda: self._currency.evidence)
         access = _access.Access(
-            policy.has_teams, lambda: self.catalogue.configuration
+            policy.has_teams, lambda: self.catalogue.configuration, refusals
         )
         self._serving = _serving.Serving(loop, self._own_runner, access)
         self._connect_peers()
@@ -93,6 +96,7 @@
             configuration=lambda: self.catalogue.configuration,
             runner=self._runner,
             access=access,
+            refusals=refusals,
         )
         self.ticker.subscribe(policy.probe_s, self._groups.survey)
         self.ticker.subscribe(CHECK_S, self._check)
@@ -101,7 +105,11 @@
         _gauges.add(
             self.metrics,
             _gauges.Sources(
-                self.catalogue, self._follower, self.mesh, self._allowances
+                self.catalogue,
+                self._follower,
+                self.mesh,
+                self._allowances,
+                self._currency,
             ),
             lambda: self.session_count,
         )
@@ -118,6 +126,9 @@
             self.mesh,
             self._policy,
         )
+        self._currency = _currency.Currency(
+            loop, self.catalogue, self._follower, self.mesh
+        )
         self._allowances = _allowances.Allowances(
             _allowances.AllowanceContext(
                 clock=loop,
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _events
 from ferry_proxy import _links
 from ferry_proxy import _metrics
+from ferry_proxy import _refusals
 from ferry_proxy import _requests
 from ferry_proxy import _runners
 from ferry_proxy import _statements
@@ -37,6 +38,7 @@
         runner: Returns who runs a service's statements for a team; None for
             an unknown service.
         access: Tells which team holds a caller's key.
+        refusals: Makes refusals of what the configuration does not allow.
     """
 
     clock: _clocks.Clock
@@ -44,6 +46,7 @@
     configuration: Callable[[], _configuration.Configuration | None]
     runner: Callable[[str, str], _runners.Runner | None]
     access: _access.Access
+    refusals: _refusals.Refusals
 
 
 class Session:
@@ -89,9 +92,7 @@
         """
         route = self._find_route()
         if route is None:
-            raise decisions.RequestFailedError(
-                decisions.UNKNOWN_DATABASE, self._database
-            )
+            raise self._unknown_database()
         self._ctx.access.identify(route, self._key)
 
     def run(
@@ -167,7 +168,7 @@
             return self._malformed("a transaction is open")
         route = self._find_route()
         if route is None:
-            return self._unknown_database()
+            return self._refused(self._unknown_database())
         try:
             caller = self._ctx.access.identify(route, self._key)
         except decisions.RequestFailedError as exc:
@@ -207,7 +208,7 @@
         transaction = self._transaction
         route = self._route if transaction else self._find_route()
         if route is None:
-            return self._unknown_database()
+            return self._refused(self._unknown_database())
         try:
             request = self._request(statement, prepared, route)
         except decisions.RequestFailedError as exc:
@@ -311,8 +312,8 @@
     def _unknown_prepared(self, name: str) -> _links.Reply:
         return self._failed(decisions.UNKNOWN_PREPARED, name)
 
-    def _unknown_database(self) -> _links.Reply:
-        return self._failed(decisions.UNKNOWN_DATABASE, self._database)
+    def _unknown_database(self) -> decisions.RequestFailedError:
+        return self._ctx.refusals.of(decisions.UNKNOWN_DATABASE, self._database)
 
     def _find_route(self) -> _configuration.Route | None:
         cfg = self._ctx.configuration()
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -10,6 +10,7 @@
 from ferry_proxy import _access
 from ferry_proxy import _catalogue
 from ferry_proxy import _configuration
+from ferry_proxy import _currency
 from ferry_proxy import _execution
 from ferry_proxy import _groups
 from ferry_proxy import _links
@@ -19,6 +20,7 @@
 from ferry_proxy import _policy
 from ferry_proxy import _promotions
 from ferry_proxy import _records
+from ferry_proxy import _refusals
 from ferry_proxy import _runners
 from ferry_proxy import _sessions
 from ferry_proxy import _statements
@@ -523,6 +525,20 @@
 LAYOUT = _catalogue.Layout("config", "members/", _no_document, _no_document)
 
 
+CURRENT = _currency.Evidence(
+    version=1,
+    era=0,
+    revision=1,
+    source="store",
+    held_s=60.0,
+    store_era=0,
+    store_age_s=0.1,
+    peers=2,
+    told_version=1,
+)
+REFUSALS = _refusals.Refusals(lambda: CURRENT)
+
+
 class Lab:
     """A group, its executor, sessions and a promoter in virtual time."""
 
@@ -548,12 +564,17 @@
         self.runner: _runners.Runner = _runners.LocalRunner(
             self.clock, self.policy, executor, self.group
         )
+        self.evidence = CURRENT
+        self.refusals = _refusals.Refusals(lambda: self.evidence)
         self.ctx = _sessions.SessionContext(
             self.clock,
             _metrics.Metrics(),
             lambda: self.configuration,
             lambda *_: self.runner,
-            _access.Access(self.policy.has_teams, lambda: self.configuration),
+            _access.Access(
+                self.policy.has_teams, lambda: self.configuration, self.refusals
+            ),
+            self.refusals,
         )
         self.catalogue = _catalogue.Catalogue(self.clock, LAYOUT, self.policy)
         self.promoters: list[_promotions.Promoter] = []
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusals.py
@@ -0,0 +1,44 @@
+"""Refusals that rest on the configuration, and what the log says of them."""
+
+import json
+import os
+
+import attrs
+import ferry_decisions as decisions
+import pytest
+
+from ferry_proxy import _events
+from ferry_proxy import _refusals
+from ferry_proxy.tests import fakes
+
+
+@pytest.fixture
+def lines():
+    """Yields a function that returns the events of the process's log."""
+    read, write = os.pipe()
+    _events.start_log(_events.EventLog("n1", write))
+    yield lambda: [json.loads(x) for x in os.read(read, 65536).splitlines()]
+    _events._logs.clear()
+    os.close(read)
+    os.close(write)
+
+
+def test_the_log_says_what_a_refusal_rests_on(lines):
+    refusals = _refusals.Refusals(lambda: fakes.CURRENT)
+    refusals.of(decisions.UNKNOWN_DATABASE, "orders-db")
+    (line,) = lines()
+    assert line["event"] == "RefusedByConfiguration"
+    assert line["subject"] == "orders-db"
+    assert line["evidence"] == attrs.asdict(fakes.CURRENT)
+
+
+def test_a_session_on_an_unknown_database_is_refused_with_its_evidence(lines):
+    lab = fakes.Lab()
+    session = lab.session()
+    lab.configuration = attrs.evolve(lab.configuration, routes={})
+    with pytest.raises(decisions.RequestFailedError):
+        session.check()
+    answer = lab.do(session, fakes.statement("READ x"))
+    assert answer.reason is decisions.UNKNOWN_DATABASE
+    refused = [x for x in lines() if x["event"] == "RefusedByConfiguration"]
+    assert [x["reason"] for x in refused] == ["unknown_database"] * 2
--- a/packages/proxy/src/ferry_proxy/tests/test_teams.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_teams.py
@@ -46,7 +46,9 @@
     ],
 )
 def test_who_holds_a_key(teams, key, holder):
-    access = _access.Access(True, lambda: configuration(4, *teams))
+    access = _access.Access(
+        True, lambda: configuration(4, *teams), fakes.REFUSALS
+    )
     if holder is None:
         with pytest.raises(decisions.RequestFailedError) as caught:
             access.identify(ROUTE, key)
@@ -70,7 +72,7 @@
 )
 def test_where_no_key_is_needed(has_teams, is_open):
     route = attrs.evolve(ROUTE, is_open=is_open)
-    access = _access.Access(has_teams, lambda: configuration(1))
+    access = _access.Access(has_teams, lambda: configuration(1), fakes.REFUSALS)
     assert access.identify(route, "") is _teams.ANYBODY
 
 
@@ -85,7 +87,9 @@
     ],
 )
 def test_the_newer_configuration_decides(own_version, teams, expected):
-    access = _access.Access(True, lambda: configuration(own_version, *teams))
+    access = _access.Access(
+        True, lambda: configuration(own_version, *teams), fakes.REFUSALS
+    )
     caller = _teams.Caller("a", _teams.digest_of("k"), 4)
     if expected is None:
         with pytest.raises(decisions.RequestFailedError):
