Failing tests: a route that was confirmed is refused by an older configuration

What callers saw: a database that had been added and confirmed is unknown at a node. Three faults show in virtual time and on the whole path: a peer of the store's era before answers a request for its copy with nothing, and is never asked again (version 4 kept beside a peer's 9 for as long as it is played); a node that started without the store takes callers before its peers are heard; and a node that is behind, out of touch or on a copy refuses for good.

--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -34,6 +34,7 @@
     owed_s: float = 0.0
     calls: int = 0
     delay_s: float = 0.0
+    withholds: bool = False
 
     @property
     def covered(self) -> decisions.Revision:
@@ -46,6 +47,8 @@
     def call(self, body):
         self.calls += 1
         batch = self.theirs.batch_after(body.revision, body.version)
+        if self.withholds:
+            batch = _catalogue.Batch((), body.revision, body.revision, False)
         data = _peer_messages.encode(1, _peer_messages.SyncReply.of(batch))
         reply = _peer_messages.Decoder().feed(data)[0].body
         fut: decisions.Future[object] = decisions.Future()
--- a/packages/proxy/src/ferry_proxy/tests/test_refusals.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusals.py
@@ -42,3 +42,31 @@
     assert answer.reason is decisions.UNKNOWN_DATABASE
     refused = [x for x in lines() if x["event"] == "RefusedByConfiguration"]
     assert [x["reason"] for x in refused] == ["unknown_database"] * 2
+
+
+BEHIND = [
+    {"told_version": 2},
+    {"store_age_s": 60.0},
+]
+
+
+@pytest.mark.parametrize("changes", BEHIND)
+def test_no_database_is_unknown_for_good_by_an_outdated_configuration(changes):
+    lab = fakes.Lab()
+    session = lab.session()
+    lab.evidence = attrs.evolve(fakes.CURRENT, **changes)
+    lab.configuration = attrs.evolve(lab.configuration, routes={})
+    answer = lab.do(session, fakes.statement("READ x"))
+    assert answer.reason is not decisions.UNKNOWN_DATABASE
+    assert answer.reason.outcome is decisions.Outcome.NOT_RUN
+    assert answer.reason.retry_after_s > 0
+
+
+@pytest.mark.parametrize("changes", BEHIND)
+def test_no_key_is_refused_for_good_by_an_outdated_configuration(changes):
+    lab = fakes.Lab(has_teams=True)
+    session = lab.session("key-of-a-new-team")
+    lab.evidence = attrs.evolve(fakes.CURRENT, **changes)
+    answer = lab.do(session, fakes.statement("READ x"))
+    assert answer.reason is not decisions.LOGIN_REFUSED
+    assert answer.reason.retry_after_s > 0
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
@@ -5,10 +5,12 @@
 callers of routes that all other nodes served.
 """
 
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _configuration
+from ferry_proxy import _records
 from ferry_proxy.tests import test_followers
 
 
@@ -81,3 +83,70 @@
     lab.clock.advance(1.0)
     nodes = (lab.reader, lab.other, node)
     assert [version(n) for n in nodes] == [11, 11, 11]
+
+
+class LateLab(test_followers.Lab):
+    """A node reads the new era while its only peer cannot reach the store."""
+
+    layout = Lab.layout
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store.put("config", b"4")
+        self.settle()
+        copy = self.store.copy()
+        self.store.put("config", b"9")
+        self.settle()
+        self.reader.store.turned_away = True
+        self.clock.advance(self.policy.watch_wait_s + 1.0)
+        self.store.restore(copy)
+        self.started = test_followers.Node(self, "n9")
+        stream = test_followers.FakeStream(
+            self.reader.own.name, self.reader.copy
+        )
+        self.started.streams.append(stream)
+
+
+def test_a_peer_of_the_era_before_tells_what_is_in_force():
+    lab = LateLab()
+    lab.clock.advance(0.5)
+    assert lab.started.copy.revision.era == 1
+    assert lab.reader.copy.revision.era == 0
+    assert version(lab.started) == 9
+
+
+def test_a_peer_that_could_not_help_is_asked_again():
+    lab = LateLab()
+    lab.started.streams[0].withholds = True
+    lab.clock.advance(0.5)
+    assert version(lab.started) == 4
+    lab.started.streams[0].withholds = False
+    lab.clock.advance(2.0)
+    assert version(lab.started) == 9
+
+
+def test_a_node_that_started_without_the_store_waits_for_its_peers_word():
+    lab = Lab()
+    lab.store.down = True
+    node = test_followers.Node(lab, "n9")
+    lab.clock.advance(5.0)
+    lab.store.down = False
+    lab.clock.advance(0.7)
+    assert version(node) == 4
+    assert node.registrar.awaits_peers
+
+
+def test_a_version_that_can_not_be_read_is_not_asked_for_without_end():
+    lab = Lab()
+    lab.layout = attrs.evolve(Lab.layout, decode_configuration=_unreadable)
+    node = lab.add()
+    lab.clock.advance(20.0)
+    assert node.copy.configuration is None
+    assert node.streams[0].calls <= MOST_ASKED
+
+
+MOST_ASKED = 12  # In 20 s: a whole document may travel each time.
+
+
+def _unreadable(_: bytes) -> _configuration.Configuration:
+    raise _records.InvalidItemError("not understood")
