A peer that could not help is asked again, after a pause that grows

What callers saw: a route that was confirmed is refused by one node for as long as nobody writes a configuration again; the node is ready and follows the store.

Cause: a node remembered for good, by peer, the version that a peer's copy did not bring, in the belief that it could not be read here. A peer that is in the store's era before has nothing to give at that moment, and the version that it tells stays the same, so it was never asked again.

Change: whether a copy brought anything is judged by what is known afterwards; a peer that was of no help rests for a jittered pause of up to 0.2 s, then up to twice that, 5 s at most. Another peer is asked meanwhile. Choice and pauses are a class of their own; a peer that falls silent rests in the same way.

--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -1,13 +1,14 @@
 """A node's own entry in the store, and what it has missed from it."""
 
-import collections
 from collections.abc import Sequence
+import random
 import typing
 
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
+from ferry_proxy import _copy_sources
 from ferry_proxy import _events
 from ferry_proxy import _followers
 from ferry_proxy import _peer_messages
@@ -73,8 +74,9 @@
         self._delay_s = SPREAD_S * decisions.spread_share("entry", own.name)
         self._registering = False
         self._asking = False
-        self._failures: collections.Counter[str] = collections.Counter()
-        self._refused: dict[str, int] = {}
+        self._sources = _copy_sources.CopySources(
+            clock, random.Random(own.name)
+        )
         self._behind_since: float | None = None
 
     @property
@@ -104,7 +106,7 @@
         ahead = [s for s in self._mesh.streams if self._is_ahead(s)]
         if not ahead:
             self._behind_since = None
-            self._failures.clear()
+            self._sources.forget()
             return
         now = self._clock.now()
         if self._behind_since is None:
@@ -112,8 +114,7 @@
         behind_s = now - self._behind_since
         patience = PATIENCE_S if self._may_come(ahead) else 0.0
         if behind_s >= patience and not self._asking:
-            self._asking = True
-            decisions.start(self._copy(min(ahead, key=self._distance)))
+            self._ask(ahead)
         if behind_s >= STORE_AFTER_S:
             self._follower.read_once()
 
@@ -127,20 +128,21 @@
 
     def _is_ahead(self, stream: Informant) -> bool:
         """Whether a peer knows what this node does not."""
-        if self._has_change(stream):
-            return True
-        version = stream.version
-        is_useless = self._refused.get(stream.peer) == version
-        return version > self._catalogue.version and not is_useless
-
-    def _distance(self, stream: Informant) -> tuple[int, bool]:
-        """Returns how dear a copy from a peer is; the least is asked.
+        is_newer = stream.version > self._catalogue.version
+        return is_newer or self._has_change(stream)
+
+    def _ask(self, ahead: Sequence[Informant]) -> None:
+        """Asks one of the peers that know more for its copy."""
+        near = [s for s in ahead if self._is_near(s)]
+        far = [s for s in ahead if not self._is_near(s)]
+        stream = self._sources.choose(near, far)
+        if stream is not None:
+            self._asking = True
+            decisions.start(self._copy(stream))
 
-        Those that failed come last; bytes between data centres cost more.
-        """
+    def _is_near(self, stream: Informant) -> bool:
         node = self._catalogue.nodes.get(stream.peer)
-        is_far = node is None or node.data_centre != self._own.data_centre
-        return self._failures[stream.peer], is_far
+        return node is not None and node.data_centre == self._own.data_centre
 
     def _copy(self, stream: Informant) -> "decisions.Flow[None]":
         """Asks a peer for what is lacking, for as long as it shows life."""
@@ -154,20 +156,26 @@
                 yield decisions.either(decisions.settled(fut), pause)
             reply = fut.result()
             if isinstance(reply, _peer_messages.SyncReply):
-                self._catalogue.take_batch(reply.batch, "peer")
-                self._behind_since = None
-                if stream.version > self._catalogue.version:
-                    # It cannot be read here; asking again would not help.
-                    self._refused[stream.peer] = stream.version
+                self._take(reply.batch, stream.peer)
         except (
             _peers.PeerLostError,
             _peer_messages.PeerProtocolError,
-        ) as exc:  # The next look asks another one.
-            self._failures[stream.peer] += 1
+        ) as exc:
+            self._sources.note_in_vain(stream.peer)
             _events.emit(_events.DependencyLost("peer's copy", str(exc)))
         finally:
             self._asking = False
 
+    def _take(self, batch: _catalogue.Batch, peer: str) -> None:
+        """Merges a peer's copy in, and notes whether it brought anything."""
+        known = self._catalogue.covered, self._catalogue.version
+        self._catalogue.take_batch(batch, "peer")
+        if (self._catalogue.covered, self._catalogue.version) == known:
+            self._sources.note_in_vain(peer)
+            return
+        self._sources.note_news(peer)
+        self._behind_since = None
+
     def _register(self) -> None:
         """Puts this node's entry into the store where it is missing.
 
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
@@ -121,6 +121,7 @@
     lab.clock.advance(0.5)
     assert version(lab.started) == 4
     lab.started.streams[0].withholds = False
+    lab.reader.store.turned_away = False
     lab.clock.advance(2.0)
     assert version(lab.started) == 9
 
