A peer of the store's era before tells which configuration is in force

What callers saw: a node that started just after the store came back from a copy refused a route that all its peers served.

Cause: a node that had read the new era asked a peer that had not yet, since that one told a newer version. Its answer held what had changed after a revision of the later era: nothing; and the configuration in force was added only where the store's own copy differed from it, which in the peer's era it did not.

Change: the configuration in force is added to a copy unless the copy's items hold it, whatever era they are of. A configuration is ordered by its version, so its era does not matter to who takes it.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -50,8 +50,7 @@
         revision: The revision up to which the items lead.
         covered: The revision of the newest change among all these.
         is_whole: Whether keys that are missing do not exist.
-        kept: The configuration in force, where the store's own copy of it is
-            an older one.
+        kept: The configuration in force, where the items do not hold it.
     """
 
     items: tuple[_store.Item, ...]
@@ -170,15 +169,21 @@
             for i in self._items.values()
             if (i.value is not None if is_whole else i.revision > revision)
         )
-        kept = self._kept if version < self.version else None
+        kept = None
+        if version < self.version:
+            kept = self._missing_from(items)
         return Batch(items, self.revision, self.covered, is_whole, kept)
 
-    @property
-    def _kept(self) -> _store.Item | None:
-        """The configuration in force, if the store's copy is another one."""
+    def _missing_from(
+        self, items: tuple[_store.Item, ...]
+    ) -> _store.Item | None:
+        """Returns the configuration in force unless it is among items.
+
+        The store's copy may hold an older one, and a node of a later era takes
+        no items of this one.
+        """
         origin = self.in_force.origin
-        current = self._items.get(self._layout.configuration_key)
-        if origin is None or current == origin.item:
+        if origin is None or origin.item in items:
             return None
         return origin.item
 
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -155,8 +155,8 @@
         revision: The number of the revision up to which they lead.
         covered: The number of the newest change that the sender knows.
         is_whole: Whether keys that are missing do not exist.
-        kept: None or one such row: the configuration in force, where the
-            store's own copy of it is an older one.
+        kept: None or one such row: the configuration in force, where the rows
+            do not hold it.
     """
 
     rows: list[tuple[str, bytes | None, int, bool]]
