A node waits for its peers' word from its first reading on, not from its start

What callers saw: a node that had started while the store was away said that it was ready, with the older configuration of the store's copy, and refused a route that was confirmed.

Cause: the second in which a node waits for what its peers know was counted from the process's start; with the store away for longer, it was over before there was anything to compare.

Change: it is counted from the first time that the node reads the store.

Evidence: test_a_node_that_started_without_the_store_waits_for_its_peers_word failed before and is off the list.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -73,6 +73,8 @@
         claims: The claims of the store's present era, by group.
         era_seen_at: When this node first read the store in its present era,
             in boot time; long ago where the store names no eras.
+        first_read_at: When this node first read the store at all, in the
+            clock's seconds; long ago before that.
         refused: Items that could not be read or named nothing to use.
         on_change: Called after each change.
     """
@@ -104,6 +106,7 @@
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
         self.era_seen_at = float("-inf")
+        self.first_read_at = float("-inf")
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
@@ -220,6 +223,8 @@
             and item.revision <= snapshot.revision
         ]
         known = self.revision
+        if not self.is_read:
+            self.first_read_at = self._clock.now()
         if snapshot.revision.era > known.era:
             self._begin_era(snapshot.revision.era, source)
         self._since = max(self._since, snapshot.revision)
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -23,7 +23,7 @@
 SPREAD_S = 1.0  # 410 writes: below what a store takes a second; others miss a
 # node later.
 PATIENCE_S = 0.4  # A change comes from the store within a round trip.
-PEERS_WORD_S = 1.0  # A node that starts reaches its peers within half of it.
+PEERS_WORD_S = 1.0  # After its first reading a node reaches its peers in half.
 STORE_AFTER_S = 1.0  # Behind for so long, a node reads the store itself: a
 # third of the shortest time in which a configuration must be in force.
 
@@ -70,7 +70,6 @@
         self._catalogue = catalogue
         self._follower = follower
         self._mesh = mesh
-        self._begun = clock.now()
         self._delay_s = SPREAD_S * decisions.spread_share("entry", own.name)
         self._registering = False
         self._asking = False
@@ -88,7 +87,8 @@
         refuse callers of routes that all others serve.
         """
         catalogue = self._catalogue
-        is_new = self._clock.now() - self._begun < PEERS_WORD_S
+        read_s = self._clock.now() - catalogue.first_read_at
+        is_new = read_s < PEERS_WORD_S
         may_be_old = catalogue.revision.era > 0 and len(catalogue.nodes) > 1
         told = max((s.version for s in self._mesh.streams), default=0)
         is_told = 0 < told <= catalogue.version
