--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -1,7 +1,5 @@
 """A node: wires the catalogue, the groups, the peers and the sessions."""
 
-import typing
-
 import ferry_decisions as decisions
 import ferry_runtime as runtime
 
@@ -20,6 +18,7 @@
 from ferry_proxy import _metrics
 from ferry_proxy import _peer_desk
 from ferry_proxy import _peer_messages
+from ferry_proxy import _planned_stop
 from ferry_proxy import _policy
 from ferry_proxy import _reach
 from ferry_proxy import _readiness
@@ -35,22 +34,7 @@
 STEP_S = 0.1  # All periodic work of a node falls on one grid.
 CHECK_S = 0.1  # How often the evidence on primaries is weighed.
 SWEEP_S = 0.3  # How often idle transactions are looked for.
-STOP_STEP_S = 0.05
 SEEDS_AFTER_S = 0.2  # Many round trips to the store, and a loaded machine's.
-END_MARGIN_S = 0.6  # A process is gone this long before it would be killed.
-
-
-class FrontControl(typing.Protocol):
-    """What a stop needs of the callers' side."""
-
-    def is_noticed(self) -> bool:
-        """Whether the balancer sends no new callers any more."""
-
-    def close_resting(self) -> None:
-        """Takes no more callers, and lets go those without a request."""
-
-    def is_empty(self) -> bool:
-        """Whether no caller is left."""
 
 
 class Proxy:
@@ -365,35 +349,18 @@
 
     # -- the end ---------------------------------------------------------
 
-    def stop(self, front: "FrontControl") -> "decisions.Future[int]":
+    def stop(
+        self, front: _planned_stop.FrontControl
+    ) -> "decisions.Future[int]":
         """Stops in order; the future tells how many sessions were cut."""
         self.stopping = True
         self.mesh.announce()
         _events.emit(_events.NodeStopping(self.session_count))
-        return decisions.start(self._stop(front))
-
-    def _stop(self, front: "FrontControl") -> "decisions.Flow[int]":
-        loop = self._loop
-        begun = loop.now()
-        half = self._identity.grace_s / 2
-        end = begun + self._identity.grace_s - END_MARGIN_S
-        while not front.is_noticed() and loop.now() - begun < half:
-            yield decisions.sleep(loop, STOP_STEP_S)
-        while loop.now() < end and not (front.is_empty() and self._is_calm):
-            front.close_resting()
-            if loop.now() - begun >= half:
-                self._end_transactions()
-            yield decisions.sleep(loop, STOP_STEP_S)
-        cut = self.session_count
-        _events.emit(_events.NodeStopped(cut))
-        return cut
-
-    @property
-    def _is_calm(self) -> bool:
-        """Whether no change of primary and no peer's request is under way."""
-        return self._serving.is_idle and not self._groups.is_busy
-
-    def _end_transactions(self) -> None:
-        for session in list(self._sessions.values()):
-            session.end_transaction(decisions.TRANSACTION_LOST)
-        self._serving.end_transactions(decisions.TRANSACTION_LOST)
+        work = _planned_stop.Work(
+            sessions=self._sessions.values(),
+            serving=self._serving,
+            is_changing=lambda: self._groups.is_busy,
+        )
+        return decisions.start(
+            _planned_stop.stop(self._loop, self._identity.grace_s, front, work)
+        )
