Nobody is refused for good by a configuration that may be outdated

What callers saw: a database that had been added and confirmed was unknown, a key of a new team was nobody's, at a node that had just started, that was behind its peers, or out of touch with the store.

Cause: that something is not in the configuration at hand was taken for a proof that it does not exist. A configuration allows what it holds, also when it is an older one; what it lacks may stand in a newer one. The class: a missing entry in a copy that may be stale is taken for an authoritative no.

Change: a refusal weighs the evidence. Both kinds of refusal, of databases and of keys, at entry and serving nodes, are made in one place. What a peer tells besides its items bears no revision of an era that it is not of, so that it isn't taken for written since.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -81,6 +81,7 @@
     from ferry_decisions._outcomes import NO_SERVING_NODE as NO_SERVING_NODE
     from ferry_decisions._outcomes import NOT_CONFIRMED as NOT_CONFIRMED
     from ferry_decisions._outcomes import NOT_PRIMARY as NOT_PRIMARY
+    from ferry_decisions._outcomes import OUTDATED as OUTDATED
     from ferry_decisions._outcomes import OVER_LIMIT as OVER_LIMIT
     from ferry_decisions._outcomes import OVERLOADED as OVERLOADED
     from ferry_decisions._outcomes import (
@@ -236,6 +237,7 @@
         "NO_CONTRACT",
         "NO_PRIMARY",
         "NO_SERVING_NODE",
+        "OUTDATED",
         "OVERLOADED",
         "OVER_LIMIT",
         "Outcome",
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -60,6 +60,22 @@
     kept: _store.Item | None = None
 
 
+@attrs.frozen(slots=True)
+class Reading:
+    """A reading of all items.
+
+    Attributes:
+        revision: The store's revision then.
+        read_at: The moment, in the clock's seconds.
+        has_news: Whether it held a newer configuration than the one that was
+            in force here before.
+    """
+
+    revision: decisions.Revision
+    read_at: float
+    has_news: bool = False
+
+
 class Catalogue:
     """The items of the store, decoded.
 
@@ -73,8 +89,8 @@
         claims: The claims of the store's present era, by group.
         era_seen_at: When this node first read the store in its present era,
             in boot time; long ago where the store names no eras.
-        first_read_at: When this node first read the store at all, in the
-            clock's seconds; long ago before that.
+        first_reading: What this node first read of the store's present era;
+            None before that.
         refused: Items that could not be read or named nothing to use.
         on_change: Called after each change.
     """
@@ -106,7 +122,7 @@
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.claims: dict[str, _records.HeldClaim] = {}
         self.era_seen_at = float("-inf")
-        self.first_read_at = float("-inf")
+        self.first_reading: Reading | None = None
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
@@ -223,13 +239,19 @@
             and item.revision <= snapshot.revision
         ]
         known = self.revision
-        if not self.is_read:
-            self.first_read_at = self._clock.now()
-        if snapshot.revision.era > known.era:
+        version = self.version
+        is_first = self.first_reading is None
+        is_restored = snapshot.revision.era > known.era
+        if is_restored:
             self._begin_era(snapshot.revision.era, source)
         self._since = max(self._since, snapshot.revision)
         self._cover(snapshot)
         taken = self.take((*snapshot.items, *gone), source)
+        if is_first or is_restored:
+            has_news = 0 < version < self.version
+            self.first_reading = Reading(
+                snapshot.revision, self._clock.now(), has_news
+            )
         listed = len(snapshot.items)
         _events.emit(
             _events.ItemsRead(
--- a/packages/proxy/src/ferry_proxy/_currency.py
+++ b/packages/proxy/src/ferry_proxy/_currency.py
@@ -1,6 +1,13 @@
-"""How current the configuration is that a node decides by."""
+"""How current the configuration is that a node decides by.
+
+What a configuration allows may be done by an older one, too: that is how a data
+centre that is cut off goes on. What it lacks is another matter. A newer one may
+have it, so nobody is refused for good while there is any doubt.
+"""
 
 from collections.abc import Sequence
+import enum
+import math
 import typing
 
 import attrs
@@ -8,6 +15,16 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
 
+COPY_DOUBT_S = 10.0  # In which the operators write again what a copy lacks.
+
+
+class Doubt(enum.Enum):
+    """Why a configuration may be older than the newest confirmed one."""
+
+    PEER_IS_AHEAD = "a peer has a newer configuration"
+    OUT_OF_TOUCH = "no recent news of the store"
+    COPY = "the store came back from a copy that may hold an older one"
+
 
 class Informant(typing.Protocol):
     """A stream to a peer, as far as its configuration goes."""
@@ -48,6 +65,9 @@
             told it so.
         peers: How many peers are connected.
         told_version: The newest version that one of them has.
+        copy_read_s: Seconds since this node first read a store that had come
+            back from a copy, if no configuration was written since; infinite
+            otherwise.
     """
 
     version: int
@@ -59,6 +79,24 @@
     store_age_s: float
     peers: int
     told_version: int
+    copy_read_s: float = math.inf
+
+
+def doubt(evidence: Evidence, news_limit_s: float) -> Doubt | None:
+    """Returns why a configuration may be outdated; None if it is current.
+
+    Args:
+        evidence: What is known of it.
+        news_limit_s: How often there is news of a store that is in reach, in
+            seconds.
+    """
+    if evidence.told_version > evidence.version:
+        return Doubt.PEER_IS_AHEAD
+    if evidence.store_age_s > news_limit_s:
+        return Doubt.OUT_OF_TOUCH
+    if evidence.copy_read_s < COPY_DOUBT_S:
+        return Doubt.COPY
+    return None
 
 
 class Currency:
@@ -95,4 +133,15 @@
             store_age_s=self._news.age_s,
             peers=len(self._mesh.streams),
             told_version=self.told_version,
+            copy_read_s=self._copy_read_s,
         )
+
+    @property
+    def _copy_read_s(self) -> float:
+        first = self._catalogue.first_reading
+        origin = self._catalogue.in_force.origin
+        if first is None or not first.revision.era or origin is None:
+            return math.inf
+        if first.has_news or origin.item.revision > first.revision:
+            return math.inf  # Written since the store came back.
+        return self._clock.now() - first.read_at
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -129,11 +129,13 @@
     Attributes:
         reason: The name of the reason.
         subject: The database, or what stands for the caller's key.
+        doubt: Why it was not refused for good; empty if it was.
         evidence: What the configuration's age was judged by.
     """
 
     reason: str
     subject: str
+    doubt: str
     evidence: attrs.AttrsInstance
 
 
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -171,13 +171,17 @@
         """Returns the message for a batch."""
         rows = [_row(i) for i in batch.items]
         revision, covered = batch.revision, batch.covered
+        kept = batch.kept
+        if kept is not None:
+            # Its own revision may be of an era that is over.
+            kept = attrs.evolve(kept, revision=revision.beginning)
         return cls(
             rows,
             revision.era,
             revision.number,
             covered.number,
             batch.is_whole,
-            _row(batch.kept) if batch.kept else None,
+            _row(kept) if kept else None,
         )
 
     @property
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -125,6 +125,11 @@
         default=20.0, validator=attrs.validators.ge(0)
     )
 
+    @property
+    def news_limit_s(self) -> float:
+        """How often a watch of the store brings news, or ends without any."""
+        return self.watch_wait_s + self.store_timeout_s
+
     def within(self, bounds: Bounds) -> "Policy":
         """Returns the tunables that keep what the platform demands."""
         spare = bounds.drain_s - DRAIN_MARGIN_S
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -68,7 +68,9 @@
         self.catalogue = _catalogue.Catalogue(loop, platform.layout, policy)
         self.catalogue.on_change.append(self._apply)
         self._roster = _roster.Roster(loop, self.catalogue, self._own.name)
-        refusals = _refusals.Refusals(lambda: self._currency.evidence)
+        refusals = _refusals.Refusals(
+            lambda: self._currency.evidence, policy.news_limit_s
+        )
         access = _access.Access(
             policy.has_teams, lambda: self.catalogue.configuration, refusals
         )
--- a/packages/proxy/src/ferry_proxy/_refusals.py
+++ b/packages/proxy/src/ferry_proxy/_refusals.py
@@ -15,22 +15,32 @@
 
     Attributes:
         evidence: Returns how current the configuration is.
+        news_limit_s: How often there is news of a store that is in reach.
     """
 
     evidence: Callable[[], _currency.Evidence]
+    news_limit_s: float
 
     def of(
         self, reason: decisions.Reason, subject: str
     ) -> decisions.RequestFailedError:
         """Returns the error for what the configuration does not allow.
 
+        Where it may be outdated the caller is told to come back instead.
+
         Args:
             reason: What it lacks.
             subject: The database or the key that it lacks.
         """
+        evidence = self.evidence()
+        why = _currency.doubt(evidence, self.news_limit_s)
         _events.emit(
             _events.RefusedByConfiguration(
-                reason.name, subject, self.evidence()
+                reason.name, subject, why.value if why else "", evidence
             )
         )
-        return decisions.RequestFailedError(reason, subject)
+        if why is None:
+            return decisions.RequestFailedError(reason, subject)
+        return decisions.RequestFailedError(
+            decisions.OUTDATED, f"{subject}: {why.value}"
+        )
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -87,8 +87,10 @@
         refuse callers of routes that all others serve.
         """
         catalogue = self._catalogue
-        read_s = self._clock.now() - catalogue.first_read_at
-        is_new = read_s < PEERS_WORD_S
+        first = catalogue.first_reading
+        if first is None:
+            return False
+        is_new = self._clock.now() - first.read_at < PEERS_WORD_S
         may_be_old = catalogue.revision.era > 0 and len(catalogue.nodes) > 1
         told = max((s.version for s in self._mesh.streams), default=0)
         is_told = 0 < told <= catalogue.version
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -536,7 +536,8 @@
     peers=2,
     told_version=1,
 )
-REFUSALS = _refusals.Refusals(lambda: CURRENT)
+NEWS_LIMIT_S = 3.8
+REFUSALS = _refusals.Refusals(lambda: CURRENT, NEWS_LIMIT_S)
 
 
 class Lab:
@@ -565,7 +566,7 @@
             self.clock, self.policy, executor, self.group
         )
         self.evidence = CURRENT
-        self.refusals = _refusals.Refusals(lambda: self.evidence)
+        self.refusals = _refusals.Refusals(lambda: self.evidence, NEWS_LIMIT_S)
         self.ctx = _sessions.SessionContext(
             self.clock,
             _metrics.Metrics(),
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_currency.py
@@ -0,0 +1,98 @@
+"""How current a configuration is, after a store came back from a copy."""
+
+import math
+
+import attrs
+import pytest
+
+from ferry_proxy import _currency
+from ferry_proxy.tests import fakes
+from ferry_proxy.tests import test_followers
+from ferry_proxy.tests import test_restored_configuration
+
+LIMIT_S = 3.8
+
+
+@attrs.define
+class Mesh:
+    """Peers by the versions that they tell."""
+
+    versions: list[int]
+
+    @property
+    def streams(self):
+        return [Peer(v) for v in self.versions]
+
+
+@attrs.frozen
+class Peer:
+    version: int
+
+
+def currency(node, clock, versions=()):
+    return _currency.Currency(
+        clock, node.copy, node.follower, Mesh(list(versions))
+    )
+
+
+def doubt(found):
+    return _currency.doubt(found.evidence, LIMIT_S)
+
+
+@pytest.fixture
+def lab():
+    return test_restored_configuration.Lab()
+
+
+def test_what_a_copy_lacks_may_yet_be_written_again(lab):
+    started = lab.add()
+    lab.clock.advance(0.3)
+    for node in (lab.reader, started):
+        assert doubt(currency(node, lab.clock)) is _currency.Doubt.COPY
+
+
+def test_the_doubt_ends_as_the_operators_write_again(lab):
+    found = currency(lab.reader, lab.clock)
+    lab.store.put("config", b"9")
+    lab.clock.advance(0.3)
+    assert doubt(found) is None
+
+
+def test_a_newer_configuration_than_before_was_written_since(lab):
+    found = currency(lab.reader, lab.clock)
+    copy = lab.store.copy()
+    lab.store.restore(copy)
+    lab.store.put("config", b"11")
+    lab.clock.advance(lab.policy.watch_wait_s + 1.0)
+    assert lab.reader.copy.revision.era == 2
+    assert doubt(found) is None
+
+
+def test_the_doubt_ends_if_nobody_writes(lab):
+    found = currency(lab.reader, lab.clock)
+    lab.clock.advance(_currency.COPY_DOUBT_S)
+    assert doubt(found) is None
+
+
+def test_a_store_that_was_never_restored_leaves_no_doubt():
+    lab = test_followers.Lab()
+    found = currency(lab.reader, lab.clock)
+    assert found.evidence.copy_read_s == math.inf
+    assert doubt(found) is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, None),
+        ({"told_version": 2}, _currency.Doubt.PEER_IS_AHEAD),
+        ({"told_version": 2, "version": 2}, None),
+        ({"store_age_s": 3.9}, _currency.Doubt.OUT_OF_TOUCH),
+        ({"store_age_s": 3.7}, None),
+        ({"copy_read_s": 9.9}, _currency.Doubt.COPY),
+        ({"copy_read_s": 10.1}, None),
+    ],
+)
+def test_doubts(changes, expected):
+    evidence = attrs.evolve(fakes.CURRENT, **changes)
+    assert _currency.doubt(evidence, LIMIT_S) is expected
--- a/packages/proxy/src/ferry_proxy/tests/test_refusals.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusals.py
@@ -8,7 +8,6 @@
 import pytest
 
 from ferry_proxy import _events
-from ferry_proxy import _refusals
 from ferry_proxy.tests import fakes
 
 
@@ -24,7 +23,7 @@
 
 
 def test_the_log_says_what_a_refusal_rests_on(lines):
-    refusals = _refusals.Refusals(lambda: fakes.CURRENT)
+    refusals = fakes.REFUSALS
     refusals.of(decisions.UNKNOWN_DATABASE, "orders-db")
     (line,) = lines()
     assert line["event"] == "RefusedByConfiguration"
@@ -47,6 +46,7 @@
 BEHIND = [
     {"told_version": 2},
     {"store_age_s": 60.0},
+    {"era": 1, "store_era": 1, "copy_read_s": 0.2},
 ]
 
 
@@ -70,3 +70,15 @@
     answer = lab.do(session, fakes.statement("READ x"))
     assert answer.reason is not decisions.LOGIN_REFUSED
     assert answer.reason.retry_after_s > 0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{}, {"told_version": 0, "peers": 0}, {"copy_read_s": 60.0}],
+)
+def test_a_current_configuration_refuses_for_good(changes):
+    lab = fakes.Lab()
+    lab.evidence = attrs.evolve(fakes.CURRENT, **changes)
+    lab.configuration = attrs.evolve(lab.configuration, routes={})
+    answer = lab.do(lab.session(), fakes.statement("READ x"))
+    assert answer.reason is decisions.UNKNOWN_DATABASE
