News of the store from before a suspension are old news

What callers would see: a machine that stood still for seconds refuses a route that was confirmed meanwhile, with its first breath.

Cause: the age of the store's news was taken from the steady clock, which leaves a suspension out; to the node its configuration looked as current as before.

Change: the clocks are compared ten times a second and at each refusal; what a suspension lasted is added to the age of all that was heard before it.

Evidence: test_news_from_before_a_suspension_are_old_news failed before (no doubt after 5 s).

--- a/packages/proxy/src/ferry_proxy/_currency.py
+++ b/packages/proxy/src/ferry_proxy/_currency.py
@@ -14,6 +14,7 @@
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
+from ferry_proxy import _suspensions
 
 COPY_DOUBT_S = 10.0  # In which the operators write again what a copy lacks.
 
@@ -46,8 +47,8 @@
     """What is known of the store's answers."""
 
     @property
-    def age_s(self) -> float:
-        """Seconds since the store answered this node or one that tells it."""
+    def seen_at(self) -> float:
+        """When the store last answered this node or one that tells it."""
 
 
 @attrs.frozen(slots=True, kw_only=True, repr=False, eq=False)
@@ -113,6 +114,11 @@
         self._catalogue = catalogue
         self._news = news
         self._mesh = mesh
+        self._suspensions = _suspensions.Suspensions(clock)
+
+    def look(self) -> None:
+        """Notes suspensions of this machine; to be called often."""
+        self._suspensions.look()
 
     @property
     def told_version(self) -> int:
@@ -130,7 +136,7 @@
             source=origin.source if origin else "",
             held_s=self._clock.now() - origin.learned_at if origin else 0.0,
             store_era=self._catalogue.revision.era,
-            store_age_s=self._news.age_s,
+            store_age_s=self._suspensions.age_s(self._news.seen_at),
             peers=len(self._mesh.streams),
             told_version=self.told_version,
             copy_read_s=self._copy_read_s,
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -323,6 +323,7 @@
     # -- periodic work ---------------------------------------------------
 
     def _check(self) -> None:
+        self._currency.look()
         self.reach.judge()
         self._allowances.check()
         self._groups.check()
--- a/packages/proxy/src/ferry_proxy/tests/test_currency.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_currency.py
@@ -96,3 +96,32 @@
 def test_doubts(changes, expected):
     evidence = attrs.evolve(fakes.CURRENT, **changes)
     assert _currency.doubt(evidence, LIMIT_S) is expected
+
+
+@attrs.define
+class SuspendedClock:
+    """A clock whose steady time stands still while its machine does."""
+
+    lab: test_followers.Lab
+    suspended_s: float = 0.0
+
+    def now(self):
+        return self.lab.clock.now()
+
+    def boot_now(self):
+        return self.lab.clock.now() + self.suspended_s
+
+    def after(self, delay, callback):
+        return self.lab.clock.after(delay, callback)
+
+
+def test_news_from_before_a_suspension_are_old_news():
+    lab = test_followers.Lab()
+    clock = SuspendedClock(lab)
+    found = currency(lab.reader, clock)
+    assert doubt(found) is None
+    clock.suspended_s = 5.0
+    assert doubt(found) is _currency.Doubt.OUT_OF_TOUCH
+    lab.store.put("members/b", b"orders")
+    lab.clock.advance(0.3)
+    assert doubt(found) is None
