Nodes that lose sight of one another give out one limit together

What callers saw: of one team more operations ran in 5 s than its limit allows (993 where 964 are), as a flood met the loss of two fifths of the nodes.

Cause: who stands in for the node that counts a team took all of the team's limit for its own. That held three times over. A keeper that does not answer may be lost, or the node that asks may be cut off itself; until it knew, 0.7 s later, each such node began a bucket with all that is borne. A node's part of the limit was up to 0.1 s old as it began a bucket. And nodes that are cut off one from another in a data centre each gave out their share, though that data centre counts whole for the others, who hear some of it.

Change: a stand-in for a keeper that does not answer gives out one keeper's part of what its side does; a bucket begins with the part of the moment; nodes that are cut off alone share what is borne over a limit. So all sides' parts add up to one and what is borne, however many there are. A test pinned a lone node's part at 1/40 of the limit: it is replaced by one on the sum, which the old parts exceed.

All former tests of limits pass. Nodes that are cut off refuse more below a limit than before; not measured.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -155,11 +155,10 @@
                 return
             del self._advances[team]
         keeper = self._heard_keeper(team)
-        reply = None
-        if keeper is not None:
-            reply = yield from self._ask(keeper, team)
-        if reply is None:
+        if keeper is None:
             reply = self._give(team, 1)
+        else:
+            reply = yield from self._ask_or_stand_in(keeper, team, False)
         if not reply.tokens:
             raise _refused(team, reply.retry_after_s)
         if reply.tokens > 1:
@@ -194,32 +193,35 @@
         keeper = None if body.is_passed_on else self._heard_keeper(body.team)
         if keeper is None:
             return self._answer_here(body.team)
-        return decisions.start(self._pass_on(keeper, body.team))
+        return decisions.start(self._ask_or_stand_in(keeper, body.team, True))
 
-    def _pass_on(
-        self, keeper: _peers.Peer, team: str
+    def _ask_or_stand_in(
+        self, keeper: _peers.Peer, team: str, is_passed_on: bool
     ) -> "decisions.Flow[AllowanceReply]":
-        reply = yield from self._ask(keeper, team, is_passed_on=True)
-        return self._answer_here(team) if reply is None else reply
+        """Asks a team's keeper, and stands in for one that does not answer.
+
+        A node that has just been cut off can't tell that from the loss of the
+        keeper. Each may be one of many, so it gives out one keeper's part.
+        """
+        reply = yield from self._ask(keeper, team, is_passed_on)
+        if reply is not None:
+            return reply
+        return self._give(team, 1, max(1, len(self._ctx.keepers().names)))
 
     def _answer_here(self, team: str) -> AllowanceReply:
         """Gives from this node's bucket; more while there is plenty."""
         limit = self._ctx.limit_of(team)
         if math.isinf(limit.rate_per_s):
             return AllowanceReply(ADVANCE, 0.0)
-        bucket = self._refilled(team, limit)
+        bucket = self._refilled(team, limit, 1)
         spare = bucket.tokens - limit.burst * PLENTY
-        return self._give(team, max(1, min(ADVANCE, math.floor(spare))))
+        count = max(1, min(ADVANCE, math.floor(spare)))
+        return self._give(team, count)
 
     def check(self) -> None:
         """Looks which nodes are in reach, and drops what is not used."""
-        ctx = self._ctx
-        now = ctx.clock.now()
-        limit_s = ctx.policy.isolated_s
-        heard = {n for n, s in ctx.streams().items() if s.silence_s < limit_s}
-        share = _limits.share_in_reach(ctx.own, heard, ctx.nodes())
-        if share != self._share:
-            self._change_share(share, now)
+        now = self._ctx.clock.now()
+        self._look_around(now)
         self._note_homes()
         self._rest_buckets(now)
         for team, used in list(self._used.items()):
@@ -228,6 +230,16 @@
                 self._buckets.pop(team, None)
                 self._advances.pop(team, None)
 
+    def _look_around(self, now: float) -> None:
+        """Looks which nodes are in reach."""
+        ctx = self._ctx
+        limit_s = ctx.policy.isolated_s
+        heard = {n for n, s in ctx.streams().items() if s.silence_s < limit_s}
+        borne = ctx.policy.limit_overage
+        share = _limits.share_in_reach(ctx.own, heard, ctx.nodes(), borne)
+        if share != self._share:
+            self._change_share(share, now)
+
     def _change_share(self, share: float, now: float) -> None:
         """Fills the buckets by the part that was given out until now.
 
@@ -312,24 +324,36 @@
             return None
         return reply if isinstance(reply, AllowanceReply) else None
 
-    def _give(self, team: str, count: int) -> AllowanceReply:
+    def _give(self, team: str, count: int, sharing: int = 1) -> AllowanceReply:
+        """Gives from this node's bucket.
+
+        Args:
+            team: The team.
+            count: The most operations to let begin.
+            sharing: How many nodes may each give out a part of what this side
+                of a partition does.
+        """
         limit = self._ctx.limit_of(team)
-        bucket = self._refilled(team, limit)
+        bucket = self._refilled(team, limit, sharing)
         tokens = bucket.take(count)
         if tokens:
             return AllowanceReply(tokens, 0.0)
-        left_s = _limits.wait_s(limit, self._share, bucket.tokens)
+        left_s = _limits.wait_s(limit, self._share / sharing, bucket.tokens)
         return AllowanceReply(0, min(left_s, self._ctx.policy.limit_window_s))
 
-    def _refilled(self, team: str, limit: _teams.Limit) -> _limits.Bucket:
+    def _refilled(
+        self, team: str, limit: _teams.Limit, sharing: int
+    ) -> _limits.Bucket:
         self._note_homes()
         now = self._ctx.clock.now()
         self._used[team] = now
         bucket = self._buckets.get(team)
         if bucket is None:
-            bucket = _limits.Bucket(*self._first(team, limit, now))
+            self._look_around(now)
+            tokens, at = self._first(team, limit, now)
+            bucket = _limits.Bucket(tokens * self._share / sharing, at)
             self._buckets[team] = bucket
-        bucket.refill(limit, self._share, now)
+        bucket.refill(limit, self._share / sharing, now)
         return bucket
 
     def _first(
--- a/packages/proxy/src/ferry_proxy/_limits.py
+++ b/packages/proxy/src/ferry_proxy/_limits.py
@@ -96,19 +96,21 @@
     own: _records.NodeEntry,
     heard: Collection[str],
     nodes: Mapping[str, _records.NodeEntry],
+    overage: float,
 ) -> float:
     """Returns the part of all limits that this side of a partition gives out.
 
     A data centre that is out of reach gives out its own part, by its number of
     nodes. One in which a node is heard counts whole: its others are likely to
     be gone, and their callers elsewhere. Sides' parts add up to one at most,
-    but for a node that is cut off from its own data centre, whose part is its
-    one share among the nodes.
+    but for nodes that are cut off from their own data centre, which counts
+    whole elsewhere: all of these together give out what is borne over a limit.
 
     Args:
         own: This node.
         heard: The names of the nodes that were heard lately.
         nodes: All nodes, by name.
+        overage: The share of a limit over it that is borne.
     """
     size: dict[str, int] = {}
     reached: dict[str, int] = {}
@@ -121,5 +123,5 @@
     share = sum(size[p] for p in reached if p != own.data_centre) / total
     own_size, own_reached = size[own.data_centre], reached[own.data_centre]
     if own_reached < LEAST_OWN_SHARE * own_size:
-        return share + own_reached / total
+        return (share + own_reached / total) * overage
     return share + own_size / total
--- a/packages/proxy/src/ferry_proxy/tests/test_limits.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_limits.py
@@ -44,14 +44,21 @@
     ],
 )
 def test_the_part_of_a_side(own, heard, share):
-    assert _limits.share_in_reach(NODES[own], heard, NODES) == share
+    assert _limits.share_in_reach(NODES[own], heard, NODES, OVERAGE) == share
 
 
-def test_a_node_that_is_cut_off_alone_has_its_own_part():
+@pytest.mark.parametrize("cut_off", [1, 8, 19])
+def test_nodes_that_are_cut_off_alone_give_out_what_is_borne(cut_off):
     nodes = {f"a{n}": entry(f"a{n}") for n in range(20)}
     nodes |= {f"b{n}": entry(f"b{n}") for n in range(20)}
-    share = _limits.share_in_reach(nodes["a1"], set(), nodes)
-    assert share == 1 / 40
+    alone = [
+        _limits.share_in_reach(nodes[f"a{n}"], set(), nodes, OVERAGE)
+        for n in range(cut_off)
+    ]
+    rest = nodes.keys() - {f"a{n}" for n in range(cut_off)}
+    others = _limits.share_in_reach(nodes["b1"], rest, nodes, OVERAGE)
+    assert min(alone) > 0
+    assert others + sum(alone) <= 1 + OVERAGE
 
 
 @pytest.mark.parametrize(
@@ -132,18 +139,20 @@
 class Fleet:
     """Nodes that keep buckets, and what is let through by them."""
 
-    def __init__(self, names=tuple(NODES)):
+    def __init__(self, known=NODES):
+        self.known = known
         self.clock = decisions.VirtualTimers()
         self.limit = LIMIT
         self.homes = _homes.Homes({"t1": LIMIT.rate_per_s})
         self.late_homes = {}  # Of nodes that know an older configuration.
         self.cut = set()
+        self.alone = {}  # Nodes that reach no other one, and since when.
         self.down = set()
         self.nodes = {}
         self.let_through = collections.defaultdict(list)
         self.refused: collections.Counter[str] = collections.Counter()
         self.asked = 0
-        for name in names:
+        for name in known:
             self.start(name)
         decisions.PeriodicTimer(self.clock, 0.1, self._check)
         self.clock.advance(10.0)
@@ -155,11 +164,11 @@
             _allowances.AllowanceContext(
                 clock=self.clock,
                 policy=_policy.Policy(has_teams=True),
-                own=NODES[name],
+                own=self.known[name],
                 limit_of=lambda _: self.limit,
-                keepers=lambda: _allowances.Keepers(tuple(NODES), 0.0),
+                keepers=lambda: _allowances.Keepers(tuple(self.known), 0.0),
                 homes=lambda: self.late_homes.get(name, self.homes),
-                nodes=lambda: NODES,
+                nodes=lambda: self.known,
                 streams=functools.partial(self._streams, name),
             )
         )
@@ -173,7 +182,9 @@
         return {n: FleetStream(self, name, n) for n in others}
 
     def is_cut(self, one, other):
-        places = {NODES[one].data_centre, NODES[other].data_centre}
+        if one != other and self.alone.keys() & {one, other}:
+            return True
+        places = {self.known[n].data_centre for n in (one, other)}
         return len(places) == 2 and bool(places & self.cut)
 
     def ask(self, name, team):
@@ -190,7 +201,7 @@
             self.refused[team] += 1
 
     def home(self, team, names):
-        return self.homes.first(team, NODES, names)
+        return self.homes.first(team, self.known, names)
 
     def flood(self, team, per_s, for_s, entries):
         """Sends a team's operations to what runs them, entry by entry."""
@@ -226,14 +237,19 @@
 
     @property
     def silence_s(self):
-        return 9.0 if self._fleet.is_cut(self._own, self.peer) else 0.0
+        fleet = self._fleet
+        pair = {self._own, self.peer}
+        since = [at for n, at in fleet.alone.items() if n in pair]
+        if since:
+            return fleet.clock.now() - min(since)
+        return 9.0 if fleet.is_cut(self._own, self.peer) else 0.0
 
     def call(self, body):
         fleet = self._fleet
         fleet.asked += 1
         fut: decisions.Future[object] = decisions.Future()
         assert isinstance(body, _allowances.AllowanceRequest)
-        if self.silence_s:
+        if fleet.is_cut(self._own, self.peer):
             fleet.clock.after(1.0, lambda: _lose(fut, self.peer))
             return fut
         reply = fleet.nodes[self.peer].answer(body)
@@ -382,14 +398,14 @@
     assert not fleet.nodes[node]._buckets
 
 
-def homes_elsewhere(than):
+def homes_elsewhere(than, nodes=NODES):
     """Returns homes that are dealt out anew, with the team at another node.
 
     A team that weighs more fills the node where the team was.
     """
     for number in range(1000):
         homes = _homes.Homes({"t1": LIMIT.rate_per_s, f"x{number}": 900.0})
-        if homes.home("t1", NODES) != than:
+        if homes.home("t1", nodes) != than:
             return homes
     raise AssertionError("none found")
 
@@ -473,3 +489,28 @@
     fleet.flood("t1", LIMIT.rate_per_s / 1.6, 18.0 - 4 * gap_s + 6.0, ALL)
     let_through = len(fleet.let_through["t1"])
     assert fleet.refused["t1"] <= 0.03 * let_through
+
+
+MANY = {
+    f"{place}{n}": entry(f"{place}{n}") for place in "abc" for n in range(5)
+}
+
+
+@pytest.mark.parametrize("has_home", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_flood_as_nodes_are_cut_off_one_from_another(seed, has_home):
+    """Each took the team's limit for its own until it knew that it was cut."""
+    fleet = Fleet(MANY)
+    names = list(MANY)
+    home = fleet.home("t1", names)
+    others = [n for n in names if n != home]
+    lost = random.Random(seed).sample(others, 6 - has_home) + [home] * has_home
+    fleet.flood("t1", LIMIT.rate_per_s / 1.6, 3.0, names)
+    fleet.flood("t1", 500.0, 0.5, names)
+    fleet.alone = dict.fromkeys(lost, fleet.clock.now())
+    fleet.flood("t1", 500.0, 0.5, names)
+    fleet.homes = homes_elsewhere(home, MANY)
+    fleet.flood("t1", 500.0, 6.5, names)
+    fleet.alone = {}
+    fleet.flood("t1", 500.0, 6.0, names)
+    assert fleet.most("t1") <= bound()
