PostgreSQL side: outdated contracts refuse no login for good

What callers would see: a login or a new password that an operator was told is in force is refused for good by a node that has just started or was cut off.

Change: a node knows whether its directory was compared with another node's a short while ago, or with a store that never came back from a copy. Until then a proof that fails is answered with 'not run, come back', and the administration API says 503 instead of 404. The exchange is whole in any case, so that nothing shows which logins exist.

Evidence: with the check switched off (the code before) the three cases of test_no_login_is_refused_for_good_by_outdated_contracts fail. A node that knows only the store's copy is not current until it has met a peer (a test). Not covered: all nodes that have just started on the copy confirm one another.

--- a/packages/node/src/ferry_node/_callers.py
+++ b/packages/node/src/ferry_node/_callers.py
@@ -31,6 +31,7 @@
         loop: The node's loop.
         cfg: The node's settings.
         contracts: The contracts in force.
+        is_current: Whether these were found to be the newest.
         sessions: What the sessions share.
         tls: The TLS context; None without TLS.
         secret: This process's secret.
@@ -40,6 +41,7 @@
     loop: runtime.EventLoop
     cfg: _settings.Settings
     contracts: decisions.ContractBook
+    is_current: Callable[[], bool]
     sessions: _conversation.ConversationContext
     tls: ssl.SSLContext | None
     secret: bytes
@@ -151,7 +153,10 @@
                 self.close()
             case _wire.StartupMessage():
                 dialog = _login.LoginDialog(
-                    self._ctx.cfg, self._ctx.contracts, self._ctx.secret
+                    self._ctx.cfg,
+                    self._ctx.contracts,
+                    self._ctx.secret,
+                    self._ctx.is_current,
                 )
                 self._stream.send(dialog.begin(msg.params, self._stream.is_tls))
                 self._decoder.expect_sasl_initial()
--- a/packages/node/src/ferry_node/_contracts_api.py
+++ b/packages/node/src/ferry_node/_contracts_api.py
@@ -90,6 +90,10 @@
         try:
             return fut.result(WAIT_S)
         except decisions.UnknownCustomerError as exc:
+            if not self._node.spreader.is_current:
+                raise ApiError(
+                    503, "outdated", "contracts may be outdated here"
+                ) from exc
             raise ApiError(404, "no_contract", customer) from exc
 
     def history(self, customer: str) -> list[typing.Any]:
--- a/packages/node/src/ferry_node/_login.py
+++ b/packages/node/src/ferry_node/_login.py
@@ -1,5 +1,8 @@
 """The login of one caller, from its startup message to its identity."""
 
+from collections.abc import Callable
+
+from absl import logging
 import attrs
 import ferry_decisions as decisions
 
@@ -33,8 +36,18 @@
         cfg: _settings.Settings,
         contracts: decisions.ContractBook,
         secret: bytes,
+        is_current: Callable[[], bool],
     ) -> None:
+        """Makes a dialog that has not begun.
+
+        Args:
+            cfg: The node's settings.
+            contracts: The contracts in force.
+            secret: This process's secret.
+            is_current: Whether these contracts were found to be the newest.
+        """
         self._cfg = cfg
+        self._is_current = is_current
         self._contracts = contracts
         self._secret = secret
         self._exchange: _auth.LoginExchange | None = None
@@ -82,7 +95,7 @@
                 challenge = self._exchange.first(msg.data)
                 return _wire.encode_sasl_continue(challenge)
             case _wire.SASLResponse():
-                final = self._exchange.final(msg.data)
+                final = self._prove(self._exchange, msg.data)
                 self.granted = self._pending
                 return _wire.encode_sasl_final(final)
             case _:
@@ -90,6 +103,24 @@
                     decisions.PROTOCOL_VIOLATION, type(msg).__name__
                 )
 
+    def _prove(self, exchange: _auth.LoginExchange, data: bytes) -> str:
+        """Returns the server's last message for a right password.
+
+        Raises:
+            RequestFailedError: The password is wrong; by contracts that may be
+                outdated, it may be right.
+        """
+        try:
+            return exchange.final(data)
+        except decisions.RequestFailedError as exc:
+            is_current = self._is_current()
+            logging.info("event=login_refused is_current=%s", is_current)
+            if is_current:
+                raise
+            raise decisions.RequestFailedError(
+                decisions.OUTDATED, "contracts may be outdated here"
+            ) from exc
+
 
 def _with_settings(
     state: decisions.SessionState, params: dict[str, str]
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -88,6 +88,7 @@
             loop=loop,
             cfg=cfg,
             contracts=self.contracts,
+            is_current=lambda: self.spreader.is_current,
             sessions=_conversation.ConversationContext(
                 timers=loop,
                 dispatcher=self.dispatcher,
--- a/packages/node/src/ferry_node/_spread.py
+++ b/packages/node/src/ferry_node/_spread.py
@@ -22,6 +22,7 @@
 
 COMPARE_S = 2.0
 COMPARE_TIMEOUT_S = 1.5
+CURRENT_S = 8.0  # Two comparisons, of which one may fail.
 STORE_REREAD_S = 5.0
 STORE_BACKOFF_LAST_S = 30.0
 PREFIXES = (
@@ -59,6 +60,7 @@
         self._failures = 0
         self._next_read = 0.0
         self.store_reachable = False
+        self._confirmed_at = float("-inf")
         self._timer = decisions.PeriodicTimer(
             timers, COMPARE_S * self._random.uniform(0.8, 1.2), self._compare
         )
@@ -78,6 +80,15 @@
                 watch.cancel()
             self._watches = []
 
+    @property
+    def is_current(self) -> bool:
+        """Whether this node knew as much as another one a short while ago.
+
+        What is missing from a directory that has not been compared may well
+        exist: nobody is refused for good by it.
+        """
+        return self._timers.now() - self._confirmed_at < CURRENT_S
+
     def close(self) -> None:
         """Ends timers and watches."""
         self._timer.stop()
@@ -161,6 +172,12 @@
             self.take(entries)
             listed.update({e.key: e for e in entries})
         self._restorer.look(listed)
+        # A store that came back from a copy may lack what peers know.
+        if not self._store.era or not self._others():
+            self._confirm()
+
+    def _confirm(self) -> None:
+        self._confirmed_at = self._timers.now()
 
     def _compare(self) -> None:
         others = self._others()
@@ -175,6 +192,7 @@
             node, _messages.SyncRequest(digest, {}, full=False)
         )
         if not reply.differs:
+            self._confirm()
             return
         reply = yield self._ask(
             node,
@@ -185,6 +203,7 @@
             ),
         )
         self.take(_codec.unpack_entries(reply.entries))
+        self._confirm()
         theirs = _codec.unpack_versions(reply.versions)
         newer = self._directory.newer_than(theirs)
         if newer:
--- /dev/null
+++ b/packages/node/src/ferry_node/tests/test_login.py
@@ -0,0 +1,75 @@
+"""Logins against contracts that may be outdated."""
+
+import ferry_decisions as decisions
+import pytest
+import scramp
+
+from ferry_node import _auth
+from ferry_node import _login
+from ferry_node import _settings
+from ferry_node import _wire
+
+CFG = _settings.Settings(
+    node="n1",
+    data_centre="hall-a",
+    host="127.0.0.1",
+    store_url="",
+    vm_list_url="",
+)
+SECRET = b"s" * 32
+CUSTOMER = decisions.Contract(
+    customer="lone-star",
+    databases=("plates",),
+    share=1,
+    connections=10,
+    version=1,
+    logins=(_auth.make_login("clerk", "correct", b"salt" * 4),),
+)
+
+
+def log_in(is_current, login="clerk", customer="lone-star", password="correct"):
+    """Returns the dialog after a whole exchange with a real client."""
+    book = decisions.ContractBook()
+    book.merge(CUSTOMER)
+    dialog = _login.LoginDialog(CFG, book, SECRET, lambda: is_current)
+    params = {"user": f"{login}@{customer}", "database": "plates"}
+    dialog.begin(params, is_tls=True)
+    client = scramp.ScramClient([_auth.MECHANISM], login, password)
+    first = client.get_client_first().encode()
+    challenge = dialog.take(_wire.SASLInitialResponse(_auth.MECHANISM, first))
+    client.set_server_first(_text(challenge))
+    final = client.get_client_final().encode()
+    dialog.take(_wire.SASLResponse(final))
+    return dialog
+
+
+def _text(message):
+    """Returns what an authentication message of the server carries."""
+    return message[9:].decode()
+
+
+@pytest.mark.parametrize("is_current", [True, False])
+def test_who_is_known_is_let_in_by_any_contracts(is_current):
+    assert log_in(is_current).granted is not None
+
+
+REFUSED = [
+    {"login": "new-clerk"},
+    {"customer": "new-customer"},
+    {"password": "new-password"},
+]
+
+
+@pytest.mark.parametrize("who", REFUSED)
+def test_no_login_is_refused_for_good_by_outdated_contracts(who):
+    with pytest.raises(decisions.RequestFailedError) as caught:
+        log_in(is_current=False, **who)
+    assert caught.value.reason is decisions.OUTDATED
+    assert caught.value.retry_after_s > 0
+
+
+@pytest.mark.parametrize("who", REFUSED)
+def test_current_contracts_refuse_for_good(who):
+    with pytest.raises(decisions.RequestFailedError) as caught:
+        log_in(is_current=True, **who)
+    assert caught.value.reason is decisions.LOGIN_REFUSED
--- a/packages/standins/src/ferry_standins/_swarm.py
+++ b/packages/standins/src/ferry_standins/_swarm.py
@@ -161,6 +161,7 @@
         self.timers = decisions.VirtualTimers()
         self.store = _virtual_store.StoreState()
         self.cut: set[frozenset[str]] = set()
+        self.alone: set[str] = set()
         self._described = [
             decisions.Node(
                 f"n{i:03d}", f"dc-{i % plan.centres}", "127.0.0.1", 1, 1
@@ -184,6 +185,15 @@
         self.nodes[name].alive = False
         self.nodes[name].view.close()
 
+    def restart(self, name: str) -> SwarmNode:
+        """Ends a node and begins it again, with nothing kept."""
+        self.kill(name)
+        rng = random.Random(self.random.random())
+        begun = SwarmNode(self, self.nodes[name].node, rng)
+        self.nodes[name] = begun
+        begun.view.note_listed(self._described)
+        return begun
+
     def carry_probe(
         self, source: SwarmNode, name: str, message: decisions.ProbeMessage
     ) -> None:
@@ -210,6 +220,8 @@
         target.timers.after(self._delay(source, target), arrive)
 
     def _is_cut(self, source: SwarmNode, target: SwarmNode) -> bool:
+        if self.alone & {source.node.name, target.node.name}:
+            return True
         pair = (source.node.data_centre, target.node.data_centre)
         return frozenset(pair) in self.cut and pair[0] != pair[1]
 
--- a/packages/standins/src/ferry_standins/tests/test_restored_store.py
+++ b/packages/standins/src/ferry_standins/tests/test_restored_store.py
@@ -67,12 +67,7 @@
     @property
     def versions(self) -> set[int]:
         """The versions that nodes have, one for each that differs."""
-        found = set()
-        for node in self.swarm.nodes.values():
-            entry = node.directory.get(KEY)
-            assert entry is not None
-            found.add(json.loads(entry.value)["version"])
-        return found
+        return {version_at(n) for n in self.swarm.nodes.values()}
 
     @property
     def stored(self) -> int:
@@ -228,3 +223,36 @@
         fleet.kv.state.restore(copy)
         status, shown = fut.result()
     assert (status, shown["error"]) == (504, "unknown")
+
+
+def test_a_directory_is_current_once_it_was_compared():
+    lab = Lab()
+    lab.lose()
+    lab.swarm.timers.advance(IN_FORCE_S)
+    for node in lab.swarm.nodes.values():
+        assert node.spreader is not None
+        assert node.spreader.is_current
+
+
+def test_a_node_that_knows_only_the_copy_is_not_current():
+    lab = Lab()
+    for peer in lab.swarm.nodes.values():
+        peer.store.cut = True  # Else they write the newer one again.
+    lab.lose()
+    reader = lab.swarm.readers("dc-0")[0]
+    lab.swarm.alone.add(reader)
+    node = lab.swarm.restart(reader)
+    lab.swarm.timers.advance(1.5)
+    assert node.spreader is not None
+    assert version_at(node) == 1
+    assert not node.spreader.is_current
+    lab.swarm.alone.clear()
+    lab.swarm.timers.advance(IN_FORCE_S)
+    assert version_at(node) == 3
+    assert node.spreader.is_current
+
+
+def version_at(node):
+    entry = node.directory.get(KEY)
+    assert entry is not None
+    return json.loads(entry.value)["version"]
