--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -10,6 +10,7 @@
 """
 
 import json
+import math
 import os
 import sys
 import time
@@ -311,7 +312,7 @@
             "at": round(time.time(), 4),
             "node": self._node,
             "event": type(event).__name__,
-            **attrs.asdict(event),
+            **attrs.asdict(event, value_serializer=_json_value),
         }
         data = self._rest + json.dumps(fields, default=str).encode() + b"\n"
         try:
@@ -323,6 +324,13 @@
         self._rest = data[sent:]
 
 
+def _json_value(_: object, __: object, value: object) -> object:
+    """Returns a value that JSON has: None for an infinite number."""
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value
+
+
 def _zero() -> dict[str, int]:
     return {"requests": 0, "failures": 0, "blocked": 0}
 
--- a/packages/proxy/src/ferry_proxy/_limits.py
+++ b/packages/proxy/src/ferry_proxy/_limits.py
@@ -123,5 +123,5 @@
     share = sum(size[p] for p in reached if p != own.data_centre) / total
     own_size, own_reached = size[own.data_centre], reached[own.data_centre]
     if own_reached < LEAST_OWN_SHARE * own_size:
-        return (share + own_reached / total) * overage
+        return share + own_reached / total * overage
     return share + own_size / total
