Each node logs what it gave of teams' limits

Sight for a limit that was overstepped: the counters could not tell which node let operations begin. Twice a second each node writes a line for the four teams that asked most: operations begun by its own bucket, by what another node gave in advance, given to others, refused, what a new bucket began with, and the part of all limits that the node believes to be its own.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -15,6 +15,7 @@
 
 from ferry_proxy import _clocks
 from ferry_proxy import _homes
+from ferry_proxy import _limit_use
 from ferry_proxy import _limits
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
@@ -133,6 +134,7 @@
         self._homes = ctx.homes()
         self._arrivals: dict[str, _Arrival] = {}
         self._dealt_at = -math.inf
+        self._use = _limit_use.LimitUse()
         self._share = 1.0
 
     @property
@@ -152,14 +154,17 @@
         if advance is not None and advance.tokens > 0:
             if self._ctx.clock.now() < advance.until:
                 advance.tokens -= 1
+                self._use.of(team).advanced += 1
                 return
             del self._advances[team]
         keeper = self._heard_keeper(team)
         if keeper is None:
             reply = self._give(team, 1)
+            self._use.of(team).begun += reply.tokens
         else:
             reply = yield from self._ask_or_stand_in(keeper, team, False)
         if not reply.tokens:
+            self._use.of(team).refused += 1
             raise _refused(team, reply.retry_after_s)
         if reply.tokens > 1:
             until = self._ctx.clock.now() + SPARE_S
@@ -206,7 +211,9 @@
         reply = yield from self._ask(keeper, team, is_passed_on)
         if reply is not None:
             return reply
-        return self._give(team, 1, max(1, len(self._ctx.keepers().names)))
+        reply = self._give(team, 1, max(1, len(self._ctx.keepers().names)))
+        self._use.of(team).begun += reply.tokens
+        return reply
 
     def _answer_here(self, team: str) -> AllowanceReply:
         """Gives from this node's bucket; more while there is plenty."""
@@ -216,7 +223,9 @@
         bucket = self._refilled(team, limit, 1)
         spare = bucket.tokens - limit.burst * PLENTY
         count = max(1, min(ADVANCE, math.floor(spare)))
-        return self._give(team, count)
+        reply = self._give(team, count)
+        self._use.of(team).given += reply.tokens
+        return reply
 
     def check(self) -> None:
         """Looks which nodes are in reach, and drops what is not used."""
@@ -224,6 +233,7 @@
         self._look_around(now)
         self._note_homes()
         self._rest_buckets(now)
+        self._use.report(now, self._share)
         for team, used in list(self._used.items()):
             if now - used > UNUSED_S:
                 del self._used[team]
@@ -284,6 +294,7 @@
             arrival = _Arrival(little, now + OVERLAP_S)
         self._arrivals[team] = arrival
         self._buckets[team] = _limits.Bucket(arrival.tokens, arrival.at)
+        self._use.of(team).began_with = round(arrival.tokens, 2)
         self._used[team] = now
 
     def _little(self, limit: _teams.Limit) -> float:
@@ -353,6 +364,7 @@
             tokens, at = self._first(team, limit, now)
             bucket = _limits.Bucket(tokens * self._share / sharing, at)
             self._buckets[team] = bucket
+            self._use.of(team).began_with = round(bucket.tokens, 2)
         bucket.refill(limit, self._share / sharing, now)
         return bucket
 
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -157,6 +157,21 @@
     detail: str
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class LimitUsed:
+    """What a node gave of a team's limit in half a second.
+
+    Attributes:
+        team: The team.
+        share: The part of all limits that the node gives out.
+        use: What it gave, to whom, and what a new bucket began with.
+    """
+
+    team: str
+    share: float
+    use: attrs.AttrsInstance
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class MemberChanged:
     """A member appeared, changed or went."""
