Two sides of any cut never give out one part of a limit

What callers saw: 1,009 to 1,061 operations of one team in 5 s of 964 allowed, as two fifths of the nodes were cut off amid a flood.

Cause, seen in the lines of the commit before: a data centre counted whole on each side on which one of its nodes was heard. That holds for cuts along data centres alone. Cut across them, both sides hear some of each and give out the whole limit, for as long as the cut lasts.

Change: a side's part of a data centre grows with the nodes that it hears: none up to a quarter, whole from three quarters on, linear in between. Whatever the cut, the parts of one data centre add up to one at most: the function and its mirror image add up to one, and it is convex below three quarters.

Cost: with 40% of a data centre's nodes in reach its part is 0.3; while more than a quarter of the nodes is gone and still listed, less than the whole limit is given out.

--- a/packages/proxy/src/ferry_proxy/_limits.py
+++ b/packages/proxy/src/ferry_proxy/_limits.py
@@ -11,6 +11,7 @@
 together stay within the limit over every span of time.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 import math
@@ -20,8 +21,8 @@
 from ferry_proxy import _records
 from ferry_proxy import _teams
 
-LEAST_OWN_SHARE = 0.25  # Of the own data centre's nodes: with fewer in reach,
-# a node takes itself for cut off from them, and not them for gone.
+FEW = 0.25  # Of a data centre's nodes: whoever hears no more of them leaves the
+# data centre to those who hear the rest.
 BORNE_SHARE = 0.4  # Of what is borne over a limit, for each change of keeper:
 # two within one window are within it.
 
@@ -100,11 +101,15 @@
 ) -> float:
     """Returns the part of all limits that this side of a partition gives out.
 
-    A data centre that is out of reach gives out its own part, by its number of
-    nodes. One in which a node is heard counts whole: its others are likely to
-    be gone, and their callers elsewhere. Sides' parts add up to one at most,
-    but for nodes that are cut off from their own data centre, which counts
-    whole elsewhere: all of these together give out what is borne over a limit.
+    Each data centre's part is its number of nodes. Nodes that are not heard may
+    be gone or on another side, and no two sides may give out one part: so a
+    side that hears all but a few of a data centre's nodes has its part whole,
+    one that hears only a few has none of it, and in between the part grows with
+    the number that is heard. All sides' parts add up to one at most, however
+    many sides there are and wherever they were cut apart.
+
+    A node that hears only a few of its own data centre gives out a little all
+    the same. All such nodes together give out what is borne over a limit.
 
     Args:
         own: This node.
@@ -112,16 +117,24 @@
         nodes: All nodes, by name.
         overage: The share of a limit over it that is borne.
     """
-    size: dict[str, int] = {}
-    reached: dict[str, int] = {}
+    size: collections.Counter[str] = collections.Counter()
+    reached: collections.Counter[str] = collections.Counter()
     for name, node in {**nodes, own.name: own}.items():
         place = node.data_centre
-        size[place] = size.get(place, 0) + 1
-        if name in heard or name == own.name:
-            reached[place] = reached.get(place, 0) + 1
-    total = sum(size.values())
-    share = sum(size[p] for p in reached if p != own.data_centre) / total
-    own_size, own_reached = size[own.data_centre], reached[own.data_centre]
-    if own_reached < LEAST_OWN_SHARE * own_size:
-        return share + own_reached / total * overage
-    return share + own_size / total
+        size[place] += 1
+        reached[place] += name in heard or name == own.name
+    total = size.total()
+    share = sum(_part(reached[p] / size[p]) * size[p] for p in size) / total
+    place = own.data_centre
+    if reached[place] <= FEW * size[place]:
+        share += reached[place] / total * overage
+    return share
+
+
+def _part(reached: float) -> float:
+    """Returns the part of a data centre that a side has which hears some of it.
+
+    Args:
+        reached: The share of its nodes that is heard.
+    """
+    return min(1.0, max(0.0, (reached - FEW) / (1.0 - 2.0 * FEW)))
