--- a/packages/proxy/src/ferry_proxy/tests/test_limits.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_limits.py
@@ -519,21 +519,31 @@
     assert fleet.refused["t1"] <= 0.03 * let_through
 
 
+def flooded(seed, has_home):
+    """Returns a fleet amid a flood, and two fifths of its nodes.
+
+    Args:
+        seed: What the nodes are drawn from.
+        has_home: Whether the team's home is among them.
+    """
+    fleet = Fleet(MANY)
+    home = fleet.home("t1", list(MANY))
+    others = [n for n in MANY if n != home]
+    few = random.Random(seed).sample(others, 6 - has_home) + [home] * has_home
+    fleet.flood("t1", LIMIT.rate_per_s / 1.6, 3.0, list(MANY))
+    fleet.flood("t1", 500.0, 0.5, list(MANY))
+    return fleet, few
+
+
 @pytest.mark.parametrize("has_home", [True, False])
 @pytest.mark.parametrize("seed", range(3))
 def test_a_flood_through_a_split_across_data_centres(seed, has_home):
     """Both sides heard some of each data centre, and gave out all of it."""
-    fleet = Fleet(MANY)
-    names = list(MANY)
-    home = fleet.home("t1", names)
-    others = [n for n in names if n != home]
-    few = random.Random(seed).sample(others, 6 - has_home) + [home] * has_home
-    fleet.flood("t1", LIMIT.rate_per_s / 1.6, 3.0, names)
-    fleet.flood("t1", 500.0, 0.5, names)
+    fleet, few = flooded(seed, has_home)
     fleet.split = (set(few), fleet.clock.now())
-    fleet.flood("t1", 500.0, 7.0, names)
+    fleet.flood("t1", 500.0, 7.0, list(MANY))
     fleet.split = (set(), math.inf)
-    fleet.flood("t1", 500.0, 6.0, names)
+    fleet.flood("t1", 500.0, 6.0, list(MANY))
     assert fleet.most("t1") <= bound()
 
 
@@ -541,17 +551,11 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_a_flood_as_nodes_are_cut_off_one_from_another(seed, has_home):
     """Each took the team's limit for its own until it knew that it was cut."""
-    fleet = Fleet(MANY)
-    names = list(MANY)
-    home = fleet.home("t1", names)
-    others = [n for n in names if n != home]
-    lost = random.Random(seed).sample(others, 6 - has_home) + [home] * has_home
-    fleet.flood("t1", LIMIT.rate_per_s / 1.6, 3.0, names)
-    fleet.flood("t1", 500.0, 0.5, names)
-    fleet.alone = dict.fromkeys(lost, fleet.clock.now())
-    fleet.flood("t1", 500.0, 0.5, names)
-    fleet.homes = homes_elsewhere(home, MANY)
-    fleet.flood("t1", 500.0, 6.5, names)
+    fleet, few = flooded(seed, has_home)
+    fleet.alone = dict.fromkeys(few, fleet.clock.now())
+    fleet.flood("t1", 500.0, 0.5, list(MANY))
+    fleet.homes = homes_elsewhere(fleet.home("t1", list(MANY)), MANY)
+    fleet.flood("t1", 500.0, 6.5, list(MANY))
     fleet.alone = {}
-    fleet.flood("t1", 500.0, 6.0, names)
+    fleet.flood("t1", 500.0, 6.0, list(MANY))
     assert fleet.most("t1") <= bound()
