A side's part of all limits is its share of the nodes

What callers saw: of a team that stays below its limit 1,193 of 6,152 operations were refused in the test's fleet while two fifths of its nodes were cut off one from another (26 with the parts of old, which let others overstep the limit).

Cause: to have a data centre whole with three quarters of it in reach, the rule gave less than their share to sides that hear less, and next to nothing to nodes that are alone.

Change: a side gives out the share of nodes that it hears, its own included. Over any cut the parts add up to exactly one, so that the bound holds with no allowance for what is borne. Nodes that are gone and still listed leave their share unused, which limits of some 1.6 times the usual bear up to two fifths.

--- a/packages/proxy/src/ferry_proxy/_allowances.py
+++ b/packages/proxy/src/ferry_proxy/_allowances.py
@@ -245,8 +245,7 @@
         ctx = self._ctx
         limit_s = ctx.policy.isolated_s
         heard = {n for n, s in ctx.streams().items() if s.silence_s < limit_s}
-        borne = ctx.policy.limit_overage
-        share = _limits.share_in_reach(ctx.own, heard, ctx.nodes(), borne)
+        share = _limits.share_in_reach(ctx.own, heard, ctx.nodes())
         if share != self._share:
             self._change_share(share, now)
 
--- a/packages/proxy/src/ferry_proxy/_limits.py
+++ b/packages/proxy/src/ferry_proxy/_limits.py
@@ -11,7 +11,6 @@
 together stay within the limit over every span of time.
 """
 
-import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 import math
@@ -21,8 +20,6 @@
 from ferry_proxy import _records
 from ferry_proxy import _teams
 
-FEW = 0.25  # Of a data centre's nodes: whoever hears no more of them leaves the
-# data centre to those who hear the rest.
 BORNE_SHARE = 0.4  # Of what is borne over a limit, for each change of keeper:
 # two within one window are within it.
 
@@ -97,44 +94,17 @@
     own: _records.NodeEntry,
     heard: Collection[str],
     nodes: Mapping[str, _records.NodeEntry],
-    overage: float,
 ) -> float:
     """Returns the part of all limits that this side of a partition gives out.
 
-    Each data centre's part is its number of nodes. Nodes that are not heard may
-    be gone or on another side, and no two sides may give out one part: so a
-    side that hears all but a few of a data centre's nodes has its part whole,
-    one that hears only a few has none of it, and in between the part grows with
-    the number that is heard. All sides' parts add up to one at most, however
-    many sides there are and wherever they were cut apart.
-
-    A node that hears only a few of its own data centre gives out a little all
-    the same. All such nodes together give out what is borne over a limit.
+    It is the share of nodes on this side. Nodes that are not heard may be gone
+    or on another side, so that the parts of all sides add up to one at most
+    only if nobody stands in for them.
 
     Args:
         own: This node.
         heard: The names of the nodes that were heard lately.
         nodes: All nodes, by name.
-        overage: The share of a limit over it that is borne.
-    """
-    size: collections.Counter[str] = collections.Counter()
-    reached: collections.Counter[str] = collections.Counter()
-    for name, node in {**nodes, own.name: own}.items():
-        place = node.data_centre
-        size[place] += 1
-        reached[place] += name in heard or name == own.name
-    total = size.total()
-    share = sum(_part(reached[p] / size[p]) * size[p] for p in size) / total
-    place = own.data_centre
-    if reached[place] <= FEW * size[place]:
-        share += reached[place] / total * overage
-    return share
-
-
-def _part(reached: float) -> float:
-    """Returns the part of a data centre that a side has which hears some of it.
-
-    Args:
-        reached: The share of its nodes that is heard.
     """
-    return min(1.0, max(0.0, (reached - FEW) / (1.0 - 2.0 * FEW)))
+    names = {*nodes, own.name}
+    return len(names & {*heard, own.name}) / len(names)
