Operators find the routes of a document in rosemaryferryctl

The adapter offers its commands as an entry point now, and make install installs it; the packages learn no word of the platform. A command that can't be loaded is left out and logged.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := -e packages/decisions -e packages/runtime -e packages/proxy -e packages/node -e packages/standins -e packages/ctl
+PACKAGES := -e packages/decisions -e packages/runtime -e packages/proxy -e packages/node -e packages/standins -e packages/ctl -e ./platform
 
 .PHONY: install demo test check format bench-path
 
-$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt \
 	  pytest hypothesis ruff mypy $(PACKAGES)
--- a/packages/ctl/src/ferry_ctl/_main.py
+++ b/packages/ctl/src/ferry_ctl/_main.py
@@ -1,5 +1,12 @@
-"""The command `rosemaryferryctl`: contracts, status, demo and benchmarks."""
+"""The command `rosemaryferryctl`: contracts, status, demo and benchmarks.
 
+Adapters add commands of their own by entry points of the group `COMMANDS`.
+"""
+
+from collections.abc import Iterable
+import importlib.metadata
+
+from absl import logging
 import click
 
 from ferry_ctl import _bench
@@ -10,6 +17,8 @@
 from ferry_ctl import _standins
 from ferry_ctl import _status
 
+COMMANDS = "rosemaryferry.commands"
+
 
 @click.group()
 def main() -> None:
@@ -25,5 +34,24 @@
 main.add_command(_standins.stand_ins)
 
 
+def add_commands(
+    group: click.Group, points: Iterable[importlib.metadata.EntryPoint]
+) -> None:
+    """Adds the commands of adapters; one that can't be loaded is left out.
+
+    Args:
+        group: Where to.
+        points: The entry points of the commands.
+    """
+    for point in points:
+        try:
+            group.add_command(point.load(), point.name)
+        except (ImportError, AttributeError) as exc:
+            logging.warning("event=command_left_out name=%s: %s", point, exc)
+
+
+add_commands(main, importlib.metadata.entry_points(group=COMMANDS))
+
+
 if __name__ == "__main__":
     main()
