--- a/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_configuration.py
@@ -11,6 +11,7 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _configuration
 from ferry_proxy import _records
+from ferry_proxy.tests import fakes
 from ferry_proxy.tests import test_followers
 
 
@@ -19,6 +20,16 @@
     return _configuration.Configuration(int(value), {}, {}, 3.0, 1 << 20)
 
 
+def changed_after_a_copy(lab: test_followers.Lab) -> fakes.Copy:
+    """Writes version 4, then 9; returns a copy of the store between them."""
+    lab.store.put("config", b"4")
+    lab.settle()
+    copy = lab.store.copy()
+    lab.store.put("config", b"9")
+    lab.settle()
+    return copy
+
+
 class Lab(test_followers.Lab):
     """Nodes that have a configuration which the store has lost."""
 
@@ -28,11 +39,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.store.put("config", b"4")
-        self.settle()
-        copy = self.store.copy()
-        self.store.put("config", b"9")
-        self.settle()
+        copy = changed_after_a_copy(self)
         self.store.restore(copy)
         self.clock.advance(self.policy.watch_wait_s + 1.0)
 
@@ -92,11 +99,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.store.put("config", b"4")
-        self.settle()
-        copy = self.store.copy()
-        self.store.put("config", b"9")
-        self.settle()
+        copy = changed_after_a_copy(self)
         self.reader.store.turned_away = True
         self.clock.advance(self.policy.watch_wait_s + 1.0)
         self.store.restore(copy)
