Add optional features, and what calls for them

Cause: two deployments need decisions under load that others do without, and nothing told a node which of them to make.

No feature does anything yet. A mistake in that file now shows the text of the validator.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -61,6 +61,8 @@
     from ferry_decisions._flows import with_timeout as with_timeout
     from ferry_decisions._hashing import rendezvous_score as rendezvous_score
     from ferry_decisions._hashing import stagger_fraction as stagger_fraction
+    from ferry_decisions._load import Demand as Demand
+    from ferry_decisions._load import WorkKey as WorkKey
     from ferry_decisions._logs import log_debug as log_debug
     from ferry_decisions._logs import log_exception as log_exception
     from ferry_decisions._logs import log_warning as log_warning
@@ -220,6 +222,7 @@
         "with_timeout",
     ],
     "_hashing": ["rendezvous_score", "stagger_fraction"],
+    "_load": ["Demand", "WorkKey"],
     "_logs": ["log_debug", "log_exception", "log_warning"],
     "_membership": ["Membership"],
     "_outcomes": [
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -8,6 +8,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _features
 from ferry_proxy import _groups
 from ferry_proxy import _jobs
 from ferry_proxy import _links
@@ -43,9 +44,15 @@
 class Executor:
     """Runs single statements and selects the members that run them."""
 
-    def __init__(self, clock: _clocks.Clock, policy: _policy.Policy) -> None:
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        policy: _policy.Policy,
+        features: _features.Features = _features.NONE,
+    ) -> None:
         self._clock = clock
         self._policy = policy
+        self._features = features
 
     def write(self, job: _jobs.Job) -> "decisions.Flow[_links.Reply]":
         """Runs a single write, which is retried only if it cannot have run.
--- a/packages/proxy/src/ferry_proxy/_forwarder.py
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -7,6 +7,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _features
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _records
@@ -65,6 +66,7 @@
         plan: Callable[[str], _serving_plan.ServingPlan | None],
         open_streams: Callable[[], object],
         team_placement: Callable[[], _team_placement.TeamPlacement],
+        features: _features.Features = _features.NONE,
     ) -> None:
         """Initializes the forwarder.
 
@@ -77,7 +79,9 @@
             open_streams: Called when no serving node is left; connects to the
                 nodes that are `wanted` now.
             team_placement: Returns the placement of teams on nodes.
+            features: The optional features that are on.
         """
+        self.features = features
         self.clock = clock
         self.policy = policy
         self.open_streams = open_streams
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -8,6 +8,7 @@
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
 from ferry_proxy import _events
+from ferry_proxy import _features
 from ferry_proxy import _freshness
 from ferry_proxy import _links
 from ferry_proxy import _members
@@ -34,10 +35,12 @@
         data_centre: str,
         connector: _links.Connector,
         policy: _policy.Policy,
+        features: _features.Features = _features.NONE,
     ) -> None:
         self._clock = clock
         self._connector = connector
         self._policy = policy
+        self._features = features
         self._data_centre = data_centre
         self._control_commands = _control_commands.ControlCommands(
             clock, policy
@@ -89,7 +92,7 @@
             if pool is not None and member.is_restart_of(pool.member):
                 self._forget_restarted(pool)
                 pool = None
-            elif pool is not None and _has_new_address(pool.member, member):
+            elif pool is not None and member.has_moved_from(pool.member):
                 pool.close()
                 pool = None
             self.removed_members.pop(name, None)
@@ -112,7 +115,12 @@
     def open_pool(self, member: _members.Member, limit: int = 1) -> _pools.Pool:
         """Returns a new pool for a member, which need not be listed."""
         return _pools.Pool(
-            self._clock, member, self._connector, self._policy, limit
+            self._clock,
+            member,
+            self._connector,
+            self._policy,
+            limit,
+            self._features,
         )
 
     def _remove(self, name: str) -> None:
@@ -139,8 +147,7 @@
             self._lose_leader()
 
     def _lose_leader(self) -> None:
-        self.leader = None
-        self.leaderless_since = self._clock.now()
+        self.leader, self.leaderless_since = None, self._clock.now()
 
     @property
     def leader_pool(self) -> _pools.Pool | None:
@@ -391,7 +398,3 @@
             previous.reject_callers()
         changed, self._changed = self._changed, decisions.Future()
         decisions.resolve(changed, None)
-
-
-def _has_new_address(before: _members.Member, after: _members.Member) -> bool:
-    return (before.host, before.port) != (after.host, after.port)
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -90,6 +90,16 @@
     return decisions.RequestFailedError(decisions.NO_CONNECTION, member)
 
 
-def overloaded(member: str) -> decisions.RequestFailedError:
-    """Returns the error for a request when too many are waiting."""
-    return decisions.RequestFailedError(decisions.OVERLOADED, member)
+def overloaded(
+    member: str, retry_after_s: float | None = None
+) -> decisions.RequestFailedError:
+    """Returns the error for a request when too many are waiting.
+
+    Args:
+        member: The member's id.
+        retry_after_s: When the caller should return, in seconds; None if
+            unknown.
+    """
+    return decisions.RequestFailedError(
+        decisions.OVERLOADED, member, retry_after_s
+    )
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -37,6 +37,10 @@
     born: int = 0
     sequence: int = attrs.field(default=0, eq=False)
 
+    def has_moved_from(self, before: "Member") -> bool:
+        """Whether an earlier entry of this member has another address."""
+        return (self.host, self.port) != (before.host, before.port)
+
     def is_restart_of(self, known: "Member") -> bool:
         """Whether the process restarted after it wrote `known`.
 
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -1,8 +1,33 @@
 """The proxy's tunables, with their defaults and the reasons for them."""
 
+from collections.abc import Mapping
+import enum
+
 import attrs
 
 
+class Feature(enum.Enum):
+    """An optional behaviour; the value is its name in the tunables."""
+
+    FAIR_ADMISSION = "fair_admission"
+    SLOT_SHARING = "slot_sharing"
+    LOAD_REPORTS = "load_reports"
+    RETRY_ADVICE = "retry_advice"
+    MEMBER_OUTCOMES = "member_outcomes"
+
+
+def _known_features(
+    _: object,
+    field: "attrs.Attribute[Mapping[str, bool]]",
+    value: Mapping[str, bool],
+) -> None:
+    names = {f.value for f in Feature}
+    unknown = sorted(value.keys() - names)
+    if unknown:
+        known = ", ".join(sorted(names))
+        raise ValueError(f"{field.name}: {unknown[0]!r} is not one of {known}")
+
+
 def _positive(_: object, field: "attrs.Attribute[float]", value: float) -> None:
     if value <= 0:
         raise ValueError(f"{field.name} must be positive")
@@ -32,6 +57,9 @@
         limit_overage: The tolerated excess in such a window, as a share of the
             limit.
         limit_slack: The number of operations that are tolerated in addition.
+        has_contention: Whether callers compete for too little capacity.
+        distrusts_health: Whether members may fail requests although their
+            health check succeeds.
     """
 
     drain_s: float = 7.0
@@ -41,6 +69,8 @@
     limit_window_s: float = 5.0
     limit_overage: float = 0.1
     limit_slack: float = 20.0
+    has_contention: bool = False
+    distrusts_health: bool = False
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -104,6 +134,11 @@
         limit_overage: The tolerated excess in such a window, as a share of the
             limit.
         limit_slack: The number of operations that are tolerated in addition.
+        has_contention: Whether callers compete for too little capacity.
+        distrusts_health: Whether members may fail requests although their
+            health check succeeds.
+        features: The operator's choices of optional features, by the name of
+            the feature; others follow the settings and the configuration.
     """
 
     probe_s: float = attrs.field(default=0.4, validator=_positive)
@@ -139,6 +174,11 @@
     limit_slack: float = attrs.field(
         default=20.0, validator=attrs.validators.ge(0)
     )
+    has_contention: bool = False
+    distrusts_health: bool = False
+    features: Mapping[str, bool] = attrs.field(
+        factory=dict, validator=_known_features
+    )
 
     @property
     def max_store_age_s(self) -> float:
@@ -157,4 +197,6 @@
             limit_window_s=bounds.limit_window_s,
             limit_overage=bounds.limit_overage,
             limit_slack=bounds.limit_slack,
+            has_contention=bounds.has_contention,
+            distrusts_health=bounds.distrusts_health,
         )
--- a/packages/proxy/src/ferry_proxy/_policy_file.py
+++ b/packages/proxy/src/ferry_proxy/_policy_file.py
@@ -7,6 +7,7 @@
 import pathlib
 
 import cattrs
+from cattrs import v
 import json5
 
 from ferry_proxy import _policy
@@ -16,6 +17,13 @@
     """A file of tunables is invalid; the message lists all errors."""
 
 
+def _describe(exc: BaseException, type_: type | None) -> str:
+    """Returns a mistake's text; a validator's own text names the value."""
+    if type(exc) is ValueError and exc.args:
+        return str(exc)
+    return v.format_exception(exc, type_)
+
+
 def policy_from_file(path: str) -> _policy.Policy:
     """Reads tunables from a file.
 
@@ -29,5 +37,7 @@
     except (OSError, ValueError) as exc:
         raise InvalidPolicyError(f"{path}: {exc}") from exc
     except cattrs.BaseValidationError as exc:
-        mistakes = "; ".join(cattrs.transform_error(exc))
+        mistakes = "; ".join(
+            cattrs.transform_error(exc, format_exception=_describe)
+        )
         raise InvalidPolicyError(f"{path}: {mistakes}") from exc
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -11,6 +11,8 @@
 
 from ferry_proxy import _clocks
 from ferry_proxy import _contact
+from ferry_proxy import _drain_window
+from ferry_proxy import _features
 from ferry_proxy import _link_choice
 from ferry_proxy import _link_queue
 from ferry_proxy import _link_room
@@ -36,10 +38,12 @@
         connector: _links.Connector,
         policy: _policy.Policy,
         limit: int,
+        features: _features.Features = _features.NONE,
     ) -> None:
         self._clock = clock
         self._connector = connector
         self._policy = policy
+        self._features = features
         self._idle: list[PooledLink] = []
         self._used: set[PooledLink] = set()
         self._opening: collections.Counter[str] = collections.Counter()
@@ -54,7 +58,7 @@
         self.parallel = limit
         self.reported = _reported_position.ReportedPosition(clock)
         self.contact = _contact.Contact(clock)
-        self._draining_since: float | None = None
+        self._drain_window = _drain_window.DrainWindow(policy.drain_s)
         self.is_replaced = False
         self.note_entry(member)
 
@@ -63,6 +67,11 @@
         """The number of links in use and of requests waiting for one."""
         return len(self._used) + len(self._waiters)
 
+    @property
+    def demand(self) -> decisions.Demand:
+        """The statements that run at the member and wait at this node."""
+        return decisions.Demand(self._running, len(self._waiters))
+
     @property
     def size(self) -> int:
         """The number of links that are open or being opened."""
@@ -71,18 +80,12 @@
     def note_entry(self, member: _members.Member) -> None:
         """Applies the current list entry of the member."""
         self.member = member
-        if not member.draining:
-            self._draining_since = None
-        elif self._draining_since is None:
-            self._draining_since = self._clock.now()
+        self._drain_window.note(member.draining, self._clock.now())
 
     @property
     def accepts_statements(self) -> bool:
         """Whether it takes new statements; if draining, for `drain_s` only."""
-        since = self._draining_since
-        if since is None:
-            return True
-        return self._clock.now() - since < self._policy.drain_s
+        return self._drain_window.is_open(self._clock.now())
 
     @property
     def is_unreachable(self) -> bool:
@@ -236,9 +239,9 @@
     def close(self) -> None:
         """Closes the idle links; links in use are closed on release."""
         self._closed = True
-        idle, self._idle = self._idle, []
-        for pooled in idle:
+        for pooled in self._idle:
             pooled.link.close()
+        self._idle = []
         for waiter in self._waiters.clear():
             decisions.reject(
                 waiter.fut, _link_queue.unavailable(self.member.id)
@@ -246,10 +249,7 @@
 
     @property
     def _running(self) -> int:
-        """Statements running at the member and links being opened.
-
-        Each occupies a slot of the member.
-        """
+        """Statements at the member and links being opened; each has a slot."""
         asked = sum(t.sent_at is not None for t in self._used)
         return asked + self._opening.total()
 
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -7,6 +7,7 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _currency
 from ferry_proxy import _events
+from ferry_proxy import _features
 from ferry_proxy import _followers
 from ferry_proxy import _forwarder
 from ferry_proxy import _forwarding
@@ -81,6 +82,9 @@
         self._started_at = loop.now()
         self.catalogue = _catalogue.Catalogue(loop, platform.layout, policy)
         self.catalogue.on_change.append(self._apply)
+        self._features = _features.Features(
+            policy, lambda: self.catalogue.configuration
+        )
         self._roster = _roster.Roster(loop, self.catalogue, self._own.name)
         refusals = _refusals.Refusals(
             lambda: self._currency.evidence, policy.max_store_age_s
@@ -154,6 +158,7 @@
                 mesh=self.mesh,
                 metrics=self.metrics,
                 gate=self._rate_limiter,
+                features=self._features,
                 is_stopping=lambda: self.stopping,
             )
         )
@@ -165,6 +170,7 @@
             lambda s: self._groups.plans.get(s),
             self._want_peers,
             lambda: self.catalogue.team_placement,
+            self._features,
         )
         self.reach = _reachability.Reachability(
             loop, self._policy, self.mesh, self._groups, self._forwarder
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _execution
+from ferry_proxy import _features
 from ferry_proxy import _gates
 from ferry_proxy import _groups
 from ferry_proxy import _links
@@ -48,6 +49,7 @@
         mesh: The streams to other nodes.
         metrics: Receives counters and gauges.
         gate: Admits the operations of teams, within their limits.
+        features: The optional features that are on.
         is_stopping: Returns whether this node is shutting down.
     """
 
@@ -62,6 +64,7 @@
     mesh: "_peers.Streams"
     metrics: _metrics.Metrics
     gate: _gates.Gate
+    features: _features.Features
     is_stopping: Callable[[], bool]
 
 
@@ -97,7 +100,9 @@
 
     def __init__(self, ctx: GroupsContext) -> None:
         self._ctx = ctx
-        self._executor = _execution.Executor(ctx.clock, ctx.policy)
+        self._executor = _execution.Executor(
+            ctx.clock, ctx.policy, ctx.features
+        )
         self._served: dict[str, ServedGroup] = {}
         self._plans: dict[str, _serving_plan.ServingPlan] = {}
         self._plan_inputs: _PlanInputs | None = None
@@ -226,7 +231,12 @@
         ctx = self._ctx
         name = service.name
         group = _groups.Group(
-            ctx.clock, service, ctx.own.data_centre, ctx.connector, ctx.policy
+            ctx.clock,
+            service,
+            ctx.own.data_centre,
+            ctx.connector,
+            ctx.policy,
+            ctx.features,
         )
         mesh = _peers.PeerSubset(ctx.mesh, lambda: self._serving_names(name))
         promoter = _promotions.Promoter(
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests run: which member, node and data centre."""
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""In which order requests run, and which are refused."""
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -6,6 +6,7 @@
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _configuration
+from ferry_proxy import _features
 from ferry_proxy import _gates
 from ferry_proxy import _metrics
 from ferry_proxy import _peers
@@ -91,6 +92,7 @@
                 mesh=self.mesh,
                 metrics=_metrics.Metrics(),
                 gate=_gates.OPEN,
+                features=_features.NONE,
                 is_stopping=lambda: self.stopping,
             )
         )
