Keep the callers of a cut-off node while the balancer sends new ones

Cause: where most nodes of a data centre are unready, the balancer uses all of them again. A cut-off node went on closing idle connections ten times a second, and those callers came back to it; some had a request on the way.

Change: a node lets its callers go only if none has connected for 0.3 s (`lets_callers_go`).

Result: its test fails on the code before, which looked at the rotation alone.

--- a/packages/proxy/src/ferry_proxy/_readiness.py
+++ b/packages/proxy/src/ferry_proxy/_readiness.py
@@ -8,6 +8,9 @@
 
 import attrs
 
+# A balancer that sends callers to a node sends one at least this often.
+NO_CALLER_S = 0.3
+
 
 class Unready(enum.Enum):
     """Why a node is not ready for new sessions."""
@@ -50,3 +53,16 @@
     if inputs.is_cut_off:
         return Unready.CUT_OFF
     return None if inputs.knows_primary else Unready.NO_PRIMARY
+
+
+def lets_callers_go(is_out_of_rotation: bool, no_caller_s: float) -> bool:
+    """Whether a node that is cut off closes the connections of its callers.
+
+    Where most nodes of a data centre are unready, the balancer sends callers to
+    all of them again. Those that are let go would come back.
+
+    Args:
+        is_out_of_rotation: Whether the balancer has seen that it is unready.
+        no_caller_s: Seconds since a caller last connected.
+    """
+    return is_out_of_rotation and no_caller_s > NO_CALLER_S
--- a/packages/proxy/src/ferry_proxy/tests/test_readiness.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_readiness.py
@@ -34,3 +34,19 @@
 def test_why_a_node_is_not_ready(changes, expected):
     inputs = attrs.evolve(READY, **changes)
     assert _readiness.unready_reason(inputs) is expected
+
+
+@pytest.mark.parametrize(
+    ("is_out_of_rotation", "no_caller_s", "expected"),
+    [
+        (True, 1.0, True),
+        (False, 1.0, False),
+        # The balancer still sends callers, as too few other nodes are ready.
+        (True, 0.1, False),
+    ],
+)
+def test_callers_are_let_go_if_they_would_not_come_back(
+    is_out_of_rotation, no_caller_s, expected
+):
+    found = _readiness.lets_callers_go(is_out_of_rotation, no_caller_s)
+    assert found is expected
