Cut off data centres as a whole, by the silence of other data centres

A serving node of a data centre without a primary stayed in rotation through a whole partition: the share of reached peers was counted over its streams, and the ring of streams orders nodes by name, so that half of them end within its own data centre. While two nodes stay, the balancer uses all of them.

A node is now separated if two data centres or more are silent that have most of the fleet's nodes and a group is unserved; the share of the fleet that it reaches is weighed by data centre. A separated serving node reports its unserved groups as missed, which entry nodes with few streams go by. Refused connections count as contact only while nodes restart nearby, too, since a firewall may refuse as well.

FakeMesh of test_reachability.py gives the contact of a fleet with one data centre; its cases are the same.

--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -5,6 +5,7 @@
 seven nodes to all others, and gives each of 410 nodes 18 streams on the ring.
 """
 
+import collections
 from collections.abc import Collection
 import typing
 
@@ -13,6 +14,7 @@
 
 from ferry_proxy import _peers
 from ferry_proxy import _records
+from ferry_proxy.placement import _data_centres
 
 PING_S = 0.5
 # Peers that wait for a reply are pinged more often, as they take this node for
@@ -65,6 +67,12 @@
         self._wanted: set[tuple[str, int]] = set()
         self._by_name: dict[str, _peers.PeerStream] | None = None
         self._dialled_at: dict[tuple[str, int], float] = {}
+        self._heard_at: dict[tuple[str, int], float] = {}
+        self._refused_at: dict[tuple[str, int], float] = {}
+        self._nodes: dict[str, _records.NodeEntry] = {}
+        self._data_centres: dict[tuple[str, int], str] = {}
+        self._sizes: collections.Counter[str] = collections.Counter()
+        self._silences = _data_centres.Silences()
         self._listener: runtime.Listener | None = None
 
     def open(
@@ -111,13 +119,67 @@
         """
         if not self._wanted:
             return 1.0
-        heard = [
-            s
-            for a, s in self._outbound.items()
-            if a in self._wanted and s.peer and not s.closed
-        ]
-        heard_lately = sum(s.silence_s < limit_s for s in heard)
-        return heard_lately / len(self._wanted)
+        heard = sum(self._is_heard(a, limit_s) for a in self._wanted)
+        return heard / len(self._wanted)
+
+    def contact(self, limit_s: float) -> _data_centres.FleetContact:
+        """Returns the contact with all data centres that have streams.
+
+        Args:
+            limit_s: The greatest silence of a peer in contact, in seconds.
+        """
+        own = self._own_entry.data_centre
+        self._note_silences()
+        peers: collections.Counter[str] = collections.Counter()
+        heard: collections.Counter[str] = collections.Counter()
+        refused: collections.Counter[str] = collections.Counter()
+        for address in self._wanted:
+            name = self._data_centres.get(address, own)
+            peers[name] += 1
+            heard[name] += self._is_heard(address, limit_s)
+            refused[name] += self._is_refused(address, limit_s)
+        silences = {**self._silences.at(self._loop.now()), own: 0.0}
+        contacts = {
+            name: _data_centres.Contact(
+                nodes=max(self._sizes[name], peers[name] + (name == own)),
+                peers=peers[name],
+                heard=heard[name],
+                refused=refused[name],
+                silence_s=silence_s,
+            )
+            for name, silence_s in silences.items()
+        }
+        return _data_centres.FleetContact(
+            own=contacts.pop(own), others=tuple(contacts.values())
+        )
+
+    def _is_heard(self, address: tuple[str, int], limit_s: float) -> bool:
+        """Whether data of a peer arrived recently, on the last stream too."""
+        stream = self._outbound.get(address)
+        if stream is not None and stream.peer:
+            return stream.silence_s < limit_s
+        heard_at = self._heard_at.get(address, float("-inf"))
+        return self._loop.now() - heard_at < limit_s
+
+    def _is_refused(self, address: tuple[str, int], limit_s: float) -> bool:
+        """Whether a peer's address refused a connection recently."""
+        refused_at = self._refused_at.get(address, float("-inf"))
+        return self._loop.now() - refused_at < limit_s
+
+    def _note_silences(self) -> None:
+        """Records when each data centre was last heard."""
+        now = self._loop.now()
+        in_use = {
+            self._data_centres[a]
+            for a in self._wanted
+            if a in self._data_centres
+        }
+        for name, stream in self.by_name.items():
+            if name in self._nodes:
+                data_centre = self._nodes[name].data_centre
+                in_use.add(data_centre)
+                self._silences.note(data_centre, now - stream.silence_s)
+        self._silences.retain(in_use, now)
 
     @property
     def connected(self) -> set[str]:
@@ -137,6 +199,9 @@
         """
         names = sorted(n.name for n in nodes)
         addresses = {n.name: (n.host, n.port) for n in nodes}
+        self._nodes = {n.name: n for n in nodes}
+        self._data_centres = {addresses[n.name]: n.data_centre for n in nodes}
+        self._sizes = collections.Counter(n.data_centre for n in nodes)
         chosen = neighbours(self._own_entry.name, names)
         self._ring = {addresses[n] for n in chosen} or set(seeds)
 
@@ -166,6 +231,7 @@
             stream.close()
 
     def _tick(self) -> None:
+        self._note_silences()
         self._inbound = [s for s in self._inbound if not s.closed]
         encoded = _peers.EncodedPing.of(self._handler.describe())
         for stream in [*self._inbound, *self._outbound.values()]:
@@ -185,8 +251,12 @@
             if not self._outbound[address].is_used:
                 self._outbound.pop(address).close()
         now = self._loop.now()
+        self._heard_at = self._only_wanted(self._heard_at)
+        self._refused_at = self._only_wanted(self._refused_at)
         for address in self._wanted:
             stream = self._outbound.get(address)
+            if stream is not None and stream.closed:
+                self._note_ended(address, stream)
             if stream is not None and not stream.closed:
                 if (
                     not stream.is_opening
@@ -200,6 +270,19 @@
             raw = runtime.connect(self._loop, *address)
             self._outbound[address] = self._wrap(raw)
 
+    def _only_wanted(
+        self, times: dict[tuple[str, int], float]
+    ) -> dict[tuple[str, int], float]:
+        return {a: at for a, at in times.items() if a in self._wanted}
+
+    def _note_ended(
+        self, address: tuple[str, int], stream: _peers.PeerStream
+    ) -> None:
+        """Records when the peer of an ended stream was last heard."""
+        self._refused_at[address] = stream.refused_at
+        if stream.peer:
+            self._heard_at[address] = self._loop.now() - stream.silence_s
+
     def _accept(self, raw: runtime.Stream) -> None:
         self._inbound.append(self._wrap(raw))
 
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -175,6 +175,8 @@
         services: The groups whose statements the peer can run.
         missed: The groups that other nodes serve and the peer has lost.
         open_transactions: Transactions of this node that run over the stream.
+        refused_at: When the peer's VM refused the connection, in the clock's
+            seconds; infinitely long ago if it did not.
     """
 
     def __init__(
@@ -210,9 +212,10 @@
         self.services: frozenset[str] = frozenset()
         self.missed: frozenset[str] = frozenset()
         self.open_transactions = 0
+        self.refused_at = float("-inf")
         self._is_forgotten = False
         stream.on_data = self._receive
-        stream.on_closed = lambda exc: self._fail(str(exc))
+        stream.on_closed = self._end
         stream.keep_alive(TCP_USER_TIMEOUT_MS)
         self._last_sent_state: _peer_messages.Ping | None = None
         self._pending_replies = 0
@@ -358,6 +361,11 @@
         self._pending_replies -= 1
         self._send_answer(number, fut.result())
 
+    def _end(self, exc: runtime.StreamClosedError) -> None:
+        if exc.refused:
+            self.refused_at = self._loop.now()
+        self._fail(str(exc))
+
     def _fail(self, detail: str) -> None:
         self._stream.close()
         self._on_change()
--- a/packages/proxy/src/ferry_proxy/_reachability.py
+++ b/packages/proxy/src/ferry_proxy/_reachability.py
@@ -10,12 +10,12 @@
 import typing
 
 from ferry_proxy import _clocks
-from ferry_proxy import _forwarder
 from ferry_proxy import _groups
 from ferry_proxy import _mesh
 from ferry_proxy import _policy
+from ferry_proxy.placement import _data_centres
 
-# A node is isolated if it reaches less than this share of its peers, and at
+# A node is isolated if it reaches less than this share of the fleet, and at
 # least this share of the groups is not served.
 MAJORITY_SHARE = 0.5
 # A node stays cut off for this long after the last sign of it. Opening a link
@@ -64,6 +64,17 @@
     return bool(replicas) and replicas_lost and group.floor_age_s > limit_s
 
 
+class Mesh(_mesh.Connectivity, typing.Protocol):
+    """The view of the streams that reachability depends on."""
+
+    def contact(self, limit_s: float) -> _data_centres.FleetContact:
+        """Returns the contact with all data centres that have streams.
+
+        Args:
+            limit_s: The greatest silence of a peer in contact, in seconds.
+        """
+
+
 class Groups(typing.Protocol):
     """The view of a node's groups that reachability depends on."""
 
@@ -79,6 +90,16 @@
         """Whether this node reaches a confirmed primary of a group."""
 
 
+class Reports(typing.Protocol):
+    """What serving nodes report about the groups that they serve."""
+
+    def is_served(self, service: str) -> bool:
+        """Whether a responsive peer can currently serve a group."""
+
+    def is_missed(self, service: str) -> bool:
+        """Whether a responsive serving node reports a group as missed."""
+
+
 class Reachability:
     """Evaluates whether this node is cut off from groups or peers."""
 
@@ -86,9 +107,9 @@
         self,
         clock: _clocks.Clock,
         policy: _policy.Policy,
-        mesh: _mesh.Connectivity,
+        mesh: Mesh,
         groups: Groups,
-        forwarder: _forwarder.Forwarder,
+        forwarder: Reports,
     ) -> None:
         self._clock = clock
         self._limit_s = policy.isolated_s
@@ -117,7 +138,10 @@
         unserved = self._unserved()
         reached = self._mesh.reached_share(self._limit_s)
         self._missed = {n for n in unserved if self._is_missed(n, reached)}
-        if self._missed or self._is_isolated(unserved, reached):
+        contact = self._mesh.contact(self._limit_s)
+        if contact.is_separated(self._limit_s):
+            self._missed.update(unserved)
+        if self._missed or self._is_isolated(unserved, contact):
             self._cut_off_until = self._clock.now() + CUT_OFF_S
         elif not unserved:
             self._cut_off_until = float("-inf")
@@ -144,9 +168,12 @@
             return True
         return reached < 1.0 and reaches_primary_only(group, self._limit_s)
 
-    def _is_isolated(self, unserved: list[str], reached: float) -> bool:
-        """Whether most peers are unreachable and most groups unserved."""
+    def _is_isolated(
+        self, unserved: list[str], contact: _data_centres.FleetContact
+    ) -> bool:
+        """Whether most nodes are unreachable and most groups unserved."""
         known_groups = len(self._groups.plans)
-        return reached < MAJORITY_SHARE and len(unserved) >= max(
+        is_minority = contact.reached_share < MAJORITY_SHARE
+        return is_minority and len(unserved) >= max(
             1, MAJORITY_SHARE * known_groups
         )
--- a/packages/proxy/src/ferry_proxy/tests/test_reachability.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_reachability.py
@@ -6,11 +6,13 @@
 from ferry_proxy import _groups
 from ferry_proxy import _policy
 from ferry_proxy import _reachability
+from ferry_proxy.placement import _data_centres
 from ferry_proxy.tests import test_forwarding
 
 POLICY = _policy.Policy()
 ORDERS = frozenset({"orders"})
 NONE: frozenset[str] = frozenset()
+PEERS = 10
 
 
 @attrs.define
@@ -35,6 +37,11 @@
     def reached_share(self, limit_s):
         return self.share
 
+    def contact(self, limit_s):
+        heard = round(self.share * PEERS)
+        own = _data_centres.Contact(nodes=PEERS + 1, peers=PEERS, heard=heard)
+        return _data_centres.FleetContact(own=own)
+
 
 def reach_of(lab, groups, share=1.0):
     return _reachability.Reachability(
