Refuse writes at a primary whose commits reach no replica

A primary that is cut off from its replicas acknowledges no commit: each write hung until its time limit, and a few of them held a node's whole part of the primary's slots, so that reads with a valid floor were refused as overloaded.

Once a commit has gone unanswered for doubt_s and no floor has come since it was sent, although one is overdue, further writes and COMMITs are refused at once, truly not run, and hanging ones leave the count of statements in progress. An answered commit or a floor ends it.

test_commit_stall.py: with the stall never found, seven of its tests fail.

--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
 from ferry_proxy import _queueing
+from ferry_proxy.queueing import _commit_stall
 
 # A status round is evaluated after this long. Members without load answer in
 # 5 ms, and waiting reads need the floor that the round yields.
@@ -46,6 +47,7 @@
             clock, policy
         )
         self._proofs = _proofs.Proofs(clock, self)
+        self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
         self._changed: decisions.Future[None] = decisions.Future()
         self._last_report: dict[str, _members.Report] = {}
@@ -220,9 +222,8 @@
 
     def expect_primary_change(self) -> None:
         """Records that a change of primary has begun."""
-        self.primary_change_until = (
-            self._clock.now() + self._policy.promote_wait_s
-        )
+        wait_s = self._policy.promote_wait_s
+        self.primary_change_until = self._clock.now() + wait_s
 
     def until_leader_changes(self, limit_s: float) -> "decisions.Future[None]":
         """Returns a future that resolves on a new leader or a timeout."""
@@ -381,9 +382,8 @@
         """Sets the leader unless one of the same or a later term is known."""
         known = self.leader
         is_newer = known is None or leader.term > known.term
-        if leader.term < self.term or not is_newer:
-            return
-        if leader.member not in self.pools:
+        is_listed = leader.member in self.pools
+        if leader.term < self.term or not is_newer or not is_listed:
             return
         previous = self.pools.get(self.last_leader)
         self.leader = leader
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -226,6 +226,8 @@
         if job.writes:
             self._wrote = True
         may_be_committed = is_commit and self._wrote
+        if job.writes or may_be_committed:
+            self._group.commits.require_commits(pool.member.id)
         lost = (
             decisions.ANSWER_LOST
             if may_be_committed
@@ -235,7 +237,9 @@
         fut = self._executor.send(job, pool, pooled_link, None)
         limit = job.deadline - self._clock.now()
         started_at = self._clock.now()
-        if not may_be_committed:
+        if may_be_committed:
+            self._group.commits.watch(pool.member.id, pooled_link, fut)
+        else:
             self._close_if_unresponsive(pool, pooled_link, fut)
         try:
             reply: _links.Reply = yield decisions.with_timeout(
