Let writes wait for the successor of a primary that answers nothing

The stall of commits was also found at a primary that is out of reach itself, so that writes were refused at once where they used to wait for the change of primary. A stall now needs a sign of life of the primary after the unanswered commit. test_a_primary_that_answers_nothing_is_awaited failed before.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -83,7 +83,7 @@
                 retry.
         """
         pool = yield from self.primary(job)
-        job.group.commits.require_commits(pool.member.id)
+        job.group.commits.require_commits(pool)
         hold = job.hold_end(self._policy)
         try:
             pooled_link = yield pool.acquire(
@@ -278,7 +278,7 @@
         """
         started_at = self._clock.now()
         fut = self.send(job, pool, pooled_link, floor)
-        job.group.commits.watch(pool.member.id, pooled_link, fut)
+        job.group.commits.watch(pool, pooled_link, fut)
         limit = job.deadline - started_at
         try:
             reply: _links.Reply = yield decisions.with_timeout(
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -227,7 +227,7 @@
             self._wrote = True
         may_be_committed = is_commit and self._wrote
         if job.writes or may_be_committed:
-            self._group.commits.require_commits(pool.member.id)
+            self._group.commits.require_commits(pool)
         lost = (
             decisions.ANSWER_LOST
             if may_be_committed
@@ -238,7 +238,7 @@
         limit = job.deadline - self._clock.now()
         started_at = self._clock.now()
         if may_be_committed:
-            self._group.commits.watch(pool.member.id, pooled_link, fut)
+            self._group.commits.watch(pool, pooled_link, fut)
         else:
             self._close_if_unresponsive(pool, pooled_link, fut)
         try:
--- a/packages/proxy/src/ferry_proxy/queueing/_commit_stall.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_commit_stall.py
@@ -11,12 +11,14 @@
 
 import typing
 
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
 from ferry_proxy import _links
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
+from ferry_proxy import _pools
 
 # Floors come every `probe_s`; one that is later than this is overdue. A status
 # round takes 0.12 s at most.
@@ -25,6 +27,24 @@
 RECHECK_S = 0.1
 
 
+@attrs.frozen(slots=True)
+class Primary:
+    """A primary as a node sees it.
+
+    Attributes:
+        member: Its id.
+        heard_at: When it last answered this node, in the clock's seconds.
+    """
+
+    member: str
+    heard_at: float
+
+    @classmethod
+    def of(cls, pool: _pools.Pool) -> "Primary":
+        """Returns the primary that a pool has links to."""
+        return cls(pool.member.id, pool.contact.heard)
+
+
 class CommitStall:
     """Whether the commits at a primary go unanswered.
 
@@ -63,26 +83,30 @@
             self._unanswered_since = None
 
     def is_stalled(
-        self, member: str, now: float, floor_age_s: float, replicas: int
+        self, primary: Primary, now: float, floor_age_s: float, replicas: int
     ) -> bool:
         """Whether a commit sent to a primary now would go unanswered.
 
+        A primary that answers nothing at all is not meant: it is replaced soon,
+        and writes wait for that.
+
         Args:
-            member: The primary's id.
+            primary: The primary.
             now: The current time.
             floor_age_s: The age of the newest floor, in seconds.
             replicas: How many replicas are listed.
         """
         if not replicas and floor_age_s > self._lone_limit_s:
             return True
-        if member != self._member or self._unanswered_since is None:
+        if primary.member != self._member or self._unanswered_since is None:
             return False
         unanswered_s = now - self._unanswered_since
         if floor_age_s < unanswered_s:
             self._unanswered_since = None
             return False
         is_overdue = floor_age_s > self._floor_overdue_s
-        return unanswered_s > self._limit_s and is_overdue
+        is_alive = primary.heard_at > self._unanswered_since
+        return is_alive and is_overdue and unanswered_s > self._limit_s
 
 
 class Group(typing.Protocol):
@@ -108,50 +132,52 @@
         self._group = group
         self._stall = CommitStall(policy)
 
-    def is_stalled(self, member: str) -> bool:
+    def is_stalled(self, pool: _pools.Pool) -> bool:
         """Whether a commit sent to a primary now would go unanswered.
 
         Args:
-            member: The primary's id.
+            pool: The links to the primary.
         """
         group = self._group
-        now = self._clock.now()
         return self._stall.is_stalled(
-            member, now, group.floor_age_s, group.replicas
+            Primary.of(pool),
+            self._clock.now(),
+            group.floor_age_s,
+            group.replicas,
         )
 
-    def require_commits(self, member: str) -> None:
+    def require_commits(self, pool: _pools.Pool) -> None:
         """Rejects a write that could not be acknowledged.
 
         Args:
-            member: The primary's id.
+            pool: The links to the primary.
 
         Raises:
             decisions.RequestFailedError: Commits are stalled; the write has
                 not run.
         """
-        if self.is_stalled(member):
+        if self.is_stalled(pool):
             raise decisions.RequestFailedError(
                 decisions.NO_PRIMARY, "its commits reach no replica"
             )
 
     def watch(
         self,
-        member: str,
+        pool: _pools.Pool,
         pooled: _pooled_links.PooledLink,
         fut: "decisions.Future[_links.Reply]",
     ) -> None:
         """Observes a commit until it is answered or given up.
 
         Args:
-            member: The primary's id.
+            pool: The links to the primary.
             pooled: The link that it was sent on.
             fut: The reply.
         """
         sent_at = self._clock.now()
-        self._stall.note_sent(member, sent_at)
+        self._stall.note_sent(pool.member.id, sent_at)
         fut.add_done_callback(lambda done: self._note_done(sent_at, done))
-        self._recheck(self._limit_s, member, pooled, fut)
+        self._recheck(self._limit_s, pool, pooled, fut)
 
     def _note_done(
         self, sent_at: float, fut: "decisions.Future[_links.Reply]"
@@ -166,7 +192,7 @@
     def _recheck(
         self,
         delay_s: float,
-        member: str,
+        pool: _pools.Pool,
         pooled: _pooled_links.PooledLink,
         fut: "decisions.Future[_links.Reply]",
     ) -> None:
@@ -176,10 +202,10 @@
         """
 
         def check() -> None:
-            if self.is_stalled(member):
+            if self.is_stalled(pool):
                 pooled.sent_at = None
             else:
-                self._recheck(RECHECK_S, member, pooled, fut)
+                self._recheck(RECHECK_S, pool, pooled, fut)
 
         timer = self._clock.after(delay_s, check)
         fut.add_done_callback(lambda _: timer.cancel())
--- a/packages/proxy/src/ferry_proxy/tests/test_commit_stall.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_commit_stall.py
@@ -15,6 +15,10 @@
 DETECTED_S = 0.7
 
 
+def primary(member: str = "a", heard_at: float = float("inf")):
+    return _commit_stall.Primary(member, heard_at)
+
+
 @pytest.mark.parametrize(
     ("unanswered_s", "floor_age_s", "expected"),
     [
@@ -31,8 +35,10 @@
     stall = _commit_stall.CommitStall(POLICY)
     stall.note_sent("a", 100.0)
     now = 100.0 + unanswered_s
-    assert stall.is_stalled("a", now, floor_age_s, 2) is expected
-    assert not stall.is_stalled("b", now, floor_age_s, 2)
+    assert stall.is_stalled(primary(), now, floor_age_s, 2) is expected
+    assert not stall.is_stalled(primary("b"), now, floor_age_s, 2)
+    silent = primary(heard_at=99.9)
+    assert not stall.is_stalled(silent, now, floor_age_s, 2)
 
 
 def test_a_commit_that_is_answered_ends_a_stall():
@@ -40,9 +46,9 @@
     stall.note_sent("a", 100.0)
     stall.note_sent("a", 101.0)
     stall.note_rejected(101.0)
-    assert stall.is_stalled("a", 102.0, 9.0, 2)
+    assert stall.is_stalled(primary(), 102.0, 9.0, 2)
     stall.note_committed()
-    assert not stall.is_stalled("a", 102.0, 9.0, 2)
+    assert not stall.is_stalled(primary(), 102.0, 9.0, 2)
 
 
 class Load(fakes.Lab):
@@ -162,7 +168,7 @@
     lab.offer("WRITE x 1", 1, 1.0)
     for _ in range(15):
         lab.run(0.1)
-        assert not lab.group.commits.is_stalled("a")
+        assert not lab.group.commits.is_stalled(lab.group.pools["a"])
 
 
 def test_a_stall_ends_with_the_primary():
@@ -170,8 +176,8 @@
     lab.cut()
     lab.offer("WRITE x 1", 20, 1.0)
     lab.run(DETECTED_S)
-    assert lab.group.commits.is_stalled("a")
-    assert not lab.group.commits.is_stalled("b")
+    assert lab.group.commits.is_stalled(lab.group.pools["a"])
+    assert not lab.group.commits.is_stalled(lab.group.pools["b"])
 
 
 def test_a_transaction_cannot_commit_in_a_stall():
@@ -190,3 +196,17 @@
     lab.heal()
     lab.run(2.0)
     assert "commit" not in [n for _, n in lab.cluster.members["a"].log]
+
+
+def test_a_primary_that_answers_nothing_is_awaited():
+    """It is replaced within a second or two, and writes wait for that."""
+    lab = Load()
+    lab.add_promoter()
+    lab.run(1.0)
+    lab.cluster.members["a"].dark = True
+    lab.offer("WRITE x 1", 20, 1.5)
+    lab.run(4.0)
+    answers = lab.told("WRITE x 1")
+    refused_s = [s for s, r in answers if r is decisions.NO_PRIMARY]
+    assert all(waited_s > 0.5 for waited_s in refused_s)
+    assert [r for _, r in answers].count(None) >= 15
