Add member outcomes: eject members that fail statements

Cause: a member that answers status requests but resets its statements fails them fast, so it stays the cheapest candidate for reads. Change: outcomes of statements are kept for each member and used for routing; silent members go after responsive ones that lack a floor.

--- a/packages/proxy/src/ferry_proxy/_contact.py
+++ b/packages/proxy/src/ferry_proxy/_contact.py
@@ -8,6 +8,7 @@
 """
 
 from ferry_proxy import _clocks
+from ferry_proxy.placement import _member_outcomes
 
 # The weight of the newest sample in the moving average, which then spans about
 # 5 samples.
@@ -32,6 +33,7 @@
         refused_since: Since when its machine has refused connections; infinite
             if it does not.
         latency_s: The moving average of the time of its statements.
+        outcomes: What became of the statements sent to it.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
@@ -41,6 +43,7 @@
         self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
+        self.outcomes = _member_outcomes.MemberOutcomes()
 
     @property
     def silence_s(self) -> float:
@@ -108,6 +111,7 @@
             late_s: The length of the pause, in seconds.
         """
         now = self._clock.now()
+        self.outcomes.note_pause(now)
         self.heard = min(now, self.heard + late_s)
         if self._asked_at is not None:
             self._asked_at = min(now, self._asked_at + late_s)
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -187,6 +187,27 @@
     change: str
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class MemberEjected:
+    """A member fails statements; others are preferred until it recovers.
+
+    `failure_share` is the share of its recent statements that failed.
+    """
+
+    service: str
+    member: str
+    failure_share: float
+
+
+@attrs.frozen(slots=True, repr=False, eq=False)
+class MemberReturned:
+    """An ejected member has served its probes and is used as before."""
+
+    service: str
+    member: str
+    ejected_s: float
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class LeaderFound:
     """A primary was found, and the node follows it from now on."""
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -15,7 +15,9 @@
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
 from ferry_proxy import _pools
-from ferry_proxy import _routing
+from ferry_proxy.placement import _outcome_recorder
+from ferry_proxy.placement import _read_members
+from ferry_proxy.placement import _read_waits
 
 # The pause before a retry: about the time of one short statement at a member.
 RETRY_PAUSE_S = 0.015
@@ -42,7 +44,13 @@
 
 
 class Executor:
-    """Runs single statements and selects the members that run them."""
+    """Runs single statements and selects the members that run them.
+
+    Attributes:
+        outcomes: Records what became of statements at members.
+        members: Selects the members that reads run at.
+        waits: Bounds the time that reads wait for members.
+    """
 
     def __init__(
         self,
@@ -53,6 +61,11 @@
         self._clock = clock
         self._policy = policy
         self._features = features
+        self.outcomes = _outcome_recorder.OutcomeRecorder(clock, features)
+        self.members = _read_members.ReadMembers(self.outcomes)
+        self.waits = _read_waits.ReadWaits(
+            clock, policy, self.members, self.outcomes
+        )
 
     def write(self, job: _jobs.Job) -> "decisions.Flow[_links.Reply]":
         """Runs a single write, which is retried only if it cannot have run.
@@ -133,12 +146,13 @@
 
         Raises:
             decisions.RequestFailedError: There is none before the hold time
-                ends.
+                ends, or it fails all statements.
         """
         while True:
             pool = job.group.leader_pool
             usable = pool is not None and pool.accepts_statements
             if pool is not None and usable and not pool.is_unreachable:
+                self.outcomes.admit(pool, job.writes)
                 return pool
             left = job.hold_end(self._policy) - self._clock.now()
             if left <= 0:
@@ -147,13 +161,14 @@
             yield job.group.until_leader_changes(wait)
 
     def target(
-        self, job: _jobs.Job, tried: set[str]
+        self, job: _jobs.Job, tried: set[str], may_probe: bool = False
     ) -> "decisions.Flow[Target]":
         """Selects the member that a read runs at.
 
         Args:
             job: The read.
             tried: The ids of members that are not selected again.
+            may_probe: Whether it may be the probe of an ejected member.
 
         Raises:
             decisions.RequestFailedError: No member is usable, or no
@@ -162,9 +177,16 @@
         if job.is_primary_only:
             return (yield from self._proved_primary(job))
         floor = yield from self.floor(job)
-        pool = self._choose(job, tried, floor)
+        pool = self.members.probed(job, tried, floor) if may_probe else None
+        pool = pool or self.members.choose(job, tried, floor)
         if pool is None:
             raise decisions.RequestFailedError(decisions.NO_CONNECTION)
+        is_silent = not job.group.is_responsive(pool)
+        has_link = pool.has_link(job.caller.team)
+        if is_silent and not has_link and self.outcomes.is_on:
+            raise decisions.RequestFailedError(
+                decisions.NO_CONNECTION, _read_waits.NO_MEMBER_ANSWERS
+            )
         return Target(pool, floor)
 
     def has_other(self, job: _jobs.Job, tried: set[str]) -> bool:
@@ -173,7 +195,8 @@
             return False
         floor = job.group.floors.covering(job.freshness_cutoff)
         return any(
-            not p.reported.lacks(floor) for p in self._untried(job.group, tried)
+            not p.reported.lacks(floor)
+            for p in self.members.untried(job.group, tried)
         )
 
     def _proved_primary(self, job: _jobs.Job) -> "decisions.Flow[Target]":
@@ -192,14 +215,13 @@
                 enough.
         """
         group = job.group
-        floor = group.floors.covering(job.freshness_cutoff)
+        floor = _read_members.known_floor(job)
         if floor is None and self._may_refresh(group):
             yield decisions.settled(group.refresh())
-            floor = group.floors.covering(job.freshness_cutoff)
+            floor = _read_members.known_floor(job)
         if floor is None:
             raise decisions.RequestFailedError(decisions.NO_PRIMARY, "no floor")
-        own = job.session_floor
-        return floor if own is None else max(floor, own)
+        return floor
 
     def _may_refresh(self, group: _groups.Group) -> bool:
         """Whether a new status round could find a more recent floor."""
@@ -208,59 +230,6 @@
         )
         return group.leader is not None and not recent
 
-    def _choose(
-        self,
-        job: _jobs.Job,
-        tried: set[str],
-        floor: decisions.Position,
-    ) -> _pools.Pool | None:
-        found = _routing.best(
-            [
-                self._candidate(job, p, floor)
-                for p in self._untried(job.group, tried)
-            ]
-        )
-        return job.group.pools[found.member] if found else None
-
-    def _untried(
-        self, group: _groups.Group, tried: set[str]
-    ) -> list[_pools.Pool]:
-        """Returns the pools of members that a read may still be sent to.
-
-        Members that are draining count only if all are: a request must not
-        reach one that has long been draining, however many others were tried.
-        """
-        listed = group.pools.values()
-        not_draining = [p for p in listed if not p.member.draining]
-        return [
-            p
-            for p in not_draining or listed
-            if p.member.id not in tried
-            and p.accepts_statements
-            and not p.is_unreachable
-        ]
-
-    def _candidate(
-        self,
-        job: _jobs.Job,
-        pool: _pools.Pool,
-        floor: decisions.Position,
-    ) -> _routing.Candidate:
-        group = job.group
-        leader = group.leader.member if group.leader else ""
-        return _routing.Candidate(
-            member=pool.member.id,
-            is_primary=pool.member.id == leader,
-            is_near=group.is_near(pool),
-            is_responsive=group.is_responsive(pool),
-            is_behind=pool.reported.lacks(floor),
-            in_flight=pool.in_flight,
-            slots=pool.member.slots,
-            latency_s=pool.contact.latency_s,
-            wait_s=pool.expected_wait_s(job.route.priority),
-            has_link=pool.has_link(job.caller.team),
-        )
-
     def run_on_link(
         self,
         job: _jobs.Job,
@@ -289,10 +258,12 @@
             ) from exc
         except _links.LinkLostError as exc:
             pool.discard(pooled_link)
+            self.outcomes.failure(job.group, pool, started_at, exc)
             lost = decisions.ANSWER_LOST
             reason = lost if exc.was_sent else decisions.NO_CONNECTION
             raise decisions.RequestFailedError(reason, str(exc)) from exc
         pool.note_heard(pooled_link, self._clock.now() - started_at)
+        self.outcomes.reply(job.group, pool, started_at, reply.reason)
         pool.give_back(pooled_link, reply)
         return reply
 
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -54,15 +54,13 @@
 
     def _attempt(self) -> "decisions.Flow[_links.Reply]":
         job = self._job
-        target = yield from self._executor.target(job, self._tried)
+        target = yield from self._executor.target(
+            job, self._tried, may_probe=not self._tried
+        )
         pool = target.pool
         self._tried.add(pool.member.id)
-        pooled = yield pool.acquire(
-            _pools.Use.STATEMENT,
-            job.route.priority,
-            job.hold_end(self._policy),
-            job.values,
-            job.caller.team,
+        pooled = yield self._executor.waits.acquire(
+            job, pool, target.floor, _pools.Use.STATEMENT, self._tried
         )
         if self.outcome.done():
             pool.release(pooled)
@@ -72,14 +70,18 @@
         started_at = self._clock.now()
         fut = self._executor.send(job, pool, pooled, target.floor)
         self._close_if_silent(pool, pooled, fut)
+        outcomes = self._executor.outcomes
+        outcomes.watch(job.group, pool, started_at, fut)
         try:
             reply: _links.Reply = yield fut
         except _links.LinkLostError as exc:
             pool.discard(pooled)
+            outcomes.failure(job.group, pool, started_at, exc)
             raise decisions.RequestFailedError(
                 decisions.READ_CUT, str(exc)
             ) from exc
         pool.note_heard(pooled, self._clock.now() - started_at)
+        outcomes.reply(job.group, pool, started_at, reply.reason)
         pool.give_back(pooled, reply)
         return reply
 
@@ -119,7 +121,7 @@
         if reply is not None and reply.reason is None:
             decisions.resolve(self.outcome, reply)
         elif self._running:
-            return  # Another member may still reply.
+            self._replace_hedge(exc)  # Another member may still reply.
         elif self._may_retry(reply, exc):
             self._clock.after(self._retry_delay_s(reply, exc), self._retry)
         elif reply is not None:
@@ -128,19 +130,27 @@
             assert exc is not None
             decisions.reject(self.outcome, exc)
 
+    def _replace_hedge(self, exc: BaseException | None) -> None:
+        """Tries one more member after an attempt that got no link."""
+        if not self._executor.outcomes.is_on or not _is_overloaded(exc):
+            return
+        if self._executor.has_other(self._job, self._tried):
+            self._hedge()
+
     def _may_retry(
         self, reply: _links.Reply | None, exc: BaseException | None
     ) -> bool:
         job = self._job
         if _is_overloaded(exc):
-            is_early = self._clock.now() < job.hold_end(self._policy)
+            is_early = self._clock.now() < self._executor.waits.retry_end(job)
             return is_early and self._executor.has_other(job, self._tried)
         now = self._clock.now()
         if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
             return False
+        until = self._executor.waits.retry_end(job)
         if job.progress.offered_at:
-            return now < max(job.retry_until, job.hold_end(self._policy))
-        return now < job.hold_end(self._policy)
+            return now < max(job.retry_until, until)
+        return now < until
 
     def _retry_delay_s(
         self, reply: _links.Reply | None, exc: BaseException | None
@@ -157,7 +167,10 @@
                 self._tried.clear()
                 return _execution.NO_FLOOR_PAUSE_S
         untried = self._job.group.pools.keys() - self._tried
-        if reply is not None and untried and not self._job.is_primary_only:
+        tells_apart = reply is not None or (
+            self._executor.outcomes.is_on and _is_cut(exc)
+        )
+        if tells_apart and untried and not self._job.is_primary_only:
             return 0.0
         self._tried.clear()
         return _execution.RETRY_PAUSE_S
@@ -177,3 +190,8 @@
 def _is_overloaded(exc: BaseException | None) -> bool:
     failure = exc if isinstance(exc, decisions.RequestFailedError) else None
     return failure is not None and failure.reason is decisions.OVERLOADED
+
+
+def _is_cut(exc: BaseException | None) -> bool:
+    failure = exc if isinstance(exc, decisions.RequestFailedError) else None
+    return failure is not None and failure.reason is decisions.READ_CUT
--- a/packages/proxy/src/ferry_proxy/_links.py
+++ b/packages/proxy/src/ferry_proxy/_links.py
@@ -162,12 +162,16 @@
     """The link was lost before the reply was complete.
 
     Attributes:
-        handed: Whether the command may have reached the member.
+        was_sent: Whether the command may have reached the member.
+        is_local: Whether this node closed the link.
     """
 
-    def __init__(self, detail: str, was_sent: bool = True) -> None:
+    def __init__(
+        self, detail: str, was_sent: bool = True, is_local: bool = False
+    ) -> None:
         super().__init__(detail)
         self.was_sent = was_sent
+        self.is_local = is_local
 
 
 class ConnectFailedError(Exception):
--- a/packages/proxy/src/ferry_proxy/_routing.py
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -18,9 +18,6 @@
 # This keeps reads away from the primary unless the replicas are slow.
 PRIMARY_FACTOR = 20.0
 
-# With this factor, an unresponsive member is selected only if no other is left.
-UNRESPONSIVE_FACTOR = 1000.0
-
 # The wait at a replica beyond which the primary takes reads, too: about one
 # statement.
 MAX_REPLICA_WAIT_S = 0.03
@@ -31,6 +28,10 @@
 # The cost of opening a link: 12 ms of a slot and two round trips of 2 ms.
 NEW_LINK_COST_S = 0.016
 
+# The cost of a failed attempt beside its own time: a new link, a pause and the
+# statement's time at another member.
+RETRY_COST_S = 0.05
+
 # Differences between latencies below this are noise.
 MIN_LATENCY_S = 0.005
 
@@ -51,6 +52,8 @@
         latency_s: The recent mean latency of its statements.
         wait_s: The expected wait in this node's queue for it.
         has_link: Whether a free link exists that the read may run on.
+        failure_share: The recent share of its statements that failed.
+        is_ejected: Whether it fails so many that others are preferred.
     """
 
     member: str
@@ -63,6 +66,8 @@
     latency_s: float
     wait_s: float = 0.0
     has_link: bool = True
+    failure_share: float = 0.0
+    is_ejected: bool = False
 
 
 def cost(candidate: Candidate) -> float:
@@ -71,19 +76,30 @@
     value = max(candidate.latency_s, MIN_LATENCY_S) * load
     if not candidate.has_link:
         value += NEW_LINK_COST_S
+    value += candidate.failure_share * RETRY_COST_S
     if not candidate.is_near:
         value *= REMOTE_FACTOR
     if candidate.is_primary:
         value *= PRIMARY_FACTOR
     if candidate.wait_s > MAX_REPLICA_WAIT_S:
         value *= QUEUED_FACTOR
-    if not candidate.is_responsive:
-        value *= UNRESPONSIVE_FACTOR
     return value
 
 
 def best(candidates: list[Candidate]) -> Candidate | None:
-    """Returns the member that runs the read; None without candidates."""
-    return min(
-        candidates, key=lambda c: (c.is_behind, cost(c), c.member), default=None
+    """Returns the member that runs the read; None without candidates.
+
+    A member that recently lacked a position may have it now, and otherwise says
+    so at once; a silent one makes the read wait.
+    """
+    return min(candidates, key=_rank, default=None)
+
+
+def _rank(candidate: Candidate) -> tuple[bool, bool, bool, float, str]:
+    return (
+        not candidate.is_responsive,
+        candidate.is_behind,
+        candidate.is_ejected,
+        cost(candidate),
+        candidate.member,
     )
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -157,17 +157,27 @@
         try:
             target = yield from self._target(job, tried)
             tried.add(target.pool.member.id)
-            pooled_link = yield target.pool.acquire(
-                _pools.Use.TRANSACTION,
-                job.route.priority,
-                job.hold_end(self._policy),
-                job.values,
-                job.caller.team,
-            )
+            pooled_link = yield self._acquire(job, target, tried)
         except decisions.RequestFailedError as exc:
             return exc.reason
         return (yield from self._begin(job, target, pooled_link))
 
+    def _acquire(
+        self, job: _jobs.Job, target: _execution.Target, tried: set[str]
+    ) -> "decisions.Future[_pooled_links.PooledLink]":
+        use = _pools.Use.TRANSACTION
+        if self._read_only:
+            return self._executor.waits.acquire(
+                job, target.pool, target.floor, use, tried
+            )
+        return target.pool.acquire(
+            use,
+            job.route.priority,
+            job.hold_end(self._policy),
+            job.values,
+            job.caller.team,
+        )
+
     def _target(
         self, job: _jobs.Job, tried: set[str]
     ) -> "decisions.Flow[_execution.Target]":
@@ -184,10 +194,14 @@
         pooled_link: _pooled_links.PooledLink,
     ) -> "decisions.Flow[decisions.Reason]":
         begin = _links.Begin(self._read_only, target.floor)
-        job.progress.note_offered(self._clock.now())
+        started_at = self._clock.now()
+        job.progress.note_offered(started_at)
+        outcomes = self._executor.outcomes
         try:
             reply = yield from target.pool.exchange(pooled_link, begin)
-        except decisions.RequestFailedError:
+        except decisions.RequestFailedError as exc:
+            cause = exc.__cause__
+            outcomes.failure(self._group, target.pool, started_at, cause)
             return decisions.NO_CONNECTION
         if reply.reason is not None or reply.state is not STATES.OPEN:
             target.pool.give_back(pooled_link, reply)
@@ -235,6 +249,7 @@
         fut = self._executor.send(job, pool, pooled_link, None)
         limit = job.deadline - self._clock.now()
         started_at = self._clock.now()
+        outcomes = self._executor.outcomes
         if not may_be_committed:
             self._close_if_unresponsive(pool, pooled_link, fut)
         try:
@@ -243,11 +258,15 @@
             )
         except decisions.TimeoutExpiredError as exc:
             pool.discard(pooled_link)
+            if not may_be_committed:
+                outcomes.failure(job.group, pool, started_at, exc)
             raise decisions.RequestFailedError(lost, "no answer") from exc
         except _links.LinkLostError as exc:
+            outcomes.failure(job.group, pool, started_at, exc)
             reason = lost if exc.was_sent else decisions.TRANSACTION_LOST
             raise decisions.RequestFailedError(reason, str(exc)) from exc
         pool.note_heard(pooled_link, self._clock.now() - started_at)
+        outcomes.reply(job.group, pool, started_at, reply.reason)
         return reply
 
     def _close_if_unresponsive(
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/placement/_read_waits.py
@@ -0,0 +1,146 @@
+"""Bounds on the time that reads wait for members.
+
+A read does not wait in the queue of one member while another could run it, nor
+past its target latency while every member is silent or behind.
+"""
+
+from collections.abc import Callable
+
+import ferry_decisions as decisions
+
+from ferry_proxy import _clocks
+from ferry_proxy import _jobs
+from ferry_proxy import _link_queue
+from ferry_proxy import _policy
+from ferry_proxy import _pooled_links
+from ferry_proxy import _pools
+from ferry_proxy.placement import _outcome_recorder
+from ferry_proxy.placement import _read_members
+
+# How often a waiting request looks for a better member; a quarter of the time
+# after which a member counts as unresponsive.
+CHECK_INTERVAL_S = 0.04
+
+# The detail of a failure when all members that a read may run at are silent.
+NO_MEMBER_ANSWERS = "no member answers"
+
+
+class ReadWaits:
+    """Acquires links for reads and bounds their waits."""
+
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        policy: _policy.Policy,
+        members: _read_members.ReadMembers,
+        outcomes: _outcome_recorder.OutcomeRecorder,
+    ) -> None:
+        self._clock = clock
+        self._policy = policy
+        self._members = members
+        self._outcomes = outcomes
+
+    def acquire(
+        self,
+        job: _jobs.Job,
+        pool: _pools.Pool,
+        floor: decisions.Position | None,
+        use: _pools.Use,
+        tried: set[str],
+    ) -> "decisions.Future[_pooled_links.PooledLink]":
+        """Acquires a link for a read.
+
+        Fails with `decisions.RequestFailedError` if none becomes available, or
+        if another member could run the read sooner: since this one has stopped
+        answering, or since the other one is idle.
+
+        Args:
+            job: The read.
+            pool: The pool of links to the member.
+            floor: The position that the member must have reached, if any.
+            use: What the link is for.
+            tried: The ids of members that are not selected again.
+        """
+        fut = pool.acquire(
+            use,
+            job.route.priority,
+            self._wait_end(job),
+            job.values,
+            job.caller.team,
+        )
+        if floor is not None and self._outcomes.is_on:
+            self._watch(
+                fut, lambda: self._why_not_wait(job, pool, tried, floor)
+            )
+        return fut
+
+    def _watch(
+        self,
+        fut: "decisions.Future[_pooled_links.PooledLink]",
+        why_not: Callable[[], decisions.RequestFailedError | None],
+    ) -> None:
+        """Fails a request for a link as soon as it should not wait longer."""
+
+        def check() -> None:
+            if fut.done():
+                return
+            exc = why_not()
+            if exc is None:
+                self._clock.after(CHECK_INTERVAL_S, check)
+            else:
+                decisions.reject(fut, exc)
+
+        if not fut.done():
+            self._clock.after(CHECK_INTERVAL_S, check)
+
+    def _why_not_wait(
+        self,
+        job: _jobs.Job,
+        pool: _pools.Pool,
+        tried: set[str],
+        floor: decisions.Position,
+    ) -> decisions.RequestFailedError | None:
+        """Returns why a read should not wait longer; None if it should."""
+        others = self._members.capable(job, tried, floor)
+        is_silent = not job.group.is_responsive(pool)
+        is_over = self._clock.now() >= self.retry_end(job)
+        if is_silent and (others or is_over):
+            return decisions.RequestFailedError(
+                decisions.NO_CONNECTION, NO_MEMBER_ANSWERS
+            )
+        if is_over and pool.reported.lacks(floor):
+            return decisions.RequestFailedError(
+                decisions.BEHIND, pool.member.id
+            )
+        is_other_idle = any(
+            not p.expected_wait_s(job.route.priority) for p in others
+        )
+        if is_over or is_other_idle:
+            return _link_queue.overloaded(pool.member.id)
+        return None
+
+    def _wait_end(self, job: _jobs.Job) -> float:
+        """Returns how long a read may wait for a link, as a clock time.
+
+        A later attempt starts when the time of the first is over, and would
+        get no link that has yet to be opened.
+        """
+        end = job.hold_end(self._policy)
+        if not job.progress.attempts or not self._outcomes.is_on:
+            return end
+        wait_s = job.route.target_s * self._policy.hold_share
+        return min(job.deadline, max(end, self._clock.now() + wait_s))
+
+    def retry_end(self, job: _jobs.Job) -> float:
+        """Returns how long a read may wait for a member, as a clock time.
+
+        While all members that it may run at are silent or behind, it waits no
+        longer than its target latency, even if the primary is being changed.
+        """
+        end = job.hold_end(self._policy)
+        floor = _read_members.known_floor(job)
+        if job.is_primary_only or floor is None or not self._outcomes.is_on:
+            return end
+        if self._members.capable(job, set(), floor):
+            return end
+        return min(end, job.retry_until)
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import enum
 import functools
 
 import attrs
@@ -12,6 +13,7 @@
 from ferry_proxy import _configuration
 from ferry_proxy import _currency
 from ferry_proxy import _execution
+from ferry_proxy import _features
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
@@ -33,6 +35,15 @@
 APPLY_S = 0.02
 
 
+class Fault(enum.Enum):
+    """How a member fails statements while it answers status requests."""
+
+    RESET = "reset"
+    ERROR = "error"
+    MUTE = "mute"
+    BUSY = "busy"
+
+
 @attrs.define(eq=False)
 class FakeMember:
     """A member with its log and its injected faults.
@@ -44,6 +55,8 @@
         busy: How many of the next statements fail with MEMBER_BUSY.
         replies_to_drop: How many of the next replies to statements are lost.
         opened: How many links to it were opened.
+        fault: How it fails statements; None if it does not.
+        fault_every: It fails each statement whose number is a multiple of this.
         slots: How many statements it runs concurrently; 0 for no limit.
         slot_free_at: When each slot becomes free, in the clock's seconds.
     """
@@ -61,6 +74,9 @@
     lag_s: float = APPLY_S
     busy: int = 0
     replies_to_drop: int = 0
+    fault: Fault | None = None
+    fault_every: int = 1
+    statements: int = 0
     links: list["FakeLink"] = attrs.field(factory=list)
     runs: list[tuple[str, str]] = attrs.field(factory=list)
     opened: int = 0
@@ -68,8 +84,16 @@
     slot_free_at: list[float] = attrs.field(factory=list)
     born: int = 1_000
 
+    def next_fault(self) -> Fault | None:
+        """Returns how the next statement fails; None if it does not."""
+        self.statements += 1
+        is_due = self.statements % self.fault_every == 0
+        return self.fault if is_due else None
+
     def work_delay(self) -> float:
         """Returns the duration of a statement sent now, with its queueing."""
+        if self.fault is not None and self.fault_every == 1:
+            return 0.0  # It fails at once.
         if not self.slots:
             return WORK_S
         now = self.cluster.clock.now()
@@ -136,24 +160,32 @@
         return futs
 
     def close(self) -> None:
-        self.fail("closed")
+        self.fail("closed", is_local=True)
 
-    def fail(self, detail: str) -> None:
+    def fail(self, detail: str, is_local: bool = False) -> None:
         if self.lost:
             return
         self.lost = True
         pending, self._pending = self._pending, []
         for fut in pending:
-            decisions.reject(fut, _links.LinkLostError(detail))
+            lost = _links.LinkLostError(detail, is_local=is_local)
+            decisions.reject(fut, lost)
 
     def _run(self, command, fut) -> None:
         member = self.member
         if self.lost or member.dark or member.crashed or self.silent:
             return
-        reply = self._reply(command)
+        is_run = isinstance(command, _links.Run)
+        fault = member.next_fault() if is_run else None
+        if fault is Fault.RESET:
+            self.fail("reset by peer")
+            return
+        if fault is Fault.MUTE:
+            self.silent = True
+            return
+        reply = self._reply(command) if fault is None else self._fail(fault)
         if reply is None:
             return
-        is_run = isinstance(command, _links.Run)
         if is_run and member.replies_to_drop:
             member.replies_to_drop -= 1
             self.silent = True
@@ -205,6 +237,13 @@
         position = self.member.cluster.shown(self.member)
         return _links.Reply(self.state, position=position, **fields)
 
+    def _fail(self, fault):
+        reasons = {
+            Fault.ERROR: decisions.STATEMENT_FAILED,
+            Fault.BUSY: decisions.MEMBER_BUSY,
+        }
+        return self._error(reasons[fault])
+
     def _error(self, reason):
         if self.state is STATES.OPEN and reason is not decisions.MEMBER_BUSY:
             self.state = STATES.FAILED
@@ -569,10 +608,16 @@
         self.clock = decisions.VirtualTimers()
         self.cluster = FakeCluster(self.clock)
         self.policy = _policy.Policy(**policy)
+        self.features = _features.Features(self.policy, lambda: None)
         self.store = FakeStore(self.clock)
         service = _configuration.Service("orders", 33, 1)
         self.group = _groups.Group(
-            self.clock, service, "hall-b", self.cluster, self.policy
+            self.clock,
+            service,
+            "hall-b",
+            self.cluster,
+            self.policy,
+            self.features,
         )
         self.limit = limit
         self.group.set_members(self.cluster.entries(), limit)
@@ -583,7 +628,7 @@
         self.configuration = _configuration.Configuration(
             1, {"db": self.route}, {"orders": service}, 3.0, 1 << 20
         )
-        executor = _execution.Executor(self.clock, self.policy)
+        executor = _execution.Executor(self.clock, self.policy, self.features)
         self.runner: _runners.Runner = _runners.LocalRunner(
             self.clock, self.policy, executor, self.group
         )
