--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -256,6 +256,11 @@
             lambda: _open_links(self._served.get(name)),
             service=name,
         )
+        ctx.metrics.gauge(
+            "members_ejected",
+            lambda: _ejected_members(self._served.get(name)),
+            service=name,
+        )
         return served
 
     def _promoter_context(
@@ -377,3 +382,8 @@
 def _open_links(served: ServedGroup | None) -> float:
     pools = served.group.pools.values() if served else ()
     return float(sum(p.size for p in pools))
+
+
+def _ejected_members(served: ServedGroup | None) -> float:
+    pools = served.group.pools.values() if served else ()
+    return float(sum(p.contact.outcomes.is_ejected for p in pools))
--- a/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
@@ -24,6 +24,8 @@
 # A lost statement costs its caller a new attempt; at a quarter, a read with
 # two attempts still fails once in 16.
 MAX_SHARE = 0.25
+
+# The least sum of the statements' weights, which is that of about ten.
 MIN_STATEMENTS = 8.0
 
 # So many failures in a row are no chance, however few statements there are.
--- a/packages/proxy/src/ferry_proxy/tests/test_routing.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_routing.py
@@ -27,6 +27,37 @@
         ),
         ({"near": {"latency_s": 1.0}, "far": {"latency_s": 1.0}}, "p"),
         ({"near": {"is_behind": True}}, "far"),
+        # A silent member makes a read wait; one that lacks a position says so.
+        (
+            {
+                "near": {"is_behind": True},
+                "far": {"is_responsive": False},
+                "p": {"is_responsive": False},
+            },
+            "near",
+        ),
+        # A failed attempt costs the time of a retry.
+        ({"near": {"failure_share": 0.9}}, "far"),
+        ({"near": {"failure_share": 0.1}}, "near"),
+        # An ejected member serves only if no other can.
+        ({"near": {"is_ejected": True}, "far": {"in_flight": 9}}, "far"),
+        ({"near": {"is_ejected": True}, "far": {"is_ejected": True}}, "p"),
+        (
+            {
+                "near": {"is_ejected": True, "failure_share": 0.9},
+                "far": {"is_ejected": True, "failure_share": 0.3},
+                "p": {"is_ejected": True},
+            },
+            "far",
+        ),
+        (
+            {
+                "near": {"is_ejected": True},
+                "far": {"is_behind": True},
+                "p": {"is_responsive": False},
+            },
+            "near",
+        ),
         ({"near": {"wait_s": 0.05}}, "far"),
         ({"near": {"wait_s": 0.02}, "far": {"wait_s": 0.02}}, "near"),
         (
