--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -216,6 +216,8 @@
             self._read_only and self._executor.has_other(job, tried)
         ):
             return False
+        if self._read_only:
+            return self._clock.now() < self._executor.waits.retry_end(job)
         return self._clock.now() < job.hold_end(self._policy)
 
     def _run_with_retries(
--- a/packages/proxy/src/ferry_proxy/placement/_read_waits.py
+++ b/packages/proxy/src/ferry_proxy/placement/_read_waits.py
@@ -64,7 +64,7 @@
         fut = pool.acquire(
             use,
             job.route.priority,
-            self._wait_end(job),
+            self._wait_end(job, pool),
             job.values,
             job.caller.team,
         )
@@ -101,7 +101,11 @@
         floor: decisions.Position,
     ) -> decisions.RequestFailedError | None:
         """Returns why a read should not wait longer; None if it should."""
-        others = self._members.capable(job, tried, floor)
+        others = [
+            p
+            for p in self._members.capable(job, tried, floor)
+            if not self._outcomes.is_ejected(p)
+        ]
         is_silent = not job.group.is_responsive(pool)
         is_over = self._clock.now() >= self.retry_end(job)
         if is_silent and (others or is_over):
@@ -119,15 +123,17 @@
             return _link_queue.overloaded(pool.member.id)
         return None
 
-    def _wait_end(self, job: _jobs.Job) -> float:
+    def _wait_end(self, job: _jobs.Job, pool: _pools.Pool) -> float:
         """Returns how long a read may wait for a link, as a clock time.
 
         A later attempt starts when the time of the first is over, and would
-        get no link that has yet to be opened.
+        get no link that has yet to be opened. It still does not queue.
         """
         end = job.hold_end(self._policy)
         if not job.progress.attempts or not self._outcomes.is_on:
             return end
+        if pool.expected_wait_s(job.route.priority) > 0:
+            return end
         wait_s = job.route.target_s * self._policy.hold_share
         return min(job.deadline, max(end, self._clock.now() + wait_s))
 
--- a/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
@@ -271,3 +271,14 @@
     assert {n for n, _ in ended} == {"no_connection"}
     # A statement that was sent may still be answered.
     assert len(lab.answers) - len(ended) <= 4
+
+
+def test_an_overloaded_group_ejects_nobody_and_refuses_early():
+    lab = Load()
+    lab.offer(1500, 1.0)  # The three members can run 600 a second.
+    assert len(lab.answers) == 1500
+    assert len(lab.served) > 500
+    refused = [t for n, t in lab.answers if n != "ran"]
+    share = lab.policy.hold_share
+    assert max(refused) <= share * lab.route.target_s + 0.05
+    assert not any(lab.outcomes(n).is_ejected for n in "abc")
