Tell silent members from busy ones

Change: only members that have answered nothing for 0.45 s go after those that lack a floor; only a hedge may wait past the hold time.

--- a/packages/proxy/src/ferry_proxy/_contact.py
+++ b/packages/proxy/src/ferry_proxy/_contact.py
@@ -18,6 +18,10 @@
 # under normal load.
 MIN_REPLY_LIMIT_S = 0.15
 
+# A saturated member leaves everything unanswered for some tenths of a second;
+# status requests are sent every 0.4 s.
+SILENT_S = 0.45
+
 # The longest reply time of a live member, as a multiple of the mean time of a
 # statement. The p99 of a lognormal distribution of times with a spread of 0.7
 # is 4.1 times its mean.
@@ -77,6 +81,11 @@
         """Whether messages went unanswered for longer than `max_reply_s`."""
         return self.unanswered_s > self.max_reply_s
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it is unresponsive for longer than a busy member would be."""
+        return self.unanswered_s > max(SILENT_S, self.max_reply_s)
+
     def note_asked(self) -> None:
         """Records that a message was sent that the member has to answer."""
         if self._asked_at is None:
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -181,9 +181,8 @@
         pool = pool or self.members.choose(job, tried, floor)
         if pool is None:
             raise decisions.RequestFailedError(decisions.NO_CONNECTION)
-        is_silent = not job.group.is_responsive(pool)
         has_link = pool.has_link(job.caller.team)
-        if is_silent and not has_link and self.outcomes.is_on:
+        if self.outcomes.is_on and pool.contact.is_silent and not has_link:
             raise decisions.RequestFailedError(
                 decisions.NO_CONNECTION, _read_waits.NO_MEMBER_ANSWERS
             )
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -60,7 +60,12 @@
         pool = target.pool
         self._tried.add(pool.member.id)
         pooled = yield self._executor.waits.acquire(
-            job, pool, target.floor, _pools.Use.STATEMENT, self._tried
+            job,
+            pool,
+            target.floor,
+            _pools.Use.STATEMENT,
+            self._tried,
+            is_hedge=self._running > 1,
         )
         if self.outcome.done():
             pool.release(pooled)
--- a/packages/proxy/src/ferry_proxy/_routing.py
+++ b/packages/proxy/src/ferry_proxy/_routing.py
@@ -32,6 +32,9 @@
 # statement's time at another member.
 RETRY_COST_S = 0.05
 
+# With this factor, an unresponsive member is selected only if no other is left.
+UNRESPONSIVE_FACTOR = 1000.0
+
 # Differences between latencies below this are noise.
 MIN_LATENCY_S = 0.005
 
@@ -54,6 +57,7 @@
         has_link: Whether a free link exists that the read may run on.
         failure_share: The recent share of its statements that failed.
         is_ejected: Whether it fails so many that others are preferred.
+        is_silent: Whether it has answered nothing for long.
     """
 
     member: str
@@ -68,6 +72,7 @@
     has_link: bool = True
     failure_share: float = 0.0
     is_ejected: bool = False
+    is_silent: bool = False
 
 
 def cost(candidate: Candidate) -> float:
@@ -83,6 +88,8 @@
         value *= PRIMARY_FACTOR
     if candidate.wait_s > MAX_REPLICA_WAIT_S:
         value *= QUEUED_FACTOR
+    if not candidate.is_responsive:
+        value *= UNRESPONSIVE_FACTOR
     return value
 
 
@@ -97,7 +104,7 @@
 
 def _rank(candidate: Candidate) -> tuple[bool, bool, bool, float, str]:
     return (
-        not candidate.is_responsive,
+        candidate.is_silent,
         candidate.is_behind,
         candidate.is_ejected,
         cost(candidate),
--- a/packages/proxy/src/ferry_proxy/placement/_read_members.py
+++ b/packages/proxy/src/ferry_proxy/placement/_read_members.py
@@ -43,6 +43,13 @@
             if job.group.is_responsive(p) and not p.reported.lacks(floor)
         ]
 
+    def any_promising(self, job: _jobs.Job, floor: decisions.Position) -> bool:
+        """Whether any member is neither silent nor known to lack the floor."""
+        return any(
+            not p.contact.is_silent and not p.reported.lacks(floor)
+            for p in self.untried(job.group, set())
+        )
+
     def choose(
         self,
         job: _jobs.Job,
@@ -89,6 +96,7 @@
             is_primary=pool.member.id == leader,
             is_near=group.is_near(pool),
             is_responsive=group.is_responsive(pool),
+            is_silent=pool.contact.is_silent,
             is_behind=pool.reported.lacks(floor),
             in_flight=pool.in_flight,
             slots=pool.member.slots,
--- a/packages/proxy/src/ferry_proxy/placement/_read_waits.py
+++ b/packages/proxy/src/ferry_proxy/placement/_read_waits.py
@@ -47,6 +47,7 @@
         floor: decisions.Position | None,
         use: _pools.Use,
         tried: set[str],
+        is_hedge: bool = False,
     ) -> "decisions.Future[_pooled_links.PooledLink]":
         """Acquires a link for a read.
 
@@ -60,11 +61,13 @@
             floor: The position that the member must have reached, if any.
             use: What the link is for.
             tried: The ids of members that are not selected again.
+            is_hedge: Whether the read waits for another member's reply, too.
         """
+        policy = self._policy
         fut = pool.acquire(
             use,
             job.route.priority,
-            self._wait_end(job, pool),
+            self._hedge_end(job, pool) if is_hedge else job.hold_end(policy),
             job.values,
             job.caller.team,
         )
@@ -106,9 +109,9 @@
             for p in self._members.capable(job, tried, floor)
             if not self._outcomes.is_ejected(p)
         ]
-        is_silent = not job.group.is_responsive(pool)
         is_over = self._clock.now() >= self.retry_end(job)
-        if is_silent and (others or is_over):
+        is_useless = others and not job.group.is_responsive(pool)
+        if is_useless or (is_over and pool.contact.is_silent):
             return decisions.RequestFailedError(
                 decisions.NO_CONNECTION, NO_MEMBER_ANSWERS
             )
@@ -123,14 +126,14 @@
             return _link_queue.overloaded(pool.member.id)
         return None
 
-    def _wait_end(self, job: _jobs.Job, pool: _pools.Pool) -> float:
-        """Returns how long a read may wait for a link, as a clock time.
+    def _hedge_end(self, job: _jobs.Job, pool: _pools.Pool) -> float:
+        """Returns how long a hedge may wait for a link, as a clock time.
 
-        A later attempt starts when the time of the first is over, and would
-        get no link that has yet to be opened. It still does not queue.
+        It starts when the read's own time to wait is over, and would get no
+        link that has yet to be opened. It still does not queue.
         """
         end = job.hold_end(self._policy)
-        if not job.progress.attempts or not self._outcomes.is_on:
+        if not self._outcomes.is_on:
             return end
         if pool.expected_wait_s(job.route.priority) > 0:
             return end
@@ -147,6 +150,6 @@
         floor = _read_members.known_floor(job)
         if job.is_primary_only or floor is None or not self._outcomes.is_on:
             return end
-        if self._members.capable(job, set(), floor):
+        if self._members.any_promising(job, floor):
             return end
         return min(end, job.retry_until)
