Don't hold reads for a primary that is merely busy

Change: with member outcomes, reads that may run at replicas are held for long only while a primary is being replaced; refusals name the true reason.

--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -133,7 +133,8 @@
             decisions.resolve(self.outcome, reply)
         else:
             assert exc is not None
-            decisions.reject(self.outcome, exc)
+            failure = self._executor.waits.explained(self._job, exc)
+            decisions.reject(self.outcome, failure)
 
     def _replace_hedge(self, exc: BaseException | None) -> None:
         """Tries one more member after an attempt that got no link."""
--- a/packages/proxy/src/ferry_proxy/placement/_read_waits.py
+++ b/packages/proxy/src/ferry_proxy/placement/_read_waits.py
@@ -63,11 +63,11 @@
             tried: The ids of members that are not selected again.
             is_hedge: Whether the read waits for another member's reply, too.
         """
-        policy = self._policy
+        until = self._hedge_end(job, pool) if is_hedge else self._hold_end(job)
         fut = pool.acquire(
             use,
             job.route.priority,
-            self._hedge_end(job, pool) if is_hedge else job.hold_end(policy),
+            until,
             job.values,
             job.caller.team,
         )
@@ -109,7 +109,9 @@
             for p in self._members.capable(job, tried, floor)
             if not self._outcomes.is_ejected(p)
         ]
-        is_over = self._clock.now() >= self.retry_end(job)
+        is_over = (
+            self._is_hopeless(job) and self._clock.now() >= job.retry_until
+        )
         is_useless = others and not job.group.is_responsive(pool)
         if is_useless or (is_over and pool.contact.is_silent):
             return decisions.RequestFailedError(
@@ -132,7 +134,7 @@
         It starts when the read's own time to wait is over, and would get no
         link that has yet to be opened. It still does not queue.
         """
-        end = job.hold_end(self._policy)
+        end = self._hold_end(job)
         if not self._outcomes.is_on:
             return end
         if pool.expected_wait_s(job.route.priority) > 0:
@@ -146,10 +148,53 @@
         While all members that it may run at are silent or behind, it waits no
         longer than its target latency, even if the primary is being changed.
         """
-        end = job.hold_end(self._policy)
-        floor = _read_members.known_floor(job)
-        if job.is_primary_only or floor is None or not self._outcomes.is_on:
-            return end
-        if self._members.any_promising(job, floor):
+        end = self._hold_end(job)
+        if not self._outcomes.is_on or not self._is_hopeless(job):
             return end
         return min(end, job.retry_until)
+
+    def explained(self, job: _jobs.Job, exc: BaseException) -> BaseException:
+        """Returns the failure of a read with its true reason.
+
+        Args:
+            job: The read.
+            exc: The failure of its last attempt.
+        """
+        if not isinstance(exc, decisions.RequestFailedError):
+            return exc
+        if exc.reason is not decisions.OVERLOADED or not self._outcomes.is_on:
+            return exc
+        floor = _read_members.known_floor(job)
+        if job.is_primary_only or floor is None:
+            return exc
+        if self._members.capable(job, set(), floor):
+            return exc
+        usable = self._members.untried(job.group, set())
+        if any(map(job.group.is_responsive, usable)):
+            return decisions.RequestFailedError(decisions.BEHIND, exc.detail)
+        return decisions.RequestFailedError(
+            decisions.NO_CONNECTION, NO_MEMBER_ANSWERS
+        )
+
+    def _hold_end(self, job: _jobs.Job) -> float:
+        """Returns how long a read may be held, as a clock time.
+
+        A primary that is merely unresponsive may be saturated. Reads that need
+        no primary do not wait for it as they would for a new one: they would
+        all be late, and keep it saturated.
+        """
+        if job.is_primary_only or not self._outcomes.is_on:
+            return job.hold_end(self._policy)
+        group = job.group
+        is_replaced = (
+            group.leader is None
+            or self._clock.now() < group.primary_change_until
+        )
+        return job.hold_until(self._policy, is_replaced, group.leader_found_at)
+
+    def _is_hopeless(self, job: _jobs.Job) -> bool:
+        """Whether all members that a read may run at are silent or behind."""
+        floor = _read_members.known_floor(job)
+        if job.is_primary_only or floor is None:
+            return False
+        return not self._members.any_promising(job, floor)
