--- a/packages/proxy/src/ferry_proxy/_contact.py
+++ b/packages/proxy/src/ferry_proxy/_contact.py
@@ -8,6 +8,7 @@
 """
 
 from ferry_proxy import _clocks
+from ferry_proxy.placement import _member_outcomes
 
 # The weight of the newest sample in the moving average, which then spans about
 # 5 samples.
@@ -17,6 +18,10 @@
 # under normal load.
 MIN_REPLY_LIMIT_S = 0.15
 
+# A saturated member leaves everything unanswered for some tenths of a second;
+# status requests are sent every 0.4 s.
+SILENT_S = 0.45
+
 # The longest reply time of a live member, as a multiple of the mean time of a
 # statement. The p99 of a lognormal distribution of times with a spread of 0.7
 # is 4.1 times its mean.
@@ -32,6 +37,7 @@
         refused_since: Since when its machine has refused connections; infinite
             if it does not.
         latency_s: The moving average of the time of its statements.
+        outcomes: What became of the statements sent to it.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
@@ -41,6 +47,7 @@
         self.heard = self.reported = clock.now()
         self.refused_since = float("inf")
         self.latency_s = 0.0
+        self.outcomes = _member_outcomes.MemberOutcomes()
 
     @property
     def silence_s(self) -> float:
@@ -74,6 +81,11 @@
         """Whether messages went unanswered for longer than `max_reply_s`."""
         return self.unanswered_s > self.max_reply_s
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it is unresponsive for longer than a busy member would be."""
+        return self.unanswered_s > max(SILENT_S, self.max_reply_s)
+
     def note_asked(self) -> None:
         """Records that a message was sent that the member has to answer."""
         if self._asked_at is None:
@@ -108,6 +120,7 @@
             late_s: The length of the pause, in seconds.
         """
         now = self._clock.now()
+        self.outcomes.note_pause(now)
         self.heard = min(now, self.heard + late_s)
         if self._asked_at is not None:
             self._asked_at = min(now, self._asked_at + late_s)
