Move opening and closing of links out of the pool

`_link_opener` now opens links where requests need them and closes unneeded ones; the pool keeps the queue and the assignment of links. No change of behaviour: the tests of pools, links, teams and changes of primary pass unchanged.

--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -14,8 +14,8 @@
 from ferry_proxy import _drain_window
 from ferry_proxy import _features
 from ferry_proxy import _link_choice
+from ferry_proxy import _link_opener
 from ferry_proxy import _link_queue
-from ferry_proxy import _link_room
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _policy
@@ -41,17 +41,14 @@
         features: _features.Features = _features.NONE,
     ) -> None:
         self._clock = clock
-        self._connector = connector
         self._policy = policy
         self._features = features
         self._idle: list[PooledLink] = []
         self._used: set[PooledLink] = set()
-        self._opening: collections.Counter[str] = collections.Counter()
         self._waiters = _link_queue.LinkQueue()
-        self._team_usage = _link_choice.TeamUsage()
-        self._room = _link_room.LinkRoom(clock.now(), policy.has_teams)
-        self._is_retry_scheduled = False
-        self._backoff_until = float("-inf")
+        self._opener = _link_opener.LinkOpener(
+            clock, connector, policy, self, self._idle
+        )
         self._closed = False
         self.member = member
         self.limit = limit
@@ -59,7 +56,6 @@
         self.reported = _reported_position.ReportedPosition(clock)
         self.contact = _contact.Contact(clock)
         self._drain_window = _drain_window.DrainWindow(policy.drain_s)
-        self.is_replaced = False
         self.note_entry(member)
 
     @property
@@ -75,7 +71,17 @@
     @property
     def size(self) -> int:
         """The number of links that are open or being opened."""
-        return len(self._idle) + len(self._used) + self._opening.total()
+        return len(self._idle) + len(self._used) + self._opener.opening
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the pool was closed and needs no more links."""
+        return self._closed
+
+    @property
+    def waiting_teams(self) -> set[str]:
+        """The teams with waiting requests."""
+        return self._waiters.teams
 
     def note_entry(self, member: _members.Member) -> None:
         """Applies the current list entry of the member."""
@@ -90,13 +96,13 @@
     @property
     def is_unreachable(self) -> bool:
         """Whether no link is open and the last attempt to open one failed."""
-        return self._backing_off and not (self._idle or self._used)
+        return self._opener.is_backing_off and not (self._idle or self._used)
 
     @property
     def is_refused(self) -> bool:
         """Whether the address refuses connections or is another member's."""
         refused = self.contact.refused_since < float("inf")
-        return refused or self.is_replaced
+        return refused or self._opener.is_replaced
 
     def acquire(
         self,
@@ -134,11 +140,11 @@
         )
         fut.add_done_callback(lambda _: timer.cancel())
         if team:
-            self._team_usage.note(team, self._clock.now())
+            self._opener.note_use(team)
         self._waiters.add(
             _link_queue.Waiter(rank, use, team, values or {}, fut)
         )
-        self._serve()
+        self.serve()
         return fut
 
     def release(self, pooled: PooledLink) -> None:
@@ -152,7 +158,7 @@
         else:
             pooled.for_transaction = pooled.is_committing = False
             self._idle.append(pooled)
-        self._serve()
+        self.serve()
 
     def discard(self, pooled: PooledLink) -> None:
         """Closes a link that must not be used again."""
@@ -210,7 +216,7 @@
         pooled.last_reply_at = self._clock.now()
         pooled.sent_at = None
         if self._waiters:
-            self._serve()
+            self.serve()
 
     def trim(self) -> None:
         """Closes links that have been unused for a while, except for a few.
@@ -241,17 +247,31 @@
         self._closed = True
         for pooled in self._idle:
             pooled.link.close()
-        self._idle = []
+        self._idle.clear()
+        self.reject_waiters()
+
+    def reject_waiters(self) -> None:
+        """Fails all waiting requests, since no link can be opened."""
         for waiter in self._waiters.clear():
             decisions.reject(
                 waiter.fut, _link_queue.unavailable(self.member.id)
             )
 
+    def add(self, link: _links.Link, team: str) -> None:
+        """Adds an open link of a team, or closes it if the pool is closed."""
+        if self._closed:
+            link.close()
+            return
+        pooled = PooledLink(link, self._clock.now(), team)
+        self._idle.append(pooled)
+        self.note_heard(pooled)
+        self.serve()
+
     @property
     def _running(self) -> int:
         """Statements at the member and links being opened; each has a slot."""
         asked = sum(t.sent_at is not None for t in self._used)
-        return asked + self._opening.total()
+        return asked + self._opener.opening
 
     def has_link(self, team: str) -> bool:
         """Whether the team has an idle link."""
@@ -270,13 +290,9 @@
             ahead, self.parallel, self.contact.latency_s
         )
 
-    @property
-    def _backing_off(self) -> bool:
-        return self._clock.now() < self._backoff_until
-
-    def _serve(self) -> None:
+    def serve(self) -> None:
         """Assigns links to waiting requests, in queue order."""
-        self._idle = [t for t in self._idle if not t.link.lost]
+        self._idle[:] = [t for t in self._idle if not t.link.lost]
         missing_links: collections.Counter[str] = collections.Counter()
         for waiter in self._waiters.in_order():
             if waiter.is_done:
@@ -287,7 +303,7 @@
                     self._assign(waiter, pooled)
                     continue
                 missing_links[waiter.team] += 1
-                self._open_up_to(waiter.team, missing_links[waiter.team])
+                self._opener.open_up_to(waiter.team, missing_links[waiter.team])
             elif waiter.use is not Use.TRANSACTION:
                 break  # All later waiters also want to run statements.
 
@@ -314,86 +330,3 @@
         if waiter.use is not Use.CONTROL:
             pooled.last_used_at = self._clock.now()
         decisions.resolve(waiter.fut, pooled)
-
-    def _open_up_to(self, team: str, count: int) -> None:
-        """Opens links for a team until `count` of them are being opened."""
-        if self._closed or self._backing_off:
-            return
-        while self._opening[team] < count and self._may_open_another():
-            self._open(team)
-
-    def _may_open_another(self) -> bool:
-        """Whether another link may be opened; may close an idle one."""
-        bound = self._room.bound(self.limit, self._clock.now())
-        if self.size < bound:
-            return True
-        if bound < self.limit and not self._is_retry_scheduled:
-            self._is_retry_scheduled = True
-            self._clock.after(_link_room.GROWTH_INTERVAL_S, self._retry_waiters)
-        return self._close_idle()
-
-    def _close_surplus(self) -> None:
-        """Closes an idle link if the pool exceeds its current bound."""
-        bound = self._room.bound(self.limit, self._clock.now())
-        if self.size > bound:
-            self._close_idle()
-
-    def _close_idle(self) -> bool:
-        """Closes the least needed idle link; returns whether there was one."""
-        unneeded = _link_choice.to_close(
-            self._idle, self._team_usage, self._waiters.teams
-        )
-        if unneeded is None:
-            return False
-        self._idle.remove(unneeded)
-        unneeded.link.close()
-        return True
-
-    def _retry_waiters(self) -> None:
-        """Serves the queue again once the bound on links may have grown."""
-        self._is_retry_scheduled = False
-        self._serve()
-
-    def _open(self, team: str) -> None:
-        self._opening[team] += 1
-        self.contact.note_asked()
-        fut = self._connector.connect(
-            self.member, self._policy.connect_timeout_s, team
-        )
-        fut.add_done_callback(lambda f: self._opened(team, f))
-
-    def _opened(self, team: str, fut: "decisions.Future[_links.Link]") -> None:
-        self._opening[team] -= 1
-        exc = fut.exception()
-        if exc is not None:
-            self._note_failure(exc)
-            return
-        link = fut.result()
-        if self._closed:
-            link.close()
-            return
-        pooled = PooledLink(link, self._clock.now(), team)
-        self._idle.append(pooled)
-        self.note_heard(pooled)
-        self._serve()
-
-    def _note_failure(self, exc: BaseException) -> None:
-        self.contact.note_link_failure()
-        backoff_s = self._policy.connect_backoff_s
-        if isinstance(exc, _links.ConnectFailedError):
-            self.is_replaced = exc.reason is decisions.WRONG_MEMBER
-            if exc.refused:
-                self.contact.note_refused()
-            elif exc.reason is decisions.TOO_MANY_CONNECTIONS:
-                self.contact.note_heard()
-                self._room.note_full(self.size, self._clock.now())
-                self._close_surplus()
-                backoff_s = min(backoff_s, _link_room.FULL_BACKOFF_S)
-        self._backoff_until = self._clock.now() + backoff_s
-        self._clock.after(backoff_s, self._serve)
-        if self.size:
-            return
-        for waiter in self._waiters.clear():
-            decisions.reject(
-                waiter.fut, _link_queue.unavailable(self.member.id)
-            )
