Estimate service times by route and kind; share the fair queueing

Cause: waits were the count of requests ahead times one moving average over all kinds of statements, queueing at the member included. Routes differ by a factor of five, so work was refused that would be in time, and let in late.

Change: `ServiceTimes` keeps a decayed histogram for each route and kind, and the pace of the member, which is common to all kinds. Statements that were sent to a crowded member count for the pace only. `FairShares` is the start-time fair queueing of `_admission`, taken out of it so that the queue of a member can use it too; the PostgreSQL side behaves as before.

Result: the tests of admission pass unchanged.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -41,6 +41,8 @@
     from ferry_decisions._databases import record_from_json as record_from_json
     from ferry_decisions._directory import Directory as Directory
     from ferry_decisions._directory import content_digest as content_digest
+    from ferry_decisions._fair_shares import Account as Account
+    from ferry_decisions._fair_shares import FairShares as FairShares
     from ferry_decisions._flows import Flow as Flow
     from ferry_decisions._flows import Future as Future
     from ferry_decisions._flows import Settled as Settled
@@ -156,6 +158,8 @@
     from ferry_decisions._revisions import Revision as Revision
     from ferry_decisions._routing import READ_POLICIES as READ_POLICIES
     from ferry_decisions._routing import ReadRequest as ReadRequest
+    from ferry_decisions._service_times import ServiceTimes as ServiceTimes
+    from ferry_decisions._service_times import TimeHistogram as TimeHistogram
     from ferry_decisions._session_floors import SessionFloors as SessionFloors
     from ferry_decisions._sessions import SessionState as SessionState
     from ferry_decisions._sessions import parse_staleness as parse_staleness
@@ -203,6 +207,7 @@
         "record_from_json",
     ],
     "_directory": ["Directory", "content_digest"],
+    "_fair_shares": ["Account", "FairShares"],
     "_flows": [
         "Flow",
         "Future",
@@ -295,6 +300,7 @@
     "_retries": ["RetryBudget", "backoff"],
     "_revisions": ["Revision", "UNREAD_REVISION"],
     "_routing": ["READ_POLICIES", "ReadRequest"],
+    "_service_times": ["ServiceTimes", "TimeHistogram"],
     "_session_floors": ["SessionFloors"],
     "_sessions": ["SessionState", "parse_staleness"],
     "_statements": ["SETTING_PREFIX", "Statement", "StatementKind", "classify"],
--- a/packages/decisions/src/ferry_decisions/_admission.py
+++ b/packages/decisions/src/ferry_decisions/_admission.py
@@ -16,6 +16,7 @@
 import attrs
 
 from ferry_decisions import _contracts
+from ferry_decisions import _fair_shares
 from ferry_decisions import _flows
 from ferry_decisions import _outcomes
 from ferry_decisions import _registry
@@ -66,14 +67,12 @@
 
 
 @attrs.define(slots=True)
-class _Account:
+class _Account(_fair_shares.Account):
     """The scheduling state of one customer."""
 
-    share: int
     queue_limit: int
     limit: int
     waiters: collections.deque[Waiter] = attrs.field(factory=collections.deque)
-    virtual_time: float = 0.0
     running: int = 0
 
     @property
@@ -175,7 +174,7 @@
             limit: Returns the maximum number of slots that the customer of a
                 contract may use at once.
         """
-        self._burst_s = burst_s
+        self._shares = _fair_shares.FairShares(burst_s)
         self._limit = limit
         self._timers = timers
         self._slots = slots
@@ -183,7 +182,6 @@
         self._accounts: dict[str, _Account] = {}
         self._running = 0
         self._waiting = 0
-        self._virtual_clock = 0.0
         self._slot_time_s = INITIAL_SLOT_TIME_S
 
     @property
@@ -236,7 +234,7 @@
         used = now - slot.granted_at
         account = self._accounts[slot.customer]
         account.running -= 1
-        account.virtual_time += (used - slot.charged_s) / account.share
+        self._shares.correct(account, used - slot.charged_s)
         self._slot_time_s += SLOT_TIME_WEIGHT * (used - self._slot_time_s)
         self._running -= 1
         self._dispatch()
@@ -245,7 +243,7 @@
         account = self._accounts.get(contract.customer)
         if account is None:
             account = _Account(contract.share, contract.queue, 0)
-            account.virtual_time = self._virtual_clock
+            account.virtual_time = self._shares.clock
             self._accounts[contract.customer] = account
         account.share = contract.share
         account.queue_limit = contract.queue
@@ -262,8 +260,7 @@
 
     def _grant(self, customer: str, account: _Account, now: float) -> Slot:
         self._limit_credit(account)
-        self._virtual_clock = max(self._virtual_clock, account.virtual_time)
-        account.virtual_time += self._slot_time_s / account.share
+        self._shares.charge(account, self._slot_time_s)
         account.running += 1
         self._running += 1
         return Slot(customer, now, self._slot_time_s)
@@ -276,8 +273,7 @@
         its customer stays within its share. No customer accumulates more.
         """
         if not account.running and not account.waiters:
-            floor = self._virtual_clock - self._burst_s / account.share
-            account.virtual_time = max(account.virtual_time, floor)
+            self._shares.limit_credit(account)
 
     def _dispatch(self) -> None:
         while self._running < self._slots and self._waiting:
