Admit requests to a member by expected waits and fair shares

Cause: with both replicas behind, one member with 5 slots gets 1.2 to 2 times what it can run. Requests were ordered by priority and arrival and refused after a fifth of their target, whatever they were.

Change: where `fair_admission` is on, `AdmissionQueue` takes the place of `LinkQueue`, which now also makes the decisions on refusals and holds that the pool made. The fakes can give statements different durations.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -91,6 +91,7 @@
                 hold,
                 job.values,
                 job.caller.team,
+                job.work,
             )
             return (yield from self.run_on_link(job, pool, pooled_link, None))
         except decisions.RequestFailedError as exc:
@@ -308,7 +309,9 @@
         name = pooled_link.prepared[job.prepared] if job.prepared else ""
         pool.note_sent(pooled_link)
         job.note_dispatched(pool.member.id, self._clock.now())
-        return pooled_link.link.run([*commands, job.command(floor, name)])[-1]
+        fut = pooled_link.link.run([*commands, job.command(floor, name)])[-1]
+        pool.note_statement(pooled_link, job.work, fut)
+        return fut
 
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
         """Whether there is time to retry a statement that did not run."""
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -63,6 +63,7 @@
             job.hold_end(self._policy),
             job.values,
             job.caller.team,
+            job.work,
         )
         if self.outcome.done():
             pool.release(pooled)
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -7,6 +7,7 @@
 from ferry_proxy import _links
 from ferry_proxy import _policy
 from ferry_proxy import _requests
+from ferry_proxy.queueing import _work
 
 
 @attrs.frozen(slots=True, eq=False, kw_only=True)
@@ -35,6 +36,18 @@
             group=group,
         )
 
+    @property
+    def work(self) -> _work.Work:
+        """What the queue of a member needs to know of it."""
+        kind = "write" if self.writes else self.statement.kind.value
+        return _work.Work(
+            key=decisions.WorkKey(self.route.name, kind),
+            priority=self.route.priority,
+            target_s=self.route.target_s,
+            target_at=self.arrived + self.route.target_s,
+            deadline=self.deadline,
+        )
+
     def hold_end(self, policy: _policy.Policy) -> float:
         """Returns how long it may wait for a member, as a clock time."""
         group = self.group
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -1,5 +1,6 @@
 """Queue of requests for links of a pool: by priority, then by arrival."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import enum
 import itertools
@@ -7,7 +8,11 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _clocks
+from ferry_proxy import _links
 from ferry_proxy import _pooled_links
+from ferry_proxy import _queueing
+from ferry_proxy.queueing import _work
 
 
 class Use(enum.Enum):
@@ -31,6 +36,7 @@
         team: The team that the link must belong to.
         values: The session's values; a link that has them is preferred.
         fut: Resolved with the link.
+        work: What is to run on it.
     """
 
     rank: int
@@ -38,6 +44,12 @@
     team: str
     values: dict[str, str]
     fut: "decisions.Future[_pooled_links.PooledLink]"
+    work: _work.Work = attrs.field(
+        default=attrs.Factory(
+            lambda self: _work.unknown(self.rank, float("inf")),
+            takes_self=True,
+        )
+    )
 
     @property
     def is_done(self) -> bool:
@@ -45,10 +57,36 @@
         return self.fut.done()
 
 
+@attrs.frozen(slots=True)
+class MemberLoad:
+    """What a queue needs to know of its member.
+
+    Attributes:
+        member: The member's id.
+        in_progress: How many places are taken, those of links that are being
+            opened included.
+        places: How many statements may be in progress at once.
+        latency_s: The recent latency of a statement there.
+        is_silent: Whether it leaves messages unanswered.
+    """
+
+    member: str
+    in_progress: int
+    places: int
+    latency_s: float
+    is_silent: bool
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a statement has to wait for others."""
+        return self.in_progress >= self.places
+
+
 class LinkQueue:
     """The waiting requests of a pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: _clocks.Clock) -> None:
+        self._clock = clock
         self._entries: list[tuple[int, int, Waiter]] = []
         self._numbers = itertools.count()
 
@@ -74,9 +112,80 @@
         self._entries = sorted(e for e in self._entries if not e[2].is_done)
         return [w for _, _, w in self._entries]
 
-    def ahead_of(self, rank: int) -> int:
-        """Returns how many requests precede a new one of this rank."""
-        return sum(w.rank <= rank for w in self)
+    def expected_wait_s(self, rank: int, load: MemberLoad) -> float:
+        """Returns the expected queueing time of a statement, in seconds.
+
+        Args:
+            rank: The queue rank; 0 goes first.
+            load: The state of the member.
+        """
+        if not load.is_full:
+            return 0.0
+        ahead = sum(w.rank <= rank for w in self)
+        return _queueing.expected_wait_s(ahead, load.places, load.latency_s)
+
+    def refusal(
+        self, waiter: Waiter, until: float, load: MemberLoad
+    ) -> decisions.RequestFailedError | None:
+        """Returns the error for a request that is not let in; None if it is.
+
+        Args:
+            waiter: The request.
+            until: Until when it may wait, in the clock's seconds.
+            load: The state of the member.
+        """
+        left_s = max(0.0, until - self._clock.now())
+        if self.expected_wait_s(waiter.rank, load) > left_s:
+            return overloaded(load.member)
+        return None
+
+    def hold(
+        self, waiter: Waiter, until: float, load: Callable[[], MemberLoad]
+    ) -> None:
+        """Limits the wait of a request that is let in.
+
+        Args:
+            waiter: The request.
+            until: Until when it may wait, in the clock's seconds.
+            load: Returns the state of the member.
+        """
+        member = load().member
+        timer = self._clock.after(
+            max(0.0, until - self._clock.now()),
+            lambda: decisions.reject(waiter.fut, overloaded(member)),
+        )
+        waiter.fut.add_done_callback(lambda _: timer.cancel())
+
+    def note_assigned(
+        self, waiter: Waiter, pooled: _pooled_links.PooledLink
+    ) -> None:
+        """Records that a request got a link."""
+
+    def note_released(self, pooled: _pooled_links.PooledLink) -> None:
+        """Records that a link is back in the pool or closed."""
+
+    def note_statement(
+        self,
+        pooled: _pooled_links.PooledLink,
+        work: _work.Work,
+        fut: "decisions.Future[_links.Reply]",
+        load: Callable[[], MemberLoad],
+    ) -> None:
+        """Records a statement that was sent.
+
+        Args:
+            pooled: The link that it runs on.
+            work: The statement.
+            fut: Its reply.
+            load: Returns the state of the member.
+        """
+
+    def exclude_pause(self, late_s: float) -> None:
+        """Excludes a pause of this process from what is known of the member.
+
+        Args:
+            late_s: The length of the pause, in seconds.
+        """
 
     def clear(self) -> list[Waiter]:
         """Empties the queue and returns the requests that were waiting."""
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -20,9 +20,10 @@
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
-from ferry_proxy import _queueing
 from ferry_proxy import _reported_position
 from ferry_proxy import _teams
+from ferry_proxy.queueing import _admission_queue
+from ferry_proxy.queueing import _work
 
 PooledLink = _pooled_links.PooledLink
 Use = _link_queue.Use
@@ -42,10 +43,14 @@
     ) -> None:
         self._clock = clock
         self._policy = policy
-        self._features = features
         self._idle: list[PooledLink] = []
         self._used: set[PooledLink] = set()
-        self._waiters = _link_queue.LinkQueue()
+        self.admission: _admission_queue.AdmissionQueue | None = None
+        self._waiters = _link_queue.LinkQueue(clock)
+        if features.is_on(_policy.Feature.FAIR_ADMISSION):
+            self._waiters = self.admission = _admission_queue.AdmissionQueue(
+                clock
+            )
         self._opener = _link_opener.LinkOpener(
             clock, connector, policy, self, self._idle
         )
@@ -111,6 +116,7 @@
         until: float,
         values: dict[str, str] | None = None,
         team: str = _teams.NO_TEAM,
+        work: _work.Work | None = None,
     ) -> "decisions.Future[PooledLink]":
         """Acquires a link.
 
@@ -121,6 +127,7 @@
             values: The session's values; a link that has them is preferred.
             team: The team whose statements run on the link; control commands
                 use a link of any team.
+            work: The statement that runs on it; None if unknown.
 
         Fails with `decisions.RequestFailedError` if none becomes available.
         """
@@ -129,21 +136,16 @@
             return decisions.failed(_link_queue.unavailable(self.member.id))
         is_control = use is Use.CONTROL
         rank = _link_queue.CONTROL_RANK if is_control else priority
-        left = max(0.0, until - self._clock.now())
-        if not is_control and self.expected_wait_s(rank) > left:
-            return decisions.failed(_link_queue.overloaded(self.member.id))
-        timer = self._clock.after(
-            left,
-            lambda: decisions.reject(
-                fut, _link_queue.overloaded(self.member.id)
-            ),
-        )
-        fut.add_done_callback(lambda _: timer.cancel())
+        work = work or _work.unknown(priority, until)
+        waiter = _link_queue.Waiter(rank, use, team, values or {}, fut, work)
+        if not is_control:
+            refusal = self._waiters.refusal(waiter, until, self._load())
+            if refusal is not None:
+                return decisions.failed(refusal)
+        self._waiters.hold(waiter, until, self._load)
         if team:
             self._opener.note_use(team)
-        self._waiters.add(
-            _link_queue.Waiter(rank, use, team, values or {}, fut)
-        )
+        self._waiters.add(waiter)
         self.serve()
         return fut
 
@@ -153,6 +155,7 @@
             return
         self._used.discard(pooled)
         pooled.sent_at = None
+        self._waiters.note_released(pooled)
         if pooled.link.lost or self._closed:
             pooled.link.close()
         else:
@@ -205,6 +208,30 @@
         pooled.sent_at = self._clock.now()
         self.contact.note_asked()
 
+    def note_statement(
+        self,
+        pooled: PooledLink,
+        work: _work.Work,
+        fut: "decisions.Future[_links.Reply]",
+    ) -> None:
+        """Records a statement that was sent.
+
+        Args:
+            pooled: The link that it runs on.
+            work: The statement.
+            fut: Its reply.
+        """
+        self._waiters.note_statement(pooled, work, fut, self._load)
+
+    def exclude_pause(self, late_s: float) -> None:
+        """Excludes a pause of this process from what it knows of the member.
+
+        Args:
+            late_s: The length of the pause, in seconds.
+        """
+        self.contact.exclude_pause(late_s)
+        self._waiters.exclude_pause(late_s)
+
     def note_heard(self, pooled: PooledLink, elapsed_s: float = 0.0) -> None:
         """Records that the member replied.
 
@@ -283,11 +310,15 @@
         Args:
             rank: The queue rank; 0 goes first.
         """
-        if self._running < self.parallel:
-            return 0.0
-        ahead = self._waiters.ahead_of(rank)
-        return _queueing.expected_wait_s(
-            ahead, self.parallel, self.contact.latency_s
+        return self._waiters.expected_wait_s(rank, self._load())
+
+    def _load(self) -> _link_queue.MemberLoad:
+        return _link_queue.MemberLoad(
+            member=self.member.id,
+            in_progress=self._running,
+            places=self.parallel,
+            latency_s=self.contact.latency_s,
+            is_silent=self.contact.is_unresponsive,
         )
 
     def serve(self) -> None:
@@ -327,6 +358,7 @@
         self._used.add(pooled)
         pooled.for_transaction = waiter.use is Use.TRANSACTION
         self.note_sent(pooled)
+        self._waiters.note_assigned(waiter, pooled)
         if waiter.use is not Use.CONTROL:
             pooled.last_used_at = self._clock.now()
         decisions.resolve(waiter.fut, pooled)
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -352,7 +352,7 @@
                 group.leaderless_since, now - policy.probe_s
             )
             for pool in group.pools.values():
-                pool.contact.exclude_pause(late_s)
+                pool.exclude_pause(late_s)
 
     def close(self) -> None:
         """Removes all members, which closes their links."""
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _configuration
 from ferry_proxy import _currency
 from ferry_proxy import _execution
+from ferry_proxy import _features
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
@@ -46,6 +47,7 @@
         opened: How many links to it were opened.
         slots: How many statements it runs concurrently; 0 for no limit.
         slot_free_at: When each slot becomes free, in the clock's seconds.
+        slowness: The duration of statements, as a multiple of the usual one.
     """
 
     id: str
@@ -66,18 +68,20 @@
     opened: int = 0
     slots: int = 0
     slot_free_at: list[float] = attrs.field(factory=list)
+    slowness: float = 1.0
     born: int = 1_000
 
-    def work_delay(self) -> float:
+    def work_delay(self, statement: _statements.Statement) -> float:
         """Returns the duration of a statement sent now, with its queueing."""
+        work_s = self.cluster.work_s(statement) * self.slowness
         if not self.slots:
-            return WORK_S
+            return work_s
         now = self.cluster.clock.now()
         if len(self.slot_free_at) < self.slots:
             self.slot_free_at += [now] * (self.slots - len(self.slot_free_at))
         self.slot_free_at.sort()
         begins = max(now, self.slot_free_at[0])
-        self.slot_free_at[0] = begins + WORK_S
+        self.slot_free_at[0] = begins + work_s
         return self.slot_free_at[0] - now
 
     @property
@@ -130,7 +134,7 @@
             fut: decisions.Future[_links.Reply] = decisions.Future()
             self._pending.append(fut)
             if isinstance(command, _links.Run):
-                delay += self.member.work_delay()
+                delay += self.member.work_delay(command.statement)
             clock.after(delay, functools.partial(self._run, command, fut))
             futs.append(fut)
         return futs
@@ -268,6 +272,10 @@
         return self._ok(proof="proof-" + member.id)
 
 
+def _usual_work_s(_: _statements.Statement) -> float:
+    return WORK_S
+
+
 class FakeCluster:
     """A group of three members and the connector to it."""
 
@@ -279,6 +287,7 @@
         self.seen_teams: dict[str, str] = {}
         self.promotions: list[tuple[str, int]] = []
         self.lost: list[str] = []
+        self.work_s: Callable[[_statements.Statement], float] = _usual_work_s
         self.behind_rejections = 0
         self.visible_position: decisions.Position | None = None
         self.behind: set[str] = set()
@@ -572,7 +581,12 @@
         self.store = FakeStore(self.clock)
         service = _configuration.Service("orders", 33, 1)
         self.group = _groups.Group(
-            self.clock, service, "hall-b", self.cluster, self.policy
+            self.clock,
+            service,
+            "hall-b",
+            self.cluster,
+            self.policy,
+            _features.Features(self.policy, lambda: None),
         )
         self.limit = limit
         self.group.set_members(self.cluster.entries(), limit)
