Look once more at requests that wait long; order large queues faster

A queue of a hundred cost 2 ms of processor time a request.

Change: a request that has waited for its usual share is kept only if it is still expected in time, until it would be late. The rate of more urgent work is taken over the time since the load began. Figures are computed once for each kind of work, and a full member is not served in vain.

--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -98,6 +98,11 @@
         """Yields the waiting requests in no particular order."""
         return (w for _, _, w in self._entries if not w.is_done)
 
+    @property
+    def has_control(self) -> bool:
+        """Whether a control command waits."""
+        return any(w.rank == CONTROL_RANK for w in self)
+
     @property
     def teams(self) -> set[str]:
         """The teams with waiting requests."""
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -324,6 +324,8 @@
     def serve(self) -> None:
         """Assigns links to waiting requests, in queue order."""
         self._idle[:] = [t for t in self._idle if not t.link.lost]
+        if self._running >= self.parallel and not self._waiters.has_control:
+            return
         missing_links: collections.Counter[str] = collections.Counter()
         for waiter in self._waiters.in_order():
             if waiter.is_done:
--- a/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
@@ -78,8 +78,10 @@
             waiter: The request, which need not wait yet.
             load: The state of the member.
         """
-        waiting = [w for w in self._statements() if w is not waiter]
-        ordered = self._ordered([*waiting, waiter])
+        waiting = self._statements()
+        if waiter not in waiting:
+            waiting.append(waiter)
+        ordered = self._ordered(waiting)
         ahead = ordered[: ordered.index(waiter)]
         return self._estimate(waiter, ahead, load)
 
@@ -93,26 +95,28 @@
         ahead = [w for w in self._statements() if w.rank <= rank]
         return self._start_delay_s(rank, ahead, load)
 
-    def check(
-        self, waiter: Waiter, estimate: _waits.Estimate
+    def _problem(
+        self, waiter: Waiter, estimate: _waits.Estimate, margin_s: float
     ) -> Refusal | None:
-        """Returns why a request is not let in; None if it is.
+        """Returns why a request should not wait; None if it should.
 
         Args:
             waiter: The request.
             estimate: What it may expect.
+            margin_s: By how much it has to be early, in seconds.
         """
         now = self._clock.now()
         work = waiter.work
+        end = now + estimate.total_s + margin_s
         if now + estimate.least_s > work.deadline:
-            return self._refused(Refusal.TIME_LIMIT, waiter)
-        if not estimate.wait_s or now + estimate.total_s <= work.target_at:
+            return Refusal.TIME_LIMIT
+        if not estimate.wait_s or end <= work.target_at:
             return None
         is_late = self._is_late(work, estimate.own_s)
         is_short = estimate.wait_s <= work.target_s
-        if is_late and is_short and now + estimate.total_s <= work.deadline:
+        if is_late and is_short and end <= work.deadline:
             return None
-        return self._refused(Refusal.TARGET, waiter)
+        return Refusal.TARGET
 
     def refusal(
         self, waiter: Waiter, until: float, load: _link_queue.MemberLoad
@@ -125,8 +129,10 @@
             load: The state of the member.
         """
         estimate = self.estimate(waiter, load)
-        if self.check(waiter, estimate) is None:
+        problem = self._problem(waiter, estimate, estimate.margin_s)
+        if problem is None:
             return None
+        self.refusals[problem, waiter.rank] += 1
         return _overloaded(waiter, estimate, load)
 
     def hold(
@@ -146,30 +152,41 @@
             super().hold(waiter, until, load)
             return
 
-        def is_queueing() -> bool:
-            is_stuck = load().is_silent or self.running.is_stuck(
-                self._clock.now()
-            )
-            return load().is_full and not is_stuck
+        def is_worthwhile() -> bool:
+            estimate = self.estimate(waiter, load())
+            return self._problem(waiter, estimate, 0.0) is None
 
         def give_up() -> None:
-            self._refused(Refusal.WAITED, waiter)
+            self.refusals[Refusal.WAITED, waiter.rank] += 1
             estimate = self.estimate(waiter, load())
             decisions.reject(waiter.fut, _overloaded(waiter, estimate, load()))
 
         work = waiter.work
-        needed_s = self._elapsed_s(waiter) + _waits.TRANSIT_S
-        longest = max(until, self._clock.now() + work.target_s)
+        own_s = self._elapsed_s(waiter)
+        needed_s = own_s + _waits.TRANSIT_S
+        longest = max(until, work.target_at - needed_s)
+        if self._is_late(work, own_s):
+            longest = max(until, self._clock.now() + work.target_s)
         hold = _holds.Hold(
             clock=self._clock,
             until=until,
             latest=min(longest, work.deadline - needed_s),
-            is_queueing=is_queueing,
+            is_worthwhile=is_worthwhile,
+            may_wait=lambda: self._is_queueing(load()),
             give_up=give_up,
         )
         waiter.fut.add_done_callback(lambda _: hold.end())
         hold.start()
 
+    def _is_queueing(self, load: _link_queue.MemberLoad) -> bool:
+        """Whether requests wait for statements that the member works on.
+
+        A silent member or a lack of links is not a queue: how long that lasts
+        is unknown, and another member may be free.
+        """
+        is_stuck = load.is_silent or self.running.is_stuck(self._clock.now())
+        return load.is_full and not is_stuck
+
     def note_assigned(
         self, waiter: Waiter, pooled: _pooled_links.PooledLink
     ) -> None:
@@ -238,12 +255,13 @@
     def _ordered(self, waiting: list[Waiter]) -> list[Waiter]:
         if len(waiting) < 2:
             return waiting
-        needed_s = {w.work.key: self._elapsed_s(w) for w in waiting}
-        slot_s = {w.work.key: self.times.mean_s(w.work.key) for w in waiting}
-
+        pace = self.times.pace
+        slot_s = {
+            k: self.times.mean_s(k) for k in {w.work.key for w in waiting}
+        }
         return self._kinds.ordered(
             waiting,
-            lambda w: self._is_late(w.work, needed_s[w.work.key]),
+            lambda w: self._is_late(w.work, pace * slot_s[w.work.key]),
             lambda w: slot_s[w.work.key],
         )
 
@@ -267,15 +285,15 @@
         running = self.running.remaining_s(self._clock.now())
         others = max(0, load.in_progress - len(running))
         running += [self.times.overall_s * pace] * others
+        keys = {w.work.key for w in ahead}
+        elapsed_s = {k: pace * self.times.mean_s(k) for k in keys}
         delay_s = _waits.start_delay_s(
-            running, map(self._elapsed_s, ahead), places
+            running, [elapsed_s[w.work.key] for w in ahead], places
         )
         taken = self._kinds.slot_rate(rank) * pace / places
-        own_s = sum(self._elapsed_s(w) for w in ahead if w.rank == rank)
-        own_s /= places
-        owed = _kinds.KIND_SHARE
-        longest_s = max(delay_s, min(running, default=0.0) + own_s / owed)
-        return _waits.with_arrivals_s(delay_s, taken, longest_s)
+        own_s = sum(elapsed_s[w.work.key] for w in ahead if w.rank == rank)
+        owed_s = min(running, default=0.0) + own_s / places / _kinds.KIND_SHARE
+        return _waits.with_arrivals_s(delay_s, taken, max(delay_s, owed_s))
 
     def _estimate(
         self, waiter: Waiter, ahead: list[Waiter], load: _link_queue.MemberLoad
@@ -288,14 +306,16 @@
         # All of its kind that can still be in time go before a late one.
         rank = waiter.rank + self._is_late(waiter.work, own_s)
         wait_s = self._start_delay_s(rank, ahead, load)
-        works = [w.work for w in ahead]
+        keys = [w.work.key for w in ahead]
         if wait_s:
-            works += self.running.works
-        spreads = [pace * self.times.spread_s(w.key) for w in works]
+            keys += [w.key for w in self.running.works]
+        spread_s = {k: pace * self.times.spread_s(k) for k in set(keys)}
         own_spread_s = pace * self.times.spread_s(waiter.work.key)
         return _waits.Estimate(
             wait_s=wait_s,
-            margin_s=_waits.margin_s(spreads, own_spread_s, load.places),
+            margin_s=_waits.margin_s(
+                [spread_s[k] for k in keys], own_spread_s, load.places
+            ),
             own_s=own_s,
         )
 
@@ -303,10 +323,6 @@
         """Returns the expected time of a request at the member, in seconds."""
         return self.times.mean_s(waiter.work.key) * self.times.pace
 
-    def _refused(self, reason: Refusal, waiter: Waiter) -> Refusal:
-        self.refusals[reason, waiter.rank] += 1
-        return reason
-
 
 def _overloaded(
     waiter: Waiter, estimate: _waits.Estimate, load: _link_queue.MemberLoad
--- a/packages/proxy/src/ferry_proxy/queueing/_kinds.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_kinds.py
@@ -23,6 +23,10 @@
 KIND_CREDIT_S = 0.2
 # Time constant of the recent use: the time of some statements of any kind.
 RECENT_S = 0.5
+# The shortest time that a rate is taken over.
+MIN_AGE_S = 0.1
+# Use that faded to less than this part, without any since, is over.
+IDLE_FACTOR = 0.05
 # The number of teams of a kind that are remembered; those that used least go.
 MAX_TEAMS = 256
 
@@ -60,7 +64,7 @@
         self._now = now
         self._kinds: dict[int, _Kind] = {}
         self._used_s = 0.0
-        self._faded_at = now()
+        self._faded_at = self._busy_since = now()
 
     def __len__(self) -> int:
         """Returns the number of teams that are remembered, over all kinds."""
@@ -88,7 +92,10 @@
         """
         fade = math.exp((self._faded_at - self._now()) / RECENT_S)
         recent_s = sum(k.recent_s for r, k in self._kinds.items() if r < rank)
-        return recent_s * fade / RECENT_S
+        # What was used since the start of the load fills only that time.
+        age_s = max(MIN_AGE_S, self._now() - self._busy_since)
+        span_s = RECENT_S * (1.0 - math.exp(-age_s / RECENT_S))
+        return recent_s * fade / span_s
 
     def correct(self, rank: int, team: str, extra_s: float) -> None:
         """Adds what a statement used beyond the charge; may be negative."""
@@ -170,8 +177,8 @@
         places = dict.fromkeys(queues, 0)
         ranks = sorted(queues)
         order: list[Waiter] = []
+        heads = {rank: slot_s(queue[0]) for rank, queue in queues.items()}
         while ranks:
-            heads = {r: slot_s(queues[r][places[r]]) for r in ranks}
             owed = [
                 r for r in ranks if parts[r] + heads[r] / KIND_SHARE <= used_s
             ]
@@ -182,6 +189,8 @@
             used_s += heads[rank]
             if places[rank] == len(queues[rank]):
                 ranks.remove(rank)
+            else:
+                heads[rank] = slot_s(queues[rank][places[rank]])
         return order
 
     def _part(self, rank: int) -> float:
@@ -194,6 +203,8 @@
         now = self._now()
         factor = math.exp((self._faded_at - now) / RECENT_S)
         self._faded_at = now
+        if now - self._busy_since > RECENT_S and factor < IDLE_FACTOR:
+            self._busy_since = now
         for kind in self._kinds.values():
             kind.recent_s *= factor
 
--- a/packages/proxy/src/ferry_proxy/queueing/_waits.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_waits.py
@@ -29,8 +29,8 @@
 
     @property
     def total_s(self) -> float:
-        """The time until its answer, in seconds."""
-        return self.wait_s + self.margin_s + self.own_s + TRANSIT_S
+        """The expected time until its answer, in seconds."""
+        return self.wait_s + self.own_s + TRANSIT_S
 
     @property
     def least_s(self) -> float:
@@ -96,4 +96,5 @@
         estimate: What it may expect now.
         target_s: The target latency of its route.
     """
-    return max(MIN_RETRY_S, estimate.total_s - target_s)
+    end_s = estimate.total_s + estimate.margin_s
+    return max(MIN_RETRY_S, end_s - target_s)
