--- a/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
@@ -10,11 +10,13 @@
 from ferry_proxy import _features
 from ferry_proxy import _link_queue
 from ferry_proxy import _links
+from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy.queueing import _kinds
 from ferry_proxy.queueing import _work
 from ferry_proxy.tests import fakes
+from ferry_proxy.tests import test_overload
 
 SLOTS = 5
 ROUTES = {
@@ -415,6 +417,51 @@
     assert set(times_s) == {decisions.OVERLOADED.retry_after_s}
 
 
+def session_load() -> test_overload.Load:
+    return test_overload.Load(features={"fair_admission": True})
+
+
+def test_sessions_are_served_in_time_while_both_replicas_are_behind():
+    load = session_load()
+    load.lag()
+    load.offer(load.route, 400, 2.0)  # Twice what the primary can run.
+    load.offer(load.urgent, 50, 2.0)
+    load.run(4.0)
+    assert len(load.served("u")) == 100
+    assert len(load.served("r")) > 300
+    assert max(load.served("r")) <= load.route.target_s
+    late = [t for t in load.refused("r") if t > 0.1]
+    assert len(late) < 0.05 * len(load.refused("r"))
+
+
+def test_writes_held_during_a_change_of_primary_are_let_in_as_late():
+    load = session_load()
+    load.cluster.members["a"].dark = True
+    for number in range(48):
+        load.clock.after(0.2 + number * 0.0125, load.ask_write)
+    load.run(0.85)
+    load.cluster._lead(load.cluster.members["b"])
+    load.group.note_leader(_members.Leader("b", 2))
+    load.run(2.0)
+    assert len(load.served("r")) >= 40
+    assert max(load.served("r")) < load.route.timeout_s
+
+
+def test_whole_transactions_are_recorded_for_what_they_need():
+    load = session_load()
+    for _ in range(5):
+        session = load.session()
+        for text in ("BEGIN", "WRITE x 1", "WRITE y 1", "COMMIT"):
+            assert load.do(session, fakes.statement(text)).reason is None
+    admission = load.group.pools["a"].admission
+    assert admission is not None
+    whole_s = admission.times.median_s(
+        decisions.WorkKey("r", _work.TRANSACTION_KIND)
+    )
+    assert whole_s > 3 * fakes.WORK_S
+    assert len(admission.running) == 0
+
+
 @pytest.mark.parametrize("is_on", [False, True])
 def test_control_commands_are_never_refused(is_on):
     load = MemberLoad(is_on)
--- a/packages/proxy/src/ferry_proxy/tests/test_overload.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_overload.py
@@ -32,8 +32,9 @@
     While the replicas lag, only the primary can run the reads.
     """
 
-    def __init__(self) -> None:
-        super().__init__(_configuration.Consistency.SESSION, limit=7)
+    def __init__(self, **policy) -> None:
+        kind = _configuration.Consistency.SESSION
+        super().__init__(kind, limit=7, **policy)
         for member in self.cluster.members.values():
             member.slots = 2
             member.lag_s = 10.0
