--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -176,6 +176,7 @@
             job.hold_end(self._policy),
             job.values,
             job.caller.team,
+            job.work,
         )
 
     def _target(
--- a/packages/proxy/src/ferry_proxy/placement/_read_waits.py
+++ b/packages/proxy/src/ferry_proxy/placement/_read_waits.py
@@ -70,6 +70,7 @@
             until,
             job.values,
             job.caller.team,
+            job.work,
         )
         if floor is not None and self._outcomes.is_on:
             self._watch(
