Tell refused callers when there will be room, and who can't outlive a change

A refusal said 1 s whatever the backlog, so callers that were refused in one burst came back as one burst. During a change of primary, callers with a short time limit waited for most of it and were refused then.

A refused request now gets a slot of its own behind the backlog and behind the returns that were promised before, as far apart as statements leave the member's queue. A request whose time limit ends before the change of primary is expected to is refused at once, with the time after which statements run. Both take effect where retry_advice is on.

Times of a serving node that are negative, NaN or huge are dropped.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -152,6 +152,11 @@
     from ferry_decisions._replicas import ReplicaTracker as ReplicaTracker
     from ferry_decisions._retries import RetryBudget as RetryBudget
     from ferry_decisions._retries import backoff as backoff
+    from ferry_decisions._retry_advice import DrainRate as DrainRate
+    from ferry_decisions._retry_advice import Refusal as Refusal
+    from ferry_decisions._retry_advice import ReturnSchedule as ReturnSchedule
+    from ferry_decisions._retry_advice import spread_delay_s as spread_delay_s
+    from ferry_decisions._retry_advice import usable_delay_s as usable_delay_s
     from ferry_decisions._revisions import UNREAD_REVISION as UNREAD_REVISION
     from ferry_decisions._revisions import Revision as Revision
     from ferry_decisions._routing import READ_POLICIES as READ_POLICIES
@@ -293,6 +298,13 @@
     "_registry": ["Registry"],
     "_replicas": ["Eligibility", "ReplicaTracker"],
     "_retries": ["RetryBudget", "backoff"],
+    "_retry_advice": [
+        "DrainRate",
+        "Refusal",
+        "ReturnSchedule",
+        "spread_delay_s",
+        "usable_delay_s",
+    ],
     "_revisions": ["Revision", "UNREAD_REVISION"],
     "_routing": ["READ_POLICIES", "ReadRequest"],
     "_session_floors": ["SessionFloors"],
--- a/packages/decisions/src/ferry_decisions/_outcomes.py
+++ b/packages/decisions/src/ferry_decisions/_outcomes.py
@@ -91,6 +91,8 @@
         detail: Explanatory text for people; never parsed.
         retry_after_s: Suggested delay before a retry, in seconds; 0 if a
             retry does not help.
+        is_estimated: Whether the delay was estimated for this request. It is
+            the reason's otherwise.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         super().__init__(f"{reason.name}: {detail}" if detail else reason.name)
         self.reason = reason
         self.detail = detail
+        self.is_estimated = retry_after_s is not None
         default_s = reason.retry_after_s
         self.retry_after_s = (
             default_s if retry_after_s is None else retry_after_s
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -28,7 +28,7 @@
 def log_step(
     group: _groups.Group, step: str, token: int, member: str, detail: str
 ) -> None:
-    """Emits the event for a step of a change of primary.
+    """Announces a step of a change of primary, and emits its event.
 
     Args:
         group: The group.
@@ -37,6 +37,8 @@
         member: The member that the step concerns; empty for none.
         detail: Further details.
     """
+    for callback in group.on_step:
+        callback(step)
     _events.emit(
         _events.PromotionStep(group.service.name, step, token, member, detail)
     )
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -52,7 +52,6 @@
         self.service = service
         self.pools: dict[str, _pools.Pool] = {}
         self.leader: _members.Leader | None = None
-        self.term = 0
         self.floors = _freshness.Floors()
         self.last_leader = ""
         self.last_round_at = float("-inf")
@@ -60,10 +59,11 @@
         self.removed_members: dict[str, _members.RemovedMember] = {}
         self.restarted_at: dict[str, float] = {}
         self._asking: set[str] = set()
-        self._next_replica = 0
+        self._next_replica = self.term = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.member_joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
+        self.on_step: list[Callable[[str], object]] = []
 
     # -- members ---------------------------------------------------------
 
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -101,6 +101,7 @@
             runner=self._runner,
             access=access,
             refusals=refusals,
+            features=self._features,
         )
         self.ticker.subscribe(policy.probe_s, self._groups.survey)
         self.ticker.subscribe(CHECK_S, self._check)
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -247,7 +247,12 @@
             promoter,
             _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
             _runners.LocalRunner(
-                ctx.clock, ctx.policy, self._executor, group, ctx.gate
+                ctx.clock,
+                ctx.policy,
+                self._executor,
+                group,
+                ctx.gate,
+                ctx.features,
             ),
         )
         self._served[name] = served
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -15,12 +15,15 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _events
+from ferry_proxy import _features
 from ferry_proxy import _links
 from ferry_proxy import _metrics
+from ferry_proxy import _policy
 from ferry_proxy import _refusals
 from ferry_proxy import _requests
 from ferry_proxy import _runners
 from ferry_proxy import _statements
+from ferry_proxy.queueing import _refusal_advice
 
 Kind = _statements.Kind
 STATES = _statements.TransactionState
@@ -43,6 +46,7 @@
             for an unknown service.
         access: Identifies the team that owns a caller's key.
         refusals: Creates the errors for what the configuration forbids.
+        features: The optional features that are on.
     """
 
     clock: _clocks.Clock
@@ -51,6 +55,7 @@
     runner: Callable[[str, str], _runners.Runner | None]
     access: _access.Access
     refusals: _refusals.Refusals
+    features: _features.Features = _features.NONE
 
 
 class Session:
@@ -234,7 +239,7 @@
         except decisions.RequestFailedError as exc:
             if statement.kind is Kind.COMMIT:
                 self._transaction = None
-            answer = self._refused(exc)
+            answer = self._refused(self._advised(request, exc))
         else:
             answer = self._apply_reply(request, transaction, reply)
         self._record(request, answer)
@@ -282,7 +287,8 @@
         if is_commit:
             self._transaction = None
         if reply.reason is not None:
-            return attrs.evolve(reply, state=self.state)
+            delay_s = decisions.usable_delay_s(reply.retry_after_s)
+            return attrs.evolve(reply, state=self.state, retry_after_s=delay_s)
         wrote = transaction.wrote if transaction else request.writes
         ended = transaction is None or is_commit
         if wrote and ended and reply.position is not None:
@@ -319,6 +325,15 @@
             self._transaction = None
         return self._refused(exc)
 
+    def _advised(
+        self, request: _requests.Request, exc: decisions.RequestFailedError
+    ) -> decisions.RequestFailedError:
+        """Spreads the returns of callers that this node itself refuses."""
+        is_on = self._ctx.features.is_on(_policy.Feature.RETRY_ADVICE)
+        if not is_on or exc.is_estimated or not exc.retry_after_s:
+            return exc
+        return _refusal_advice.spread(request, exc, self._ctx.clock.now())
+
     def _failed(self, reason: decisions.Reason, detail: str) -> _links.Reply:
         return _links.Reply(self.state, reason=reason, detail=detail)
 
