--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -178,6 +178,14 @@
     use: attrs.AttrsInstance
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class FeatureChanged:
+    """An optional feature is on or off from now on."""
+
+    feature: str
+    on: bool
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class MemberChanged:
     """A member was added, changed or removed."""
--- a/packages/proxy/src/ferry_proxy/_features.py
+++ b/packages/proxy/src/ferry_proxy/_features.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 
 from ferry_proxy import _configuration
+from ferry_proxy import _events
 from ferry_proxy import _policy
 
 # A member counts as unresponsive after 0.15 s at the earliest. A request with a
@@ -93,9 +94,16 @@
         cfg = self._configuration()
         if cfg is not self._evaluated_for:
             self._evaluated_for = cfg
-            self._active = self._evaluate(cfg)
+            self._update(self._evaluate(cfg))
         return self._active[feature]
 
+    def _update(self, active: Mapping[_policy.Feature, bool]) -> None:
+        """Sets the active features, with an event for each that changes."""
+        was_active, self._active = self._active, active
+        for feature, on in active.items():
+            if on is not was_active[feature]:
+                _events.emit(_events.FeatureChanged(feature.value, on))
+
     def _evaluate(
         self, cfg: _configuration.Configuration | None
     ) -> Mapping[_policy.Feature, bool]:
--- a/packages/proxy/src/ferry_proxy/_metrics.py
+++ b/packages/proxy/src/ferry_proxy/_metrics.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import typing
 
 from hdrh import histogram
@@ -18,9 +19,15 @@
 MAX_TEAMS = 100
 OTHER_TEAMS = "(others)"
 
+# The most priorities with counters of their own.
+MAX_PRIORITIES = 10
+OTHER_PRIORITIES = "(others)"
+
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 Labels = tuple[tuple[str, str], ...]
+# The labels and the value of each gauge of a family.
+Family = Callable[[], Iterable[tuple[dict[str, str], float]]]
 
 
 class Metrics:
@@ -33,6 +40,7 @@
         self._teams: set[str] = set()
         self._latencies: dict[str, typing.Any] = {}
         self._gauges: list[tuple[str, Callable[[], float], Labels]] = []
+        self._families: list[tuple[str, Family]] = []
 
     def count(self, name: str, **labels: str) -> None:
         """Increments a counter."""
@@ -44,6 +52,16 @@
         """Adds a gauge that is read whenever the metrics are rendered."""
         self._gauges.append((name, read, tuple(sorted(labels.items()))))
 
+    def family(self, name: str, read: Family) -> None:
+        """Adds gauges whose labels are known only when they are read."""
+        self._families.append((name, read))
+
+    def record_refusal(self, reason: str, priority: int) -> None:
+        """Records that a request did not run."""
+        is_known = 0 <= priority < MAX_PRIORITIES
+        label = str(priority) if is_known else OTHER_PRIORITIES
+        self.count("refusals_total", reason=reason, priority=label)
+
     def record_request(
         self,
         route: str,
@@ -85,6 +103,10 @@
             lines.append(_line(name, labels, value))
         for name, read, labels in self._gauges:
             lines.append(_line(name, labels, read()))
+        for name, read_all in self._families:
+            for named, reading in read_all():
+                labels = tuple(sorted(named.items()))
+                lines.append(_line(name, labels, reading))
         for route, found in sorted(self._latencies.items()):
             for quantile in QUANTILES:
                 value = found.get_value_at_percentile(quantile) / 1e6
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -115,6 +115,8 @@
                 self.mesh,
                 self._rate_limiter,
                 self._currency,
+                lambda: self._groups.groups,
+                self._features,
             ),
             lambda: self.session_count,
         )
@@ -291,8 +293,7 @@
         self._set_peers()
 
     def _apply_groups(self) -> None:
-        cfg = self.catalogue.configuration
-        if cfg is not None:
+        if (cfg := self.catalogue.configuration) is not None:
             self._groups.apply(cfg)
 
     def _set_peers(self) -> None:
@@ -370,9 +371,8 @@
             self.mesh.announce()
 
     def _end_idle_transactions(self) -> None:
-        now = self._loop.now()
         for session in self._sessions.values():
-            session.end_if_idle(now)
+            session.end_if_idle(self._loop.now())
 
     # -- shutdown --------------------------------------------------------
 
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -355,6 +355,10 @@
         progress = request.progress
         outcome = answer.reason.name if answer.reason else "ran"
         offered = progress.offered_at or now
+        if answer.not_run and answer.reason:
+            self._ctx.metrics.record_refusal(
+                answer.reason.name, request.route.priority
+            )
         self._ctx.metrics.record_request(
             request.route.name,
             request.statement.kind,
