Tell the callers of forwarded transactions why serving nodes refused them

A first statement of a transaction that every serving node had refused waited for further nodes and was then told no_serving_node with that reason's time, so the true reason and time were lost. Statements outside of transactions already kept the last refusal; transactions do now. The test failed before with no_serving_node.

--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -283,8 +283,14 @@
     ) -> "decisions.Flow[_links.Reply]":
         """Sends the first statement, trying other nodes if it did not run."""
         search = Search(self._forwarder, self._service, request)
+        reply: _links.Reply | None = None
         while True:
-            stream = yield from search.next()
+            try:
+                stream = yield from search.next()
+            except decisions.RequestFailedError:
+                if reply is None:
+                    raise
+                return reply  # The failure at the last node still holds.
             self._number = next(_numbers)
             self._stream = stream
             stream.open_transactions += 1
--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -449,3 +449,40 @@
     lab.run(0.5)
     assert fut.result().reason is decisions.READ_CUT
     assert lab.seeks == 1
+
+
+def test_a_transaction_that_all_nodes_refused_tells_their_reason():
+    """Guards against NO_SERVING_NODE after a wait, instead of the refusal."""
+    lab = EntryLab()
+    told = decisions.RequestFailedError(decisions.NO_PRIMARY, "changing", 0.7)
+
+    class Refusing:
+        failure = None
+        wrote = False
+        holds_link = False
+        last_used_at = 0.0
+
+        def run(self, _):
+            yield decisions.completed(None)
+            raise told
+
+        def begin(self, _):
+            return self
+
+        def fail(self, _) -> None:
+            """Nothing is open."""
+
+        def roll_back(self) -> None:
+            """Nothing is open."""
+
+    lab.local = Refusing()
+    session = lab.session()
+    lab.do(session, fakes.statement("BEGIN"))
+    reply = lab.do(session, fakes.statement("WRITE x 1"))
+    assert reply.reason is decisions.NO_PRIMARY
+    assert reply.retry_after_s == 0.7
+    sent = [s for m in lab.mesh.by_name.values() for s in m.sent]
+    begun = [s for s in sent if isinstance(s, _forward_messages.RunRequest)]
+    assert len(begun) == 2
+    assert lab.mesh.by_name["near"].open_transactions == 0
+    assert lab.mesh.by_name["far"].open_transactions == 0
