Keep the place of a caller that returns as told

Whoever was refused and came back stood last again, so under lasting overload those who returned as told were refused as often as others.

A session that was promised room remembers its first arrival. Another entry node or session does not know the place. Figures of peers are checked. The queue is as before where the feature is off.

RequestDone tells the time to come back.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -152,6 +152,7 @@
     from ferry_decisions._replicas import ReplicaTracker as ReplicaTracker
     from ferry_decisions._retries import RetryBudget as RetryBudget
     from ferry_decisions._retries import backoff as backoff
+    from ferry_decisions._retry_advice import Advice as Advice
     from ferry_decisions._retry_advice import DrainRate as DrainRate
     from ferry_decisions._retry_advice import Refusal as Refusal
     from ferry_decisions._retry_advice import ReturnSchedule as ReturnSchedule
@@ -299,6 +300,7 @@
     "_replicas": ["Eligibility", "ReplicaTracker"],
     "_retries": ["RetryBudget", "backoff"],
     "_retry_advice": [
+        "Advice",
         "DrainRate",
         "Refusal",
         "ReturnSchedule",
--- a/packages/decisions/src/ferry_decisions/_outcomes.py
+++ b/packages/decisions/src/ferry_decisions/_outcomes.py
@@ -93,6 +93,8 @@
             retry does not help.
         is_estimated: Whether the delay was estimated for this request. It is
             the reason's otherwise.
+        keeps_place: Whether a caller that returns after the delay is queued by
+            its first arrival.
     """
 
     def __init__(
@@ -100,10 +102,12 @@
         reason: Reason,
         detail: str = "",
         retry_after_s: float | None = None,
+        keeps_place: bool = False,
     ) -> None:
         super().__init__(f"{reason.name}: {detail}" if detail else reason.name)
         self.reason = reason
         self.detail = detail
+        self.keeps_place = keeps_place
         self.is_estimated = retry_after_s is not None
         default_s = reason.retry_after_s
         self.retry_after_s = (
--- a/packages/decisions/src/ferry_decisions/_retry_advice.py
+++ b/packages/decisions/src/ferry_decisions/_retry_advice.py
@@ -107,14 +107,28 @@
     remaining_s: float
 
 
+@attrs.frozen(slots=True)
+class Advice:
+    """When a refused request should return.
+
+    Attributes:
+        delay_s: The delay, in seconds.
+        is_promised: Whether room is expected then, so that the request keeps
+            its place in the queue.
+    """
+
+    delay_s: float
+    is_promised: bool
+
+
 class ReturnSchedule:
     """The returns that were promised at the queue of one member."""
 
     def __init__(self) -> None:
         self._promised_until: dict[int, float] = {}
 
-    def delay_s(self, refusal: Refusal, drain_per_s: float) -> float:
-        """Returns when a refused request should return, in seconds.
+    def advise(self, refusal: Refusal, drain_per_s: float) -> Advice:
+        """Returns when a refused request should return.
 
         A slot before its deadline is promised and counts as backlog for later
         refusals, except for more urgent ones. A later slot is not: the request
@@ -131,9 +145,10 @@
         delay_s = starts_at + slot_s * fraction - refusal.at
         if delay_s > refusal.remaining_s:
             remaining_s = refusal.remaining_s
-            return spread_delay_s(remaining_s, remaining_s, refusal.request)
+            late_s = spread_delay_s(remaining_s, remaining_s, refusal.request)
+            return Advice(late_s, is_promised=False)
         self._promised_until[refusal.priority] = starts_at + slot_s
-        return max(MIN_DELAY_S, delay_s)
+        return Advice(max(MIN_DELAY_S, delay_s), is_promised=True)
 
     def next_slot(self, refusal: Refusal) -> float:
         """Returns when the next free slot begins, in the clock's seconds."""
--- a/packages/decisions/src/ferry_decisions/tests/test_retry_advice.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_retry_advice.py
@@ -19,7 +19,7 @@
 
 def test_returns_are_spread_over_the_time_that_the_queue_needs():
     schedule = decisions.ReturnSchedule()
-    delays = [schedule.delay_s(refusal(n), 200.0) for n in range(60)]
+    delays = [schedule.advise(refusal(n), 200.0).delay_s for n in range(60)]
     assert delays == sorted(delays)
     assert delays[0] >= 0.1  # The backlog leaves first.
     assert delays[-1] == pytest.approx(0.1 + 60 / 150, abs=0.01)
@@ -30,53 +30,61 @@
 def test_promised_returns_count_until_their_time_has_passed():
     schedule = decisions.ReturnSchedule()
     for number in range(60):
-        schedule.delay_s(refusal(number), 200.0)
-    assert schedule.delay_s(refusal("a", at=0.2, wait_s=0.0), 200.0) > 0.25
-    assert schedule.delay_s(refusal("b", at=0.6, wait_s=0.0), 200.0) < 0.02
+        schedule.advise(refusal(number), 200.0)
+    assert (
+        schedule.advise(refusal("a", at=0.2, wait_s=0.0), 200.0).delay_s > 0.25
+    )
+    assert (
+        schedule.advise(refusal("b", at=0.6, wait_s=0.0), 200.0).delay_s < 0.02
+    )
 
 
 def test_urgent_requests_do_not_return_behind_others():
     schedule = decisions.ReturnSchedule()
     for number in range(60):
-        schedule.delay_s(refusal(number, priority=2), 200.0)
-    urgent_s = schedule.delay_s(refusal("u", priority=0), 200.0)
+        schedule.advise(refusal(number, priority=2), 200.0)
+    urgent_s = schedule.advise(refusal("u", priority=0), 200.0).delay_s
     assert urgent_s < 0.11
 
 
 def test_others_return_behind_urgent_requests():
     schedule = decisions.ReturnSchedule()
     for number in range(60):
-        schedule.delay_s(refusal(number, priority=0), 200.0)
-    assert schedule.delay_s(refusal("o", priority=2), 200.0) > 0.45
+        schedule.advise(refusal(number, priority=0), 200.0)
+    assert schedule.advise(refusal("o", priority=2), 200.0).delay_s > 0.45
 
 
 def test_a_slot_after_the_deadline_is_not_promised():
     schedule = decisions.ReturnSchedule()
     for number in range(1000):
-        delay_s = schedule.delay_s(refusal(number, remaining_s=0.3), 200.0)
+        delay_s = schedule.advise(
+            refusal(number, remaining_s=0.3), 200.0
+        ).delay_s
         assert delay_s <= 0.3
     # Only the slots within 0.3 s are taken, whatever the number of requests.
-    assert schedule.delay_s(refusal("x", remaining_s=9.0), 200.0) < 0.35
+    assert schedule.advise(refusal("x", remaining_s=9.0), 200.0).delay_s < 0.35
 
 
 def test_less_capacity_means_a_later_time():
     fast, slow = decisions.ReturnSchedule(), decisions.ReturnSchedule()
     for number in range(10):
-        fast_s = fast.delay_s(refusal(number), 200.0)
-        slow_s = slow.delay_s(refusal(number), 50.0)
+        fast_s = fast.advise(refusal(number), 200.0).delay_s
+        slow_s = slow.advise(refusal(number), 50.0).delay_s
     assert slow_s > fast_s + 0.1
 
 
 def test_no_delay_is_shorter_than_a_round_trip():
     schedule = decisions.ReturnSchedule()
-    found_s = schedule.delay_s(refusal(1, wait_s=0.0, remaining_s=0.0), 1e6)
+    found_s = schedule.advise(
+        refusal(1, wait_s=0.0, remaining_s=0.0), 1e6
+    ).delay_s
     assert found_s == pytest.approx(0.01)
 
 
 @pytest.mark.parametrize("wait_s", [math.nan, math.inf, -5.0])
 def test_invalid_waits_count_as_none(wait_s):
     schedule = decisions.ReturnSchedule()
-    assert schedule.delay_s(refusal(1, wait_s=wait_s), 200.0) < 0.02
+    assert schedule.advise(refusal(1, wait_s=wait_s), 200.0).delay_s < 0.02
 
 
 def test_drain_rate_follows_the_mean_time_of_statements():
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -240,6 +240,7 @@
     """The outcome of a request, and how it came about.
 
     `via` names the serving node that it was forwarded to, if any.
+    `retry_after_s` is when its caller was told to return; 0 for no time.
     """
 
     request: str
@@ -254,6 +255,7 @@
     elapsed_s: float
     waited_s: float
     attempts: int
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen(slots=True, repr=False, eq=False)
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -91,6 +91,7 @@
                 hold,
                 job.values,
                 job.caller.team,
+                job.queued_since,
             )
             return (yield from self.run_on_link(job, pool, pooled_link, None))
         except decisions.RequestFailedError as exc:
--- a/packages/proxy/src/ferry_proxy/_forward_messages.py
+++ b/packages/proxy/src/ferry_proxy/_forward_messages.py
@@ -14,6 +14,7 @@
 from ferry_proxy import _requests
 from ferry_proxy import _statements
 from ferry_proxy import _teams
+from ferry_proxy.queueing import _kept_places
 
 NOT_OFFERED = -1.0
 NO_INDEX = -1
@@ -51,6 +52,8 @@
         key_digest: The digest of the caller's key.
         version: The version of the entry node's configuration, which assigns
             the key to the team.
+        queued_for_s: For how long it had been queued when it arrived there, in
+            seconds.
     """
 
     route: str
@@ -77,6 +80,7 @@
     team: str = _teams.NO_TEAM
     key_digest: bytes = b""
     version: int = 0
+    queued_for_s: float = 0.0
 
     @classmethod
     def of(
@@ -125,6 +129,7 @@
             team=request.caller.team,
             key_digest=request.caller.digest,
             version=request.caller.version,
+            queued_for_s=request.queued_for_s,
         )
 
     def request(self, clock: _clocks.Clock) -> _requests.Request:
@@ -155,6 +160,9 @@
             arrived_boot=clock.boot_now(),
             session_floor=_position(self.floor_term, self.floor_index),
             caller=_teams.Caller(self.team, self.key_digest, self.version),
+            queued_for_s=_kept_places.usable_wait_s(
+                self.queued_for_s, self.timeout_s
+            ),
         )
 
     def _route(self) -> _configuration.Route:
@@ -190,6 +198,7 @@
             was first sent to a member; negative if it was not sent.
         retry_after_s: The delay before a retry, in seconds; None if the reason
             implies it.
+        keeps_place: Whether a caller that returns after it keeps its place.
     """
 
     state: str
@@ -204,6 +213,7 @@
     attempts: int
     offered_after_s: float
     retry_after_s: float | None = None
+    keeps_place: bool = False
 
     @classmethod
     def of(
@@ -231,6 +241,7 @@
             attempts=progress.attempts,
             offered_after_s=offered - received if offered else NOT_OFFERED,
             retry_after_s=reply.retry_after_s,
+            keeps_place=reply.keeps_place,
         )
 
     def reply(self) -> _links.Reply:
@@ -248,6 +259,7 @@
             detail=self.detail,
             position=_position(self.position_term, self.position_index),
             retry_after_s=self.retry_after_s,
+            keeps_place=self.keeps_place,
         )
 
     def note_progress(
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -63,6 +63,7 @@
             job.hold_end(self._policy),
             job.values,
             job.caller.team,
+            job.queued_since,
         )
         if self.outcome.done():
             pool.release(pooled)
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -32,6 +32,7 @@
             session_floor=request.session_floor,
             caller=request.caller,
             progress=request.progress,
+            queued_for_s=request.queued_for_s,
             group=group,
         )
 
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -31,6 +31,7 @@
         team: The team that the link must belong to.
         values: The session's values; a link that has them is preferred.
         fut: Resolved with the link.
+        since: When the request was first queued, in the clock's seconds.
     """
 
     rank: int
@@ -38,6 +39,7 @@
     team: str
     values: dict[str, str]
     fut: "decisions.Future[_pooled_links.PooledLink]"
+    since: float
 
     @property
     def is_done(self) -> bool:
@@ -49,7 +51,7 @@
     """The waiting requests of a pool."""
 
     def __init__(self) -> None:
-        self._entries: list[tuple[int, int, Waiter]] = []
+        self._entries: list[tuple[int, float, int, Waiter]] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -58,7 +60,7 @@
 
     def __iter__(self) -> Iterator[Waiter]:
         """Yields the waiting requests in no particular order."""
-        return (w for _, _, w in self._entries if not w.is_done)
+        return (w for *_, w in self._entries if not w.is_done)
 
     @property
     def teams(self) -> set[str]:
@@ -66,17 +68,23 @@
         return {w.team for w in self}
 
     def add(self, waiter: Waiter) -> None:
-        """Appends a request behind all others of its rank."""
-        self._entries.append((waiter.rank, next(self._numbers), waiter))
+        """Adds a request behind those of its rank that were queued earlier."""
+        number = next(self._numbers)
+        self._entries.append((waiter.rank, waiter.since, number, waiter))
 
     def in_order(self) -> list[Waiter]:
         """Returns the waiting requests in order and drops completed ones."""
-        self._entries = sorted(e for e in self._entries if not e[2].is_done)
-        return [w for _, _, w in self._entries]
+        self._entries = sorted(e for e in self._entries if not e[-1].is_done)
+        return [w for *_, w in self._entries]
 
-    def ahead_of(self, rank: int) -> int:
-        """Returns how many requests precede a new one of this rank."""
-        return sum(w.rank <= rank for w in self)
+    def ahead_of(self, rank: int, since: float = float("inf")) -> int:
+        """Returns how many requests precede a new one of this rank.
+
+        Args:
+            rank: The queue rank.
+            since: When the new request was first queued.
+        """
+        return sum((w.rank, w.since) <= (rank, since) for w in self)
 
     def clear(self) -> list[Waiter]:
         """Empties the queue and returns the requests that were waiting."""
--- a/packages/proxy/src/ferry_proxy/_links.py
+++ b/packages/proxy/src/ferry_proxy/_links.py
@@ -121,6 +121,7 @@
         report: The status, for commands that request it.
         retry_after_s: The delay before a retry, in seconds; None if the reason
             implies it.
+        keeps_place: Whether a caller that returns after it keeps its place.
     """
 
     state: _statements.TransactionState
@@ -131,6 +132,7 @@
     position: decisions.Position | None = None
     report: _members.Report | None = None
     retry_after_s: float | None = None
+    keeps_place: bool = False
 
     @classmethod
     def failed(
@@ -144,6 +146,7 @@
             reason=exc.reason,
             detail=exc.detail,
             retry_after_s=exc.retry_after_s,
+            keeps_place=exc.keeps_place,
         )
 
     @property
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -105,6 +105,7 @@
         until: float,
         values: dict[str, str] | None = None,
         team: str = _teams.NO_TEAM,
+        since: float | None = None,
     ) -> "decisions.Future[PooledLink]":
         """Acquires a link.
 
@@ -115,6 +116,7 @@
             values: The session's values; a link that has them is preferred.
             team: The team whose statements run on the link; control commands
                 use a link of any team.
+            since: When it was first queued; None for now.
 
         Fails with `decisions.RequestFailedError` if none becomes available.
         """
@@ -124,19 +126,16 @@
         is_control = use is Use.CONTROL
         rank = _link_queue.CONTROL_RANK if is_control else priority
         left = max(0.0, until - self._clock.now())
-        if not is_control and self.expected_wait_s(rank) > left:
+        first = self._clock.now() if since is None else since
+        if not is_control and self.expected_wait_s(rank, first) > left:
             return decisions.failed(_link_queue.overloaded(self.member.id))
-        timer = self._clock.after(
-            left,
-            lambda: decisions.reject(
-                fut, _link_queue.overloaded(self.member.id)
-            ),
-        )
+        refusal = _link_queue.overloaded(self.member.id)
+        timer = self._clock.after(left, lambda: decisions.reject(fut, refusal))
         fut.add_done_callback(lambda _: timer.cancel())
         if team:
             self._team_usage.note(team, self._clock.now())
         self._waiters.add(
-            _link_queue.Waiter(rank, use, team, values or {}, fut)
+            _link_queue.Waiter(rank, use, team, values or {}, fut, first)
         )
         self._serve()
         return fut
@@ -242,10 +241,7 @@
         for pooled in self._idle:
             pooled.link.close()
         self._idle = []
-        for waiter in self._waiters.clear():
-            decisions.reject(
-                waiter.fut, _link_queue.unavailable(self.member.id)
-            )
+        self._reject_all()
 
     @property
     def _running(self) -> int:
@@ -257,17 +253,19 @@
         """Whether the team has an idle link."""
         return any(t.team == team for t in self._idle)
 
-    def expected_wait_s(self, rank: int) -> float:
+    def expected_wait_s(self, rank: int, since: float = float("inf")) -> float:
         """Returns the expected queueing time of a statement, in seconds.
 
         Args:
             rank: The queue rank; 0 goes first.
+            since: When it was first queued.
         """
         if self._running < self.parallel:
             return 0.0
-        ahead = self._waiters.ahead_of(rank)
         return _queueing.expected_wait_s(
-            ahead, self.parallel, self.contact.latency_s
+            self._waiters.ahead_of(rank, since),
+            self.parallel,
+            self.contact.latency_s,
         )
 
     @property
@@ -391,8 +389,10 @@
                 backoff_s = min(backoff_s, _link_room.FULL_BACKOFF_S)
         self._backoff_until = self._clock.now() + backoff_s
         self._clock.after(backoff_s, self._serve)
-        if self.size:
-            return
+        if not self.size:
+            self._reject_all()
+
+    def _reject_all(self) -> None:
         for waiter in self._waiters.clear():
             decisions.reject(
                 waiter.fut, _link_queue.unavailable(self.member.id)
--- a/packages/proxy/src/ferry_proxy/_requests.py
+++ b/packages/proxy/src/ferry_proxy/_requests.py
@@ -60,6 +60,8 @@
             to reflect it.
         caller: The team and key that it runs for.
         progress: Its progress so far.
+        queued_for_s: For how long it had been queued when it arrived, in
+            seconds, if its caller was refused and returned as told.
     """
 
     statement: _statements.Statement
@@ -71,12 +73,18 @@
     session_floor: decisions.Position | None = None
     caller: _teams.Caller = _teams.ANONYMOUS
     progress: Progress = attrs.field(factory=Progress)
+    queued_for_s: float = 0.0
 
     @property
     def deadline(self) -> float:
         """When its timeout expires, in the clock's seconds."""
         return self.arrived + self.route.timeout_s
 
+    @property
+    def queued_since(self) -> float | None:
+        """When its caller was first refused; None if it has no place."""
+        return self.arrived - self.queued_for_s if self.queued_for_s else None
+
     @property
     def retry_until(self) -> float:
         """Until when it may be sent again after a member did not run it."""
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -14,15 +14,16 @@
 from ferry_proxy import _access
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
-from ferry_proxy import _events
 from ferry_proxy import _features
 from ferry_proxy import _links
 from ferry_proxy import _metrics
 from ferry_proxy import _policy
 from ferry_proxy import _refusals
+from ferry_proxy import _request_records
 from ferry_proxy import _requests
 from ferry_proxy import _runners
 from ferry_proxy import _statements
+from ferry_proxy.queueing import _kept_places
 from ferry_proxy.queueing import _refusal_advice
 
 Kind = _statements.Kind
@@ -85,6 +86,7 @@
         self._route: _configuration.Route | None = None
         self._commits: dict[str, decisions.Position] = {}
         self._closed = False
+        self._kept_place = _kept_places.KeptPlace()
         self.id = next(_ids)
         self.busy = False
 
@@ -242,9 +244,21 @@
             answer = self._refused(self._advised(request, exc))
         else:
             answer = self._apply_reply(request, transaction, reply)
-        self._record(request, answer)
+        if answer.keeps_place and answer.retry_after_s:
+            self._keep_place(request, answer.retry_after_s)
+        _request_records.record(
+            self._ctx.metrics, self._ctx.clock.now(), self.id, request, answer
+        )
         return answer
 
+    def _keep_place(self, request: _requests.Request, delay_s: float) -> None:
+        self._kept_place.keep(
+            request.route.name,
+            request.arrived - request.queued_for_s,
+            self._ctx.clock.now() + delay_s,
+            request.route.timeout_s,
+        )
+
     def _request(
         self,
         statement: _statements.Statement,
@@ -263,6 +277,9 @@
                 self._commits.get(route.service) if reads_own else None
             ),
             caller=self._ctx.access.identify(route, self._key),
+            queued_for_s=self._kept_place.take(
+                route.name, self._ctx.clock.now()
+            ),
         )
 
     def _dispatch(
@@ -350,43 +367,6 @@
         cfg = self._ctx.configuration()
         return cfg.routes.get(self._database) if cfg else None
 
-    def _record(self, request: _requests.Request, answer: _links.Reply) -> None:
-        now = self._ctx.clock.now()
-        progress = request.progress
-        outcome = answer.reason.name if answer.reason else "ran"
-        offered = progress.offered_at or now
-        if answer.not_run and answer.reason:
-            self._ctx.metrics.record_refusal(
-                answer.reason.name, request.route.priority
-            )
-        self._ctx.metrics.record_request(
-            request.route.name,
-            request.statement.kind,
-            outcome,
-            now - request.arrived,
-            progress.at_replica and not answer.reason,
-        )
-        if request.caller.team:
-            self._ctx.metrics.record_team_statement(
-                request.caller.team, outcome
-            )
-        _events.emit(
-            _events.RequestDone(
-                request=request.statement.request_id,
-                session=self.id,
-                team=request.caller.team,
-                route=request.route.name,
-                kind=request.statement.kind.value,
-                outcome=outcome,
-                detail=answer.detail,
-                via=progress.via,
-                member=progress.member,
-                elapsed_s=round(now - request.arrived, 4),
-                waited_s=round(offered - request.arrived, 4),
-                attempts=progress.attempts,
-            )
-        )
-
 
 def _no_members() -> decisions.RequestFailedError:
     return decisions.RequestFailedError(
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -163,6 +163,7 @@
                 job.hold_end(self._policy),
                 job.values,
                 job.caller.team,
+                job.queued_since,
             )
         except decisions.RequestFailedError as exc:
             return exc.reason
--- a/packages/proxy/src/ferry_proxy/queueing/_refusal_advice.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_refusal_advice.py
@@ -86,10 +86,10 @@
             return exc if exc.is_estimated else spread(request, exc, self._now)
         if exc.reason is decisions.NO_PRIMARY:
             return self._refine_no_primary(request, exc)
-        delay_s = self._queue_delay_s(request, exc)
-        if delay_s is None:
+        advice = self._queue_advice(request, exc)
+        if advice is None:
             return spread(request, exc, self._now)
-        return _with_delay(exc, delay_s)
+        return _with_advice(exc, advice)
 
     def note_ran(self, request: _requests.Request) -> None:
         """Records that a member has run a statement."""
@@ -107,10 +107,10 @@
 
     # -- queues ----------------------------------------------------------
 
-    def _queue_delay_s(
+    def _queue_advice(
         self, request: _requests.Request, exc: decisions.RequestFailedError
-    ) -> float | None:
-        """Returns the delay until a member has room; None if none can."""
+    ) -> decisions.Advice | None:
+        """Returns when a member has room; None if that is unknown."""
         self._forget_removed()
         choices = [
             (self._refusal(request, self._wait_s(p, request, exc)), p)
@@ -127,12 +127,14 @@
         )
         return self._book(refusal, pool.member.id)
 
-    def _book(self, refusal: decisions.Refusal, member: str) -> float:
+    def _book(
+        self, refusal: decisions.Refusal, member: str
+    ) -> decisions.Advice:
         pool = self._group.pools.get(member)
         returns = self._returns_at(member)
         parallel = min(pool.parallel, pool.limit) if pool is not None else 1
         rate_per_s = returns.drain.per_s(parallel)
-        return returns.schedule.delay_s(refusal, rate_per_s)
+        return returns.schedule.advise(refusal, rate_per_s)
 
     def _wait_s(
         self,
@@ -243,10 +245,11 @@
             wait_s=remaining_s,
             remaining_s=remaining_s + request.route.timeout_s,
         )
-        delay_s = self._book(refusal, self._group.last_leader)
-        return decisions.RequestFailedError(
-            decisions.NO_PRIMARY, "the primary is being changed", delay_s
+        advice = self._book(refusal, self._group.last_leader)
+        exc = decisions.RequestFailedError(
+            decisions.NO_PRIMARY, "the primary is being changed"
         )
+        return _with_advice(exc, advice)
 
 
 def spread(
@@ -264,10 +267,12 @@
         request.deadline - now,
         request.statement.request_id,
     )
-    return _with_delay(exc, delay_s)
+    return _with_advice(exc, decisions.Advice(delay_s, is_promised=False))
 
 
-def _with_delay(
-    exc: decisions.RequestFailedError, delay_s: float
+def _with_advice(
+    exc: decisions.RequestFailedError, advice: decisions.Advice
 ) -> decisions.RequestFailedError:
-    return decisions.RequestFailedError(exc.reason, exc.detail, delay_s)
+    return decisions.RequestFailedError(
+        exc.reason, exc.detail, advice.delay_s, advice.is_promised
+    )
--- a/packages/proxy/src/ferry_proxy/tests/test_refusal_advice.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusal_advice.py
@@ -1,5 +1,7 @@
 """Tests that callers who return as told find room."""
 
+import functools
+
 import attrs
 import ferry_decisions as decisions
 import pytest
@@ -10,6 +12,7 @@
 from ferry_proxy import _links
 from ferry_proxy import _policy
 from ferry_proxy import _runners
+from ferry_proxy import _sessions
 from ferry_proxy.tests import fakes
 from ferry_proxy.tests import test_overload
 
@@ -24,13 +27,17 @@
     """A caller that returns when it is told to.
 
     Attributes:
+        session: Its session; None for a new one with each request.
         first: Whether its first request ran.
+        is_promised: Whether it keeps its place.
         told_s: What it was told, in seconds; the first time.
         again: Whether its second request ran; None while it has none.
         told_again_s: What it was told then.
     """
 
+    session: _sessions.Session | None = None
     first: bool | None = None
+    is_promised: bool = False
     told_s: float = 0.0
     again: bool | None = None
     told_again_s: float = 0.0
@@ -51,25 +58,36 @@
         )
         self.lag()
 
-    def call(self, per_s: float, seconds: float, returns: int = 1) -> None:
+    def call(
+        self,
+        per_s: float,
+        seconds: float,
+        returns: int = 1,
+        keeps_session: bool = False,
+    ) -> None:
         """Sends reads at a steady rate; each refused one returns as told.
 
         Args:
             per_s: The rate of new callers.
             seconds: For how long.
             returns: How often a refused caller asks again at its time.
+            keeps_session: Whether it returns in the same session.
         """
         for number in range(int(per_s * seconds)):
-            self.clock.after(
-                number / per_s, lambda: self._first(Caller(), returns)
-            )
+            session = self.session() if keeps_session else None
+            caller = Caller(session)
+            ask = functools.partial(self._first, caller, returns)
+            self.clock.after(number / per_s, ask)
 
     def _first(self, caller: Caller, returns: int) -> None:
         self.callers.append(caller)
         self._use(self.route)
-        fut = self.session().run(fakes.statement("READ x"))
+        fut = self._session_of(caller).run(fakes.statement("READ x"))
         fut.add_done_callback(lambda done: self._told(caller, returns, done))
 
+    def _session_of(self, caller: Caller) -> _sessions.Session:
+        return caller.session or self.session()
+
     def _use(self, route: _configuration.Route) -> None:
         routes = {"db": route}
         self.configuration = attrs.evolve(self.configuration, routes=routes)
@@ -80,12 +98,13 @@
         if caller.first:
             return
         caller.told_s = reply.retry_after_s
+        caller.is_promised = reply.keeps_place
         for _ in range(returns):
             self.clock.after(caller.told_s, lambda: self._again(caller))
 
     def _again(self, caller: Caller) -> None:
         self._use(self.route)
-        fut = self.session().run(fakes.statement("READ x"))
+        fut = self._session_of(caller).run(fakes.statement("READ x"))
         fut.add_done_callback(lambda done: self._note_again(caller, done))
 
     def _note_again(self, caller: Caller, done) -> None:
