Refusals: true times where no slot is waited for, and none during a change

Times to return that were not true: 10 ms for a transaction that found no link while slots were free; a time before the end of a change of primary once all slots behind it were promised; the member's own queue for writes to a primary that is lost. Such callers are now told as long as they waited, a time after the change, and the forecast. Drain rates of members that are gone were kept until the next refusal; they are dropped now, and nothing is kept without the feature. FeatureChanged is logged at the start, too. Each test failed before, except the one of a node that ran nothing yet and the one of a node that promised and is gone.

--- a/packages/proxy/src/ferry_proxy/_features.py
+++ b/packages/proxy/src/ferry_proxy/_features.py
@@ -87,7 +87,10 @@
         self._policy = policy
         self._configuration = configuration
         self._evaluated_for: _configuration.Configuration | None = None
-        self._active = self._evaluate(None)
+        self._active: Mapping[_policy.Feature, bool] = dict.fromkeys(
+            _policy.Feature, False
+        )
+        self._update(self._evaluate(None))
 
     def is_on(self, feature: _policy.Feature) -> bool:
         """Whether a feature is on now."""
--- a/packages/proxy/src/ferry_proxy/queueing/_refusal_advice.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_refusal_advice.py
@@ -68,7 +68,8 @@
         now = self._clock.now()
         remaining_s = self._forecast.remaining_s(now)
         if now + remaining_s > request.deadline:
-            raise self._after_change(request, remaining_s)
+            advice = self._advice_after_change(request, remaining_s)
+            raise _with_advice(_changing(), advice)
 
     def refine(
         self, request: _requests.Request, exc: decisions.RequestFailedError
@@ -84,8 +85,11 @@
             return exc
         if exc.reason not in _QUEUED:
             return exc if exc.is_estimated else spread(request, exc, self._now)
-        if exc.reason is decisions.NO_PRIMARY:
-            return self._refine_no_primary(request, exc)
+        needs_primary = request.writes or request.is_primary_only
+        if exc.reason is decisions.NO_PRIMARY or (
+            needs_primary and self._is_primary_lost
+        ):
+            return self._refine_without_primary(request, exc)
         advice = self._queue_advice(request, exc)
         if advice is None:
             return spread(request, exc, self._now)
@@ -95,8 +99,10 @@
         """Records that a member has run a statement."""
         progress = request.progress
         pool = self._group.pools.get(progress.member)
-        if pool is None:
+        if pool is None or not self._is_on:
             return
+        if len(self._returns) > len(self._group.pools) + 1:
+            self._forget_removed()
         elapsed_s = self._now - progress.dispatched_at
         is_full = pool.demand.running >= pool.parallel
         self._returns_at(progress.member).drain.note(elapsed_s, is_full)
@@ -142,9 +148,15 @@
         request: _requests.Request,
         exc: decisions.RequestFailedError,
     ) -> float:
+        """Returns when the backlog ahead of a request will have left.
+
+        What a request waits for may be no slot but a link, for a transaction or
+        a team. It is then expected to take as long again.
+        """
         if exc.is_estimated and exc.detail == pool.member.id:
             return exc.retry_after_s
-        return pool.expected_wait_s(request.route.priority)
+        expected_s = pool.expected_wait_s(request.route.priority)
+        return expected_s or self._now - request.arrived
 
     def _candidates(self, request: _requests.Request) -> list[_pools.Pool]:
         """Returns the pools of members that may run a request later."""
@@ -219,21 +231,22 @@
             )
         )
 
-    def _refine_no_primary(
+    def _refine_without_primary(
         self, request: _requests.Request, exc: decisions.RequestFailedError
     ) -> decisions.RequestFailedError:
-        if exc.is_estimated:
+        if exc.is_estimated and exc.reason is decisions.NO_PRIMARY:
             return exc
         self._update_forecast()
         remaining_s = self._forecast.remaining_s(self._now)
         if not remaining_s:
             return spread(request, exc, self._now)
-        return self._after_change(request, remaining_s)
+        advice = self._advice_after_change(request, remaining_s)
+        return _with_advice(exc, advice)
 
-    def _after_change(
+    def _advice_after_change(
         self, request: _requests.Request, remaining_s: float
-    ) -> decisions.RequestFailedError:
-        """Returns the failure of a request that should return after a change.
+    ) -> decisions.Advice:
+        """Returns when a request should return that waits for a change.
 
         Its time limit starts anew when it returns, so that it may be told a
         time after its deadline.
@@ -246,10 +259,14 @@
             remaining_s=remaining_s + request.route.timeout_s,
         )
         advice = self._book(refusal, self._group.last_leader)
-        exc = decisions.RequestFailedError(
-            decisions.NO_PRIMARY, "the primary is being changed"
+        if advice.is_promised:
+            return advice
+        late_s = decisions.spread_delay_s(
+            request.route.timeout_s,
+            request.route.timeout_s,
+            request.statement.request_id,
         )
-        return _with_advice(exc, advice)
+        return decisions.Advice(remaining_s + late_s, is_promised=False)
 
 
 def spread(
@@ -270,6 +287,12 @@
     return _with_advice(exc, decisions.Advice(delay_s, is_promised=False))
 
 
+def _changing() -> decisions.RequestFailedError:
+    return decisions.RequestFailedError(
+        decisions.NO_PRIMARY, "the primary is being changed"
+    )
+
+
 def _with_advice(
     exc: decisions.RequestFailedError, advice: decisions.Advice
 ) -> decisions.RequestFailedError:
--- a/packages/proxy/src/ferry_proxy/tests/test_change_forecast.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_change_forecast.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _features
 from ferry_proxy import _members
 from ferry_proxy import _policy
+from ferry_proxy import _requests
 from ferry_proxy import _runners
 from ferry_proxy.queueing import _change_forecast
 from ferry_proxy.tests import fakes
@@ -118,7 +119,7 @@
 
     def __init__(self, features=test_refusal_advice.ON) -> None:
         super().__init__()
-        self.runner = _runners.LocalRunner(
+        self.runner: _runners.LocalRunner = _runners.LocalRunner(
             self.clock,
             self.policy,
             _execution.Executor(self.clock, self.policy),
@@ -201,6 +202,27 @@
     assert len(set(told)) == 30
 
 
+def test_a_flood_of_callers_is_never_told_a_time_during_the_change():
+    """Guards against times before its end once all slots are promised."""
+    lab = ChangingLab()
+    lab.lose_primary()
+    futs = [
+        lab.session().run(fakes.statement("WRITE x 1")) for _ in range(1000)
+    ]
+    told = [f.result().retry_after_s or 0.0 for f in futs]
+    assert min(told) >= 0.99 * PROMOTION_S
+    assert max(told) <= PROMOTION_S + lab.route.timeout_s
+
+
+def test_a_node_that_ran_nothing_yet_tells_no_time_during_the_change():
+    lab = ChangingLab()
+    lab.lose_primary()
+    lab.runner._advice._returns.clear()
+    told = [lab.ask()[0].retry_after_s or 0.0 for _ in range(10)]
+    assert min(told) >= 0.9 * PROMOTION_S
+    assert len(set(told)) == 10
+
+
 @pytest.mark.parametrize("text", ["WRITE x 1", "BEGIN"])
 def test_nobody_is_refused_while_the_primary_accepts_statements(text):
     lab = ChangingLab()
@@ -209,6 +231,23 @@
     assert reply.reason is None
 
 
+def test_a_write_in_the_queue_of_the_lost_primary_is_told_the_forecast():
+    lab = ChangingLab()
+    lab.lose_primary()
+    request = _requests.Request(
+        statement=fakes.statement("WRITE x 1"),
+        prepared=None,
+        route=lab.route,
+        values={},
+        arrived=lab.clock.now(),
+        arrived_boot=lab.clock.boot_now(),
+    )
+    exc = decisions.RequestFailedError(decisions.OVERLOADED, "a")
+    told = lab.runner._advice.refine(request, exc)
+    assert told.reason is decisions.OVERLOADED
+    assert told.retry_after_s >= 0.9 * PROMOTION_S
+
+
 def test_a_transaction_is_refused_at_once():
     lab = ChangingLab()
     lab.lose_primary()
--- a/packages/proxy/src/ferry_proxy/tests/test_gauges.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_gauges.py
@@ -86,6 +86,14 @@
     assert changes.count(("retry_advice", False)) == 1
 
 
+def test_a_feature_that_is_on_from_the_start_is_an_event(monkeypatch):
+    events: list[_events.FeatureChanged] = []
+    monkeypatch.setattr(_events, "emit", events.append)
+    policy = _policy.Policy(features={"retry_advice": True})
+    _features.Features(policy, lambda: None)
+    assert [(e.feature, e.on) for e in events] == [("retry_advice", True)]
+
+
 def _shown(features):
     for labels, value in _gauges._features_on(features):
         yield labels["feature"], value
--- a/packages/proxy/src/ferry_proxy/tests/test_kept_places.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_kept_places.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _links
 from ferry_proxy.queueing import _kept_places
 from ferry_proxy.tests import fakes
+from ferry_proxy.tests import test_forwarding
 from ferry_proxy.tests import test_refusal_advice
 
 
@@ -130,6 +131,18 @@
     assert recorder.queued == [0.0, 0.0]
 
 
+def test_a_place_is_kept_when_the_node_that_promised_is_gone():
+    lab = test_forwarding.EntryLab()
+    lab.local = recorder = Recorder()
+    session = lab.session()
+    lab.do(session, fakes.statement("READ x"))
+    lab.near.fail()
+    lab.run(0.2)
+    lab.do(session, fakes.statement("READ x"))
+    assert len(lab.far.sent) == 1
+    assert recorder.queued[1] == pytest.approx(0.2, abs=0.02)
+
+
 def test_a_session_that_only_asks_has_no_place():
     lab = fakes.Lab()
     lab.runner = recorder = Recorder()
--- a/packages/proxy/src/ferry_proxy/tests/test_refusal_advice.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusal_advice.py
@@ -49,7 +49,7 @@
     def __init__(self, features: _features.Features = ON) -> None:
         super().__init__()
         self.callers: list[Caller] = []
-        self.runner = _runners.LocalRunner(
+        self.runner: _runners.LocalRunner = _runners.LocalRunner(
             self.clock,
             self.policy,
             _execution.Executor(self.clock, self.policy),
@@ -208,6 +208,44 @@
     assert {c.told_s for c in lab.refused_callers} == {1.0}
 
 
+def test_a_transaction_that_found_no_link_is_told_how_long_it_waited():
+    """Guards against 10 ms while a slot, but no link, is free."""
+    lab = ReturningLoad()
+    lab.cluster.behind.clear()
+    for _ in range(10):
+        lab.do(lab.session(), fakes.statement("WRITE x 1"))
+    holders = [lab.session() for _ in range(6)]
+    for session in holders:
+        lab.do(session, fakes.statement("BEGIN"))
+        lab.do(session, fakes.statement("WRITE x 1"))
+    session = lab.session()
+    lab.do(session, fakes.statement("BEGIN"))
+    reply = lab.do(session, fakes.statement("WRITE x 1"))
+    assert reply.reason is decisions.OVERLOADED
+    hold_s = lab.policy.hold_share * lab.route.target_s
+    assert reply.retry_after_s >= 0.9 * hold_s
+
+
+def test_members_that_are_gone_are_forgotten():
+    lab = ReturningLoad()
+    entries = {n: p.member for n, p in lab.group.pools.items()}
+    lab.run(0.1)
+    for number in range(20):
+        entry = attrs.evolve(entries["c"], id="c", born=5_000 + number)
+        others = {n: e for n, e in entries.items() if n != "c"}
+        lab.runner._advice._returns_at(f"gone{number}")
+        lab.group.set_members({**others, "c": entry}, 7)
+        lab.do(lab.session(), fakes.statement("READ x"))
+    assert len(lab.runner._advice._returns) <= len(lab.group.pools) + 1
+
+
+def test_nothing_is_kept_without_the_feature():
+    lab = ReturningLoad(_features.NONE)
+    lab.call(100, 0.5)
+    lab.run(2.0)
+    assert not lab.runner._advice._returns
+
+
 class FakeRunner:
     """A serving node with one answer to all statements."""
 
