--- a/packages/decisions/src/ferry_decisions/_outcomes.py
+++ b/packages/decisions/src/ferry_decisions/_outcomes.py
@@ -91,6 +91,10 @@
         detail: Explanatory text for people; never parsed.
         retry_after_s: Suggested delay before a retry, in seconds; 0 if a
             retry does not help.
+        is_estimated: Whether the delay was estimated for this request. It is
+            the reason's otherwise.
+        keeps_place: Whether a caller that returns after the delay is queued by
+            its first arrival.
     """
 
     def __init__(
@@ -98,10 +102,13 @@
         reason: Reason,
         detail: str = "",
         retry_after_s: float | None = None,
+        keeps_place: bool = False,
     ) -> None:
         super().__init__(f"{reason.name}: {detail}" if detail else reason.name)
         self.reason = reason
         self.detail = detail
+        self.keeps_place = keeps_place
+        self.is_estimated = retry_after_s is not None
         default_s = reason.retry_after_s
         self.retry_after_s = (
             default_s if retry_after_s is None else retry_after_s
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -18,15 +18,14 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _log_budget
+
 # The budget of lines a second for successful requests.
 REQUESTS_PER_S = 5.0
 
 # The budget of lines a second for refusals and failures.
 FAILURES_PER_S = 40.0
 
-# An unused budget accumulates for at most this time.
-BURST_S = 2.0
-
 
 @attrs.frozen(slots=True, repr=False, eq=False)
 class NodeStarted:
@@ -178,6 +177,14 @@
     use: attrs.AttrsInstance
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class FeatureChanged:
+    """An optional feature is on or off from now on."""
+
+    feature: str
+    on: bool
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class MemberChanged:
     """A member was added, changed or removed."""
@@ -253,6 +260,7 @@
     """The outcome of a request, and how it came about.
 
     `via` names the serving node that it was forwarded to, if any.
+    `retry_after_s` is when its caller was told to return; 0 for no time.
     """
 
     request: str
@@ -267,6 +275,7 @@
     elapsed_s: float
     waited_s: float
     attempts: int
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen(slots=True, repr=False, eq=False)
@@ -297,26 +306,6 @@
 _BOUNDED = (*_SUCCESSES, DocumentRefused, RefusedByConfiguration)
 
 
-class _Budget:
-    """A token bucket for log lines."""
-
-    def __init__(self, per_s: float) -> None:
-        self._per_s = per_s
-        self._tokens = per_s * BURST_S
-        self._refilled_at = time.monotonic()
-
-    def take(self) -> bool:
-        """Takes a token; returns whether there was one."""
-        now = time.monotonic()
-        gained = (now - self._refilled_at) * self._per_s
-        self._tokens = min(self._per_s * BURST_S, self._tokens + gained)
-        self._refilled_at = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class EventLog:
     """Writes events as JSON lines, within budgets and without blocking."""
 
@@ -324,8 +313,8 @@
         self._node = node
         self._fd = sys.stdout.fileno() if fd is None else fd
         os.set_blocking(self._fd, False)
-        self._requests = _Budget(REQUESTS_PER_S)
-        self._failures = _Budget(FAILURES_PER_S)
+        self._requests = _log_budget.LogBudget(REQUESTS_PER_S)
+        self._failures = _log_budget.LogBudget(FAILURES_PER_S)
         self._unsent = b""
         self._dropped = _zero_counts()
         self._report_at = 0.0
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -33,6 +33,7 @@
             session_floor=request.session_floor,
             caller=request.caller,
             progress=request.progress,
+            queued_for_s=request.queued_for_s,
             group=group,
         )
 
@@ -46,6 +47,7 @@
             target_s=self.route.target_s,
             target_at=self.arrived + self.route.target_s,
             deadline=self.deadline,
+            queued_since=self.queued_since,
         )
 
     def hold_end(self, policy: _policy.Policy) -> float:
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -1,5 +1,6 @@
 """Queue of requests for links of a pool: by priority, then by arrival."""
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterator
 import enum
@@ -82,12 +83,16 @@
         return self.in_progress >= self.places
 
 
+# Its rank, when it was first queued, a number that is unique, and the request.
+_Entry = tuple[int, float, int, Waiter]
+
+
 class LinkQueue:
     """The waiting requests of a pool."""
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
-        self._entries: list[tuple[int, int, Waiter]] = []
+        self._entries: list[_Entry] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -95,8 +100,11 @@
         return sum(1 for _ in self)
 
     def __iter__(self) -> Iterator[Waiter]:
-        """Yields the waiting requests in no particular order."""
-        return (w for _, _, w in self._entries if not w.is_done)
+        """Yields the waiting requests by rank, then by arrival."""
+        return (e[-1] for e in self._waiting())
+
+    def _waiting(self) -> "Iterator[_Entry]":
+        return (e for e in self._entries if not e[-1].is_done)
 
     @property
     def has_control(self) -> bool:
@@ -109,24 +117,33 @@
         return {w.team for w in self}
 
     def add(self, waiter: Waiter) -> None:
-        """Appends a request behind all others of its rank."""
-        self._entries.append((waiter.rank, next(self._numbers), waiter))
+        """Adds a request behind those of its rank that were queued earlier."""
+        since = self._since(waiter)
+        entry = (waiter.rank, since, next(self._numbers), waiter)
+        bisect.insort(self._entries, entry)
 
     def in_order(self) -> list[Waiter]:
         """Returns the waiting requests in order and drops completed ones."""
-        self._entries = sorted(e for e in self._entries if not e[2].is_done)
-        return [w for _, _, w in self._entries]
+        self._entries = [e for e in self._entries if not e[-1].is_done]
+        return [w for *_, w in self._entries]
+
+    def _since(self, waiter: Waiter) -> float:
+        since = waiter.work.queued_since
+        return self._clock.now() if since is None else since
 
-    def expected_wait_s(self, rank: int, load: MemberLoad) -> float:
+    def expected_wait_s(
+        self, rank: int, load: MemberLoad, since: float = float("inf")
+    ) -> float:
         """Returns the expected queueing time of a statement, in seconds.
 
         Args:
             rank: The queue rank; 0 goes first.
             load: The state of the member.
+            since: When it was first queued, in the clock's seconds.
         """
         if not load.is_full:
             return 0.0
-        ahead = sum(w.rank <= rank for w in self)
+        ahead = sum(e[:2] <= (rank, since) for e in self._waiting())
         return _queueing.expected_wait_s(ahead, load.places, load.latency_s)
 
     def refusal(
@@ -140,7 +157,8 @@
             load: The state of the member.
         """
         left_s = max(0.0, until - self._clock.now())
-        if self.expected_wait_s(waiter.rank, load) > left_s:
+        wait_s = self.expected_wait_s(waiter.rank, load, self._since(waiter))
+        if wait_s > left_s:
             return overloaded(load.member)
         return None
 
--- a/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
@@ -63,8 +63,7 @@
 
     def in_order(self) -> list[Waiter]:
         """Returns the waiting requests in order and drops completed ones."""
-        self._entries = [e for e in self._entries if not e[2].is_done]
-        waiting = [w for _, _, w in self._entries]
+        waiting = super().in_order()
         control = [w for w in waiting if w.rank == _link_queue.CONTROL_RANK]
         self._kinds.forget_idle(waiting)
         return [*control, *self._ordered(self._statements())]
@@ -85,12 +84,19 @@
         ahead = ordered[: ordered.index(waiter)]
         return self._estimate(waiter, ahead, load)
 
-    def expected_wait_s(self, rank: int, load: _link_queue.MemberLoad) -> float:
+    def expected_wait_s(
+        self,
+        rank: int,
+        load: _link_queue.MemberLoad,
+        since: float = float("inf"),
+    ) -> float:
         """Returns the expected wait behind all others of a kind, in seconds.
 
         Args:
             rank: The queue rank; 0 goes first.
             load: The state of the member.
+            since: Not used; the expected wait of a request that returns is
+                part of `estimate`.
         """
         ahead = [w for w in self._statements() if w.rank <= rank]
         return self._start_delay_s(rank, ahead, load)
--- a/packages/proxy/src/ferry_proxy/queueing/_work.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_work.py
@@ -18,6 +18,8 @@
         target_at: When the caller should have the answer, in the clock's
             seconds.
         deadline: When the caller stops waiting, in the clock's seconds.
+        queued_since: When it was first queued, in the clock's seconds; None if
+            it never was.
     """
 
     key: decisions.WorkKey
@@ -25,6 +27,7 @@
     target_s: float
     target_at: float
     deadline: float
+    queued_since: float | None = None
 
     @property
     def transaction_key(self) -> decisions.WorkKey:
