Share slots by demand, and tell loads to entry nodes

Serving nodes with much to do queued and refused statements while slots stood idle for others, and entry nodes chose among serving nodes by their own pending calls. Serving nodes now exchange demands while statements wait and compute max-min fair shares; replies carry expected waits, by which entry nodes choose. Features SLOT_SHARING and LOAD_REPORTS.

--- a/packages/proxy/src/ferry_proxy/_forward_messages.py
+++ b/packages/proxy/src/ferry_proxy/_forward_messages.py
@@ -190,6 +190,8 @@
             was first sent to a member; negative if it was not sent.
         retry_after_s: The delay before a retry, in seconds; None if the reason
             implies it.
+        load: The expected waits at the serving node, encoded by
+            `_load_reports.Load`; None if it tells none.
     """
 
     state: str
@@ -204,6 +206,7 @@
     attempts: int
     offered_after_s: float
     retry_after_s: float | None = None
+    load: list[int] | None = None
 
     @classmethod
     def of(
--- a/packages/proxy/src/ferry_proxy/_forwarder.py
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import itertools
 import typing
 
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
@@ -11,8 +13,10 @@
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _records
+from ferry_proxy import _requests
 from ferry_proxy import _serving_plan
 from ferry_proxy import _team_placement
+from ferry_proxy.placement import _load_reports
 
 # A peer that owes a reply and was not heard from for this long is regarded as
 # gone, since a live one sends several messages in that time. Other nodes are
@@ -54,8 +58,50 @@
         """The open streams by the names of the peers."""
 
 
+@attrs.frozen(slots=True)
+class Need:
+    """What a request needs of the serving node that runs it.
+
+    Attributes:
+        team: The caller's team; empty if callers have none.
+        needs_primary: Whether only the primary can run it.
+        priority: The queue priority; 0 goes first.
+        allowed_s: How long it may wait at a serving node, in seconds.
+    """
+
+    team: str = ""
+    needs_primary: bool = False
+    priority: int = 0
+    allowed_s: float = float("inf")
+
+    @classmethod
+    def of(
+        cls,
+        request: _requests.Request,
+        needs_primary: bool,
+        allowed_s: float,
+    ) -> "Need":
+        """Returns the need of a request.
+
+        Args:
+            request: The request.
+            needs_primary: Whether it belongs to a transaction that writes.
+            allowed_s: How long it may wait, in seconds.
+        """
+        return cls(
+            request.caller.team,
+            needs_primary or request.writes or request.is_primary_only,
+            request.route.priority,
+            allowed_s,
+        )
+
+
 class Forwarder:
-    """Chooses the serving nodes of one entry node."""
+    """Chooses the serving nodes of one entry node.
+
+    Attributes:
+        loads: The expected waits that serving nodes told.
+    """
 
     def __init__(
         self,
@@ -89,6 +135,13 @@
         self._own = own
         self._mesh = mesh
         self._plan = plan
+        self._draws = itertools.count()
+        self.loads = _load_reports.LoadReports(clock)
+
+    @property
+    def uses_loads(self) -> bool:
+        """Whether nodes are chosen by the waits that they told."""
+        return self.features.is_on(_policy.Feature.LOAD_REPORTS)
 
     def is_served(self, service: str) -> bool:
         """Whether a responsive peer can currently serve a group."""
@@ -126,33 +179,98 @@
                 return near
         return list(plan.nodes.values())
 
-    def choose(self, service: str, tried: set[str], team: str) -> Stream | None:
+    def choose(
+        self, service: str, tried: set[str], need: Need
+    ) -> Stream | None:
         """Returns the stream to the best serving node, or None.
 
         Args:
             service: The group.
             tried: The names of nodes to skip.
-            team: The caller's team; empty if callers have none.
+            need: What the request needs.
         """
+        plan = self._plan(service)
+        streams = self._usable_streams(service, tried)
+        if plan is None or not streams:
+            return None
+        candidates = self._candidates(service, plan, streams, need)
+        if need.team:
+            name = self._choose_for_team(plan, candidates, need)
+        elif self.uses_loads:
+            name = self._choose_by_load(candidates)
+        else:
+            name = min(
+                candidates,
+                key=lambda c: (
+                    not c.is_near,
+                    c.pending,
+                    decisions.rendezvous_score(self._own.name, c.node),
+                ),
+            ).node
+        return self._mesh.by_name[name]
+
+    def late_wait_s(self, service: str, need: Need) -> float | None:
+        """Returns the shortest wait if no serving node can help in time.
+
+        Returns:
+            The wait in seconds; None if some node may run the request in time.
+        """
+        plan = self._plan(service)
+        if plan is None or not self.uses_loads:
+            return None
+        streams = self._usable_streams(service, set())
+        candidates = self._candidates(service, plan, streams, need)
+        return _load_reports.shortest_late_wait_s(candidates, need.allowed_s)
+
+    def _usable_streams(self, service: str, tried: set[str]) -> list[Stream]:
+        """Returns the streams to nodes that may run a group's statements."""
         streams = [s for s in self._streams(service) if s.peer not in tried]
         responsive = [s for s in streams if self._is_responsive(s)]
         capable = [s for s in responsive if service in s.services]
-        plan = self._plan(service)
-        if plan is None or not (capable or responsive):
-            return None
-        if team:
-            present = [s.peer for s in capable or responsive]
-            name = self._team_placement().acting_node(team, plan.nodes, present)
-            return self._mesh.by_name[name]
+        return capable or responsive
+
+    def _candidates(
+        self,
+        service: str,
+        plan: _serving_plan.ServingPlan,
+        streams: list[Stream],
+        need: Need,
+    ) -> list[_load_reports.Candidate]:
         near = {n.name for n in plan.near(self._own.data_centre)}
-        return min(
-            capable or responsive,
-            key=lambda s: (
-                s.peer not in near,
-                s.pending_calls,
-                decisions.rendezvous_score(self._own.name, s.peer),
-            ),
+        loads = self.loads
+        return [
+            _load_reports.Candidate(
+                node=s.peer,
+                is_near=s.peer in near,
+                wait_s=loads.wait_s(
+                    s, service, need.needs_primary, need.priority
+                ),
+                added_s=loads.added_s(s, service),
+                pending=s.pending_calls,
+            )
+            for s in streams
+        ]
+
+    def _choose_for_team(
+        self,
+        plan: _serving_plan.ServingPlan,
+        candidates: list[_load_reports.Candidate],
+        need: Need,
+    ) -> str:
+        """Returns the team's home, or another node if the home is too slow."""
+        by_name = {c.node: c for c in candidates}
+        home = self._team_placement().acting_node(
+            need.team, plan.nodes, by_name
         )
+        if not self.uses_loads:
+            return home
+        found = _load_reports.relief(by_name[home], candidates, need.allowed_s)
+        return found.node if found else home
+
+    def _choose_by_load(self, candidates: list[_load_reports.Candidate]) -> str:
+        salt = f"{self._own.name} {next(self._draws)}"
+        found = _load_reports.choose(candidates, salt)
+        return found.node if found else ""
 
     def is_served_by_peer(self, service: str, team: str) -> bool:
         """Whether a team's statements run at a peer instead of this node.
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -72,7 +72,7 @@
                 request, self._forwarder.clock.now()
             )
             reply = yield from send(
-                self._forwarder.clock, stream, body, request, lost
+                self._forwarder, stream, body, request, lost
             )
         return reply
 
@@ -89,10 +89,20 @@
         forwarder: _forwarder.Forwarder,
         service: str,
         request: _requests.Request,
+        needs_primary: bool = False,
     ) -> None:
+        """Creates a search.
+
+        Args:
+            forwarder: Chooses the nodes.
+            service: The group.
+            request: The request.
+            needs_primary: Whether it belongs to a transaction that writes.
+        """
         self._forwarder = forwarder
         self._service = service
         self._request = request
+        self._needs_primary = needs_primary
         self._tried: set[str] = set()
         self._hold_end = request.hold_until(forwarder.policy, False)
         self._has_opened_streams = False
@@ -101,9 +111,12 @@
         """Returns the stream to the next serving node, waiting for one.
 
         Raises:
-            decisions.RequestFailedError: No node could be reached in time.
+            decisions.RequestFailedError: No node could be reached in time, or
+                all that are told a wait that is too long.
         """
         forwarder = self._forwarder
+        if not self._tried:
+            self._refuse_if_late()
         while True:
             stream = self._choose()
             if stream is not None:
@@ -129,9 +142,26 @@
         return self._choose() is not None
 
     def _choose(self) -> _forwarder.Stream | None:
-        return self._forwarder.choose(
-            self._service, self._tried, self._request.caller.team
-        )
+        return self._forwarder.choose(self._service, self._tried, self._need)
+
+    @property
+    def _need(self) -> _forwarder.Need:
+        now = self._forwarder.clock.now()
+        hold_s = self._request.hold_until(self._forwarder.policy, False) - now
+        return _forwarder.Need.of(self._request, self._needs_primary, hold_s)
+
+    def _refuse_if_late(self) -> None:
+        """Refuses a request that no serving node can run in time.
+
+        Raises:
+            decisions.RequestFailedError: All of them told too long a wait.
+        """
+        wait_s = self._forwarder.late_wait_s(self._service, self._need)
+        if wait_s is not None:
+            self._forwarder.loads.refusals += 1
+            raise decisions.RequestFailedError(
+                decisions.OVERLOADED, "at all serving nodes", wait_s
+            )
 
     def _open_streams(self) -> None:
         """Opens streams to the wanted serving nodes, once per request."""
@@ -144,7 +174,7 @@
 
 
 def send(
-    clock: _clocks.Clock,
+    forwarder: _forwarder.Forwarder,
     stream: _forwarder.Stream,
     body: _forward_messages.RunRequest,
     request: _requests.Request,
@@ -153,16 +183,18 @@
     """Sends a statement to a serving node and returns its reply.
 
     Args:
-        clock: The clock.
+        forwarder: The forwarder, which learns the node's load.
         stream: The stream to the serving node.
         body: The message.
         request: The request; its progress is updated.
         lost: The reason to report if the message was sent but not answered.
     """
+    clock = forwarder.clock
     sent = clock.now()
     limit = max(0.0, request.deadline - sent) + ANSWER_MARGIN_S
     request.progress.via = stream.peer
     fut = stream.call(body)
+    forwarder.loads.note_sent(stream, body.service)
     if lost in SAFE_TO_ABANDON:
         fut = decisions.start(_fail_if_silent(clock, stream, fut))
     try:
@@ -176,6 +208,7 @@
         return _failed(reason, f"{stream.peer} is lost: {exc}")
     if not isinstance(answer, _forward_messages.RunReply):
         return _failed(lost, f"{stream.peer} sent another answer")
+    forwarder.loads.note(stream, body.service, answer.load)
     answer.note_progress(request.progress, sent, stream.peer)
     return answer.reply()
 
@@ -282,7 +315,9 @@
         self, request: _requests.Request
     ) -> "decisions.Flow[_links.Reply]":
         """Sends the first statement, trying other nodes if it did not run."""
-        search = Search(self._forwarder, self._service, request)
+        search = Search(
+            self._forwarder, self._service, request, not self._read_only
+        )
         while True:
             stream = yield from search.next()
             self._number = next(_numbers)
@@ -316,6 +351,4 @@
             begins,
             self._read_only,
         )
-        return (
-            yield from send(self._forwarder.clock, stream, body, request, lost)
-        )
+        return (yield from send(self._forwarder, stream, body, request, lost))
--- a/packages/proxy/src/ferry_proxy/_peer_handler.py
+++ b/packages/proxy/src/ferry_proxy/_peer_handler.py
@@ -4,6 +4,7 @@
 import math
 import typing
 
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
@@ -17,6 +18,7 @@
 from ferry_proxy import _reachability
 from ferry_proxy import _served_groups
 from ferry_proxy import _serving
+from ferry_proxy.queueing import _demand_messages
 
 M = typing.TypeVar("M", bound=_peer_messages.Message)
 Answer = "_peer_messages.Message | decisions.Future[typing.Any] | None"
@@ -151,7 +153,30 @@
     stream: _peers.PeerStream,
     body: _forward_messages.RunRequest,
 ) -> "decisions.Future[_forward_messages.RunReply]":
-    return node.serving.run(stream, body)
+    return decisions.start(_run(node, stream, body))
+
+
+def _run(
+    node: PeerMessageHandler,
+    stream: _peers.PeerStream,
+    body: _forward_messages.RunRequest,
+) -> "decisions.Flow[_forward_messages.RunReply]":
+    """Runs a statement; the reply tells this node's load, too."""
+    fut = node.serving.run(stream, body)
+    node.groups.demands.note_statement(body.service)
+    reply: _forward_messages.RunReply = yield fut
+    if not stream.understands_load:
+        return reply
+    return attrs.evolve(reply, load=node.groups.told_load(body.service))
+
+
+@_handles(_demand_messages.DemandReport)
+def _handle_demands(
+    node: PeerMessageHandler,
+    stream: _peers.PeerStream,
+    body: _demand_messages.DemandReport,
+) -> None:
+    node.groups.demands.note(stream.peer, body)
 
 
 @_handles(_forward_messages.EndTransaction)
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -24,6 +24,10 @@
 COMPRESSION_LEVEL = 1
 # The maximum size of a value after decompression.
 MAX_VALUE_BYTES = 8 * 1024 * 1024
+# Sent as the call number of `Hello`, which older builds ignore. Peers that send
+# at least `LOAD_PROTOCOL` understand demands and load reports.
+LOAD_PROTOCOL = 1
+PROTOCOL = LOAD_PROTOCOL
 
 
 class PeerProtocolError(Exception):
@@ -42,11 +46,13 @@
         name: The type's name on the wire.
         cls: The class of its messages.
         fields: The names of its fields, in the order on the wire.
+        defaults: The defaults of the fields, the last field's first.
     """
 
     name: str
     cls: type[typing.Any]
     fields: tuple[str, ...]
+    defaults: tuple[object, ...]
 
 
 _by_name: dict[str, _Format] = {}
@@ -58,7 +64,8 @@
 
     def register(cls: type[T]) -> type[T]:
         fields = tuple(f.name for f in attrs.fields(cls))
-        message_format = _Format(name, cls, fields)
+        defaults = tuple(f.default for f in reversed(attrs.fields(cls)))
+        message_format = _Format(name, cls, fields, defaults)
         _by_name[name] = _by_type[cls] = message_format
         return cls
 
@@ -354,6 +361,10 @@
     """
     message_format = _by_type[type(body)]
     fields = [getattr(body, name) for name in message_format.fields]
+    for default in message_format.defaults:
+        if fields[-1] != default:
+            break
+        fields.pop()  # Older builds may not know it.
     return typing.cast(
         bytes, msgpack.packb([message_format.name, number, *fields])
     )
@@ -379,4 +390,6 @@
 
 def _decode_envelope(raw: typing.Any) -> Envelope:
     name, number, *fields = raw
-    return Envelope(int(number), _by_name[name].cls(*fields))
+    message_format = _by_name[name]
+    known = fields[: len(message_format.fields)]  # Newer builds may send more.
+    return Envelope(int(number), message_format.cls(*known))
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -92,6 +92,14 @@
         """Sends a message that has no reply."""
 
 
+class ServingPeer(Peer, typing.Protocol):
+    """The part of a stream to a node that serves the same groups."""
+
+    @property
+    def understands_load(self) -> bool:
+        """Whether the peer's build knows demands and load reports."""
+
+
 class Peers(typing.Protocol):
     """The connected peers."""
 
@@ -108,6 +116,14 @@
         """The open streams, keyed by the peer's name."""
 
 
+class ServingStreams(Peers, typing.Protocol):
+    """The connected peers as `ServingPeer`, also by name."""
+
+    @property
+    def by_name(self) -> Mapping[str, ServingPeer]:
+        """The open streams, keyed by the peer's name."""
+
+
 class PeerSubset:
     """The connected peers whose names are in a given set."""
 
@@ -204,6 +220,7 @@
         self._numbers = itertools.count(1)
         self._heard_at = loop.now()
         self.peer = ""
+        self._protocol = 0
         self.covered = decisions.UNREAD_REVISION
         self.version = 0
         self.store_seen = float("-inf")
@@ -216,7 +233,8 @@
         stream.keep_alive(TCP_USER_TIMEOUT_MS)
         self._last_sent_state: _peer_messages.Ping | None = None
         self._pending_replies = 0
-        self.tell(_peer_messages.Hello(node))
+        protocol = _peer_messages.PROTOCOL
+        stream.send(_peer_messages.encode(protocol, _peer_messages.Hello(node)))
         self._send_ping(EncodedPing.of(handler.describe()))
 
     @property
@@ -224,6 +242,11 @@
         """Whether the stream has ended."""
         return self._stream.closed
 
+    @property
+    def understands_load(self) -> bool:
+        """Whether the peer's build knows demands and load reports."""
+        return self._protocol >= _peer_messages.LOAD_PROTOCOL
+
     @property
     def is_opening(self) -> bool:
         """Whether the connection is not established yet."""
@@ -312,6 +335,7 @@
         body = envelope.body
         if isinstance(body, _peer_messages.Hello):
             self.peer = body.node
+            self._protocol = envelope.number
             self._on_change()
         elif isinstance(body, _peer_messages.Ping):
             self.covered = body.newest
--- a/packages/proxy/src/ferry_proxy/_queueing.py
+++ b/packages/proxy/src/ferry_proxy/_queueing.py
@@ -33,6 +33,11 @@
     )
 
 
+def total_statements(slots: int) -> int:
+    """Returns how many statements all nodes may have in progress together."""
+    return parallel_statements(slots, 1)
+
+
 def expected_wait_s(ahead: int, parallel: int, latency_s: float) -> float:
     """Returns the expected queueing time at this node, in seconds.
 
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -24,6 +24,8 @@
 from ferry_proxy import _serving_plan
 from ferry_proxy import _store
 from ferry_proxy import _surveys
+from ferry_proxy.placement import _group_loads
+from ferry_proxy.queueing import _demand_exchange
 
 # A node that has just started counts all serving nodes as present for this
 # long. Streams to peers open within a second, with one retry.
@@ -61,7 +63,7 @@
     store: _store.Store
     connector: _links.Connector
     promotions: _store.Promotions
-    mesh: "_peers.Streams"
+    mesh: "_peers.ServingStreams"
     metrics: _metrics.Metrics
     gate: _gates.Gate
     features: _features.Features
@@ -96,6 +98,7 @@
 
     Attributes:
         bucket_owners: The nodes that own the teams' token buckets.
+        demands: The exchange of demands with the other serving nodes.
     """
 
     def __init__(self, ctx: GroupsContext) -> None:
@@ -109,6 +112,16 @@
         self._planner: _serving_plan.Planner | None = None
         self._started_at = ctx.clock.now()
         self.bucket_owners = _rate_limiter.BucketOwners()
+        self.demands = _demand_exchange.DemandExchange(
+            _demand_exchange.ExchangeContext(
+                clock=ctx.clock,
+                own=ctx.own.name,
+                streams=lambda: ctx.mesh.by_name,
+                groups=lambda: self.groups,
+                sharing=self._sharing_peers,
+                is_on=lambda: ctx.features.is_on(_policy.Feature.SLOT_SHARING),
+            )
+        )
 
     @property
     def plans(self) -> Mapping[str, _serving_plan.ServingPlan]:
@@ -138,6 +151,14 @@
             return False
         return has_confirmed_leader(served.group, self._ctx.policy.isolated_s)
 
+    def told_load(self, service: str) -> list[int] | None:
+        """Returns a group's load for entry nodes; None if it is not told."""
+        served = self._served.get(service)
+        feature = _policy.Feature.LOAD_REPORTS
+        if served is None or not self._ctx.features.is_on(feature):
+            return None
+        return _group_loads.load_of(served.group).encode()
+
     def peers(self) -> list[_records.NodeEntry]:
         """Returns the nodes that this node needs streams to.
 
@@ -174,6 +195,7 @@
             elif served.retires_at is None:
                 served.retires_at = self._ctx.clock.now() + RETIREMENT_S
         self._expect_claimed_changes()
+        self.demands.apply()
 
     def _is_served_here(self, service: str) -> bool:
         plan = self._plans.get(service)
@@ -218,10 +240,8 @@
         leaders_before = {n for n, p in group.pools.items() if p.member.leads}
         group.service = service
         plan = self._plans[service.name]
-        sharing_nodes = self._count_sharing_nodes(
-            service.name, self._recently_heard()
-        )
-        group.set_members(members, plan.links, sharing_nodes)
+        nodes = 1 + len(self._sharing_peers(service.name))
+        group.set_members(members, plan.links, nodes)
         leaders = {n for n, m in members.items() if m.leads}
         if members_before != members.keys() or leaders != leaders_before:
             group.refresh()
@@ -310,31 +330,29 @@
     def check(self) -> None:
         """Checks all primaries, and drops the groups whose time is over."""
         now = self._ctx.clock.now()
-        heard = self._recently_heard()
         for name, served in list(self._served.items()):
             if served.retires_at is not None and now >= served.retires_at:
                 self._drop(name)
                 continue
-            served.group.share_among(self._count_sharing_nodes(name, heard))
+            served.group.share_among(1 + len(self._sharing_peers(name)))
             served.promoter.check()
+        self.demands.update()
 
-    def _recently_heard(self) -> set[str]:
-        """Returns the names of the peers that were heard recently."""
-        limit_s = self._ctx.policy.isolated_s
-        streams = self._ctx.mesh.by_name.values()
-        return {s.peer for s in streams if s.silence_s < limit_s}
-
-    def _count_sharing_nodes(self, service: str, heard: set[str]) -> int:
-        """Returns how many nodes send statements to a group's members now.
+    def _sharing_peers(self, service: str) -> set[str]:
+        """Returns the other nodes that send statements to a group's members.
 
         A node that has just started counts all serving nodes as present. Many
         nodes may start together, and with lower counts they would overload
         the members.
         """
-        names = self._serving_names(service)
+        names = self._serving_names(service) - {self._ctx.own.name}
         if self._ctx.clock.now() - self._started_at < STARTUP_S:
-            return len(names)
-        return 1 + len(heard & names - {self._ctx.own.name})
+            return names
+        limit_s = self._ctx.policy.isolated_s
+        streams = self._ctx.mesh.by_name
+        return {
+            n for n in names if n in streams and streams[n].silence_s < limit_s
+        }
 
     def exclude_pause(self, late_s: float) -> None:
         """Excludes a pause of this process from the members' silence.
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
@@ -0,0 +1,74 @@
+"""Shares of a member's slots by the demand of the nodes that use it.
+
+Demand is uneven between serving nodes: it comes in waves, a team's statements
+all run at one node, and the nodes of a lost data centre leave theirs to
+others. With equal shares, a busy node queues statements while slots are idle.
+All functions are pure, so that nodes that know the same demands arrive at the
+same shares.
+"""
+
+from collections.abc import Mapping
+
+import ferry_decisions as decisions
+
+MIN_SHARE = 1
+
+
+def shares(
+    member: str, total: int, demands: Mapping[str, int], unknown: int = 0
+) -> dict[str, int]:
+    """Returns how many statements each node may have in progress at a member.
+
+    The shares are max-min fair by demand, and what nobody demands is divided
+    evenly. The shares of nodes with demand add up to the larger of `total` and
+    their number. A node without demand gets `MIN_SHARE` in addition to that,
+    so that it can start a statement before the others know of it.
+
+    Args:
+        member: The member's id; decides between nodes of equal demand.
+        total: The number of statements in progress over all nodes.
+        demands: The number of statements in progress and waiting by node.
+        unknown: The number of nodes whose demand is unknown; an equal share is
+            reserved for each.
+    """
+    reserved = unknown * total // max(1, unknown + len(demands))
+    order = sorted(demands, key=lambda n: decisions.rendezvous_score(member, n))
+    active = [n for n in order if demands[n] > 0]
+    found = dict.fromkeys(order, MIN_SHARE)
+    left = max(0, total - reserved - len(active))
+    left = _fill(found, active, left, demands)
+    _divide(found, order, left)
+    return found
+
+
+def _fill(
+    found: dict[str, int],
+    nodes: list[str],
+    left: int,
+    demands: Mapping[str, int],
+) -> int:
+    """Raises the smallest shares first, up to each node's demand.
+
+    A remainder goes to the nodes with the largest unmet demand.
+
+    Returns:
+        How much of `left` nobody demands.
+    """
+    while left > 0:
+        short = [n for n in nodes if found[n] < demands[n]]
+        if not short:
+            break
+        least = min(found[n] for n in short)
+        lowest = [n for n in short if found[n] == least]
+        lowest.sort(key=lambda n: -demands[n])
+        for node in lowest[:left]:
+            found[node] += 1
+        left -= min(left, len(lowest))
+    return left
+
+
+def _divide(found: dict[str, int], nodes: list[str], left: int) -> None:
+    """Divides what nobody demands, the smallest shares first."""
+    for _ in range(left if nodes else 0):
+        node = min(nodes, key=lambda n: found[n])
+        found[node] += 1
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -31,6 +31,7 @@
 
     peer: str
     silence_s: float = 0.0
+    understands_load: bool = True
 
     def call(self, body):
         return decisions.Future()
@@ -43,7 +44,7 @@
     """The streams to other nodes, initially none."""
 
     def __init__(self) -> None:
-        self.by_name: dict[str, _peers.Peer] = {}
+        self.by_name: dict[str, _peers.ServingPeer] = {}
 
     @property
     def streams(self) -> list[_peers.Peer]:
