--- a/packages/proxy/src/ferry_proxy/_forward_messages.py
+++ b/packages/proxy/src/ferry_proxy/_forward_messages.py
@@ -17,6 +17,8 @@
 
 NOT_OFFERED = -1.0
 NO_INDEX = -1
+_WRITE = _statements.Kind.WRITE.value
+_PRIMARY = _configuration.Consistency.PRIMARY.value
 
 
 @_peer_messages.message("run?")
@@ -127,6 +129,14 @@
             version=request.caller.version,
         )
 
+    @property
+    def needs_primary(self) -> bool:
+        """Whether only the primary can run the statement."""
+        if self.transaction:
+            return not self.read_only
+        writes = self.prepared_writes or self.kind == _WRITE
+        return writes or self.consistency == _PRIMARY
+
     def request(self, clock: _clocks.Clock) -> _requests.Request:
         """Returns the request, with its times on this node's clocks.
 
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -208,9 +208,15 @@
         return _failed(reason, f"{stream.peer} is lost: {exc}")
     if not isinstance(answer, _forward_messages.RunReply):
         return _failed(lost, f"{stream.peer} sent another answer")
-    forwarder.loads.note(stream, body.service, answer.load)
     answer.note_progress(request.progress, sent, stream.peer)
-    return answer.reply()
+    reply = answer.reply()
+    forwarder.loads.note(stream, body.service, answer.load)
+    if reply.reason is decisions.OVERLOADED:
+        held_s = request.hold_until(forwarder.policy, False) - sent
+        forwarder.loads.note_refusal(
+            stream, body.service, body.needs_primary, max(0.0, held_s)
+        )
+    return reply
 
 
 def _fail_if_silent(
--- a/packages/proxy/src/ferry_proxy/placement/_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/_load_reports.py
@@ -60,6 +60,14 @@
         waits = self.primary_s if needs_primary else self.read_s
         return waits[min(max(priority, 0), PRIORITIES - 1)]
 
+    def with_wait(self, needs_primary: bool, wait_s: float) -> "Load":
+        """Returns a load in which such statements wait at least so long."""
+        if needs_primary:
+            waits = tuple(max(t, wait_s) for t in self.primary_s)
+            return attrs.evolve(self, primary_s=waits)
+        waits = tuple(max(t, wait_s) for t in self.read_s)
+        return attrs.evolve(self, read_s=waits)
+
     def encode(self) -> list[int]:
         """Returns the load as it is sent: empty if nothing waits."""
         waits = (*self.read_s, *self.primary_s)
@@ -140,6 +148,23 @@
             self._trim()
         self._reports[(stream, service)] = _Report(load, self._clock.now())
 
+    def note_refusal(
+        self, stream: object, service: str, needs_primary: bool, wait_s: float
+    ) -> None:
+        """Records that a node refused a statement as overloaded.
+
+        It may have told no wait, for example if all replicas are behind.
+
+        Args:
+            stream: The stream to the node.
+            service: The group.
+            needs_primary: Whether only the primary could run the statement.
+            wait_s: How long the statement would have waited.
+        """
+        report = self._fresh(stream, service)
+        if report is not None:
+            report.load = report.load.with_wait(needs_primary, wait_s)
+
     def note_sent(self, stream: object, service: str) -> None:
         """Records that a statement is sent over a stream."""
         report = self._reports.get((stream, service))
--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -15,6 +15,7 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _groups
 from ferry_proxy import _peers
+from ferry_proxy import _pools
 from ferry_proxy import _queueing
 from ferry_proxy.queueing import _demand_messages
 from ferry_proxy.queueing import _demands
@@ -167,11 +168,23 @@
         idle = decisions.Demand(0, 0)
         for member, pool in group.pools.items():
             demands = {p: d.get(member, idle).total for p, d in told.items()}
-            demands[own] = pool.demand.total
+            demands[own] = _own_demand(pool).total
             total = _queueing.total_statements(pool.member.slots)
             found = _slot_shares.shares(member, total, demands, unknown)
             pool.parallel = found[own]
 
 
 def _own_demands(group: _groups.Group) -> dict[str, decisions.Demand]:
-    return {m: p.demand for m, p in group.pools.items()}
+    return {m: _own_demand(p) for m, p in group.pools.items()}
+
+
+def _own_demand(pool: _pools.Pool) -> decisions.Demand:
+    """Returns this node's demand for a member.
+
+    While slots are free, statements wait only for links that are being opened,
+    and those count as running.
+    """
+    demand = pool.demand
+    if demand.running < pool.parallel:
+        return decisions.Demand(demand.running, 0)
+    return demand
--- a/packages/proxy/src/ferry_proxy/queueing/_demands.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demands.py
@@ -46,7 +46,7 @@
         rows: object,
         members: Collection[str],
     ) -> None:
-        """Records what a peer told; invalid figures and members are ignored.
+        """Records what a peer told; ignored if a figure is invalid.
 
         Args:
             service: The group, which this node serves.
@@ -57,10 +57,11 @@
         by_member: dict[str, decisions.Demand] = {}
         if not isinstance(rows, Mapping):
             return
-        for member in members:
-            demand = _demand(rows.get(member))
-            if demand is not None:
-                by_member[member] = demand
+        for member in rows.keys() & set(members):
+            demand = _demand(rows[member])
+            if demand is None:
+                return
+            by_member[member] = demand
         told = self._told.setdefault(service, {})
         told[peer] = _Told(self._clock.now(), by_member)
 
--- a/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Mapping
+import math
 
 import ferry_decisions as decisions
 
@@ -19,10 +20,11 @@
 ) -> dict[str, int]:
     """Returns how many statements each node may have in progress at a member.
 
-    The shares are max-min fair by demand, and what nobody demands is divided
-    evenly. The shares of nodes with demand add up to the larger of `total` and
-    their number. A node without demand gets `MIN_SHARE` in addition to that,
-    so that it can start a statement before the others know of it.
+    The shares are max-min fair by demand. While more than `total` is demanded,
+    the shares of nodes with demand add up to the larger of `total` and their
+    number, and a node without demand gets `MIN_SHARE` in addition to that, so
+    that it can start a statement before the others know of it. While less is
+    demanded, each node gets at least an equal share.
 
     Args:
         member: The member's id; decides between nodes of equal demand.
@@ -36,8 +38,10 @@
     active = [n for n in order if demands[n] > 0]
     found = dict.fromkeys(order, MIN_SHARE)
     left = max(0, total - reserved - len(active))
-    left = _fill(found, active, left, demands)
-    _divide(found, order, left)
+    _fill(found, active, left, demands)
+    if sum(demands.values()) <= total - reserved:
+        equal = math.ceil(total / max(1, unknown + len(demands)))
+        found = {n: max(s, equal) for n, s in found.items()}
     return found
 
 
@@ -46,13 +50,10 @@
     nodes: list[str],
     left: int,
     demands: Mapping[str, int],
-) -> int:
+) -> None:
     """Raises the smallest shares first, up to each node's demand.
 
     A remainder goes to the nodes with the largest unmet demand.
-
-    Returns:
-        How much of `left` nobody demands.
     """
     while left > 0:
         short = [n for n in nodes if found[n] < demands[n]]
@@ -64,11 +65,3 @@
         for node in lowest[:left]:
             found[node] += 1
         left -= min(left, len(lowest))
-    return left
-
-
-def _divide(found: dict[str, int], nodes: list[str], left: int) -> None:
-    """Divides what nobody demands, the smallest shares first."""
-    for _ in range(left if nodes else 0):
-        node = min(nodes, key=lambda n: found[n])
-        found[node] += 1
