--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
@@ -24,6 +25,8 @@
 # The shortest time between two messages to a peer. A statement takes about as
 # long, so the demand hardly changes in less.
 TELL_INTERVAL_S = 0.05
+# The same for a node at which nothing waits, which only has to be known.
+QUIET_INTERVAL_S = 0.1
 
 
 @attrs.frozen(slots=True)
@@ -59,6 +62,7 @@
     def __init__(self, ctx: ExchangeContext) -> None:
         self._ctx = ctx
         self._table = _demands.DemandTable(ctx.clock)
+        self._meter = _demands.DemandMeter()
         self._told_at = float("-inf")
         self._is_scheduled = False
         self.messages_sent = 0
@@ -71,19 +75,24 @@
             return
         self._table.trim()
         queued = self._queued_groups()
-        if queued and self._may_tell:
-            self._tell(queued)
+        self._meter.keep(queued)
         if queued:
             self._schedule()
+            if self._may_tell(queued.values()):
+                self._tell(queued)
         self.apply()
 
     def note_statement(self, service: str) -> None:
-        """Tells demands at once if a statement that arrived has to wait."""
-        if not self._may_tell or not self._ctx.is_on():
+        """Raises the share, and tells demands, if a statement has to wait."""
+        if not self._ctx.is_on():
             return
         group = self._ctx.groups().get(service)
-        if group is not None and _demands.is_queued(_own_demands(group)):
+        if group is None or not _waits(group):
+            return
+        if self._may_tell([group]):
             self.update()
+        else:
+            self._apply_to(service, group)
 
     def note(self, peer: str, message: _demand_messages.DemandReport) -> None:
         """Records the demands that a peer told, and updates the shares."""
@@ -106,15 +115,22 @@
         if not self._ctx.is_on():
             return
         for service, group in self._ctx.groups().items():
-            peers = self._ctx.sharing(service)
-            told = self._table.fresh(service, peers)
-            if told:
+            if self._apply_to(service, group):
                 self.shared_groups.add(service)
-                self._set_shares(group, told, len(peers) - len(told))
 
-    @property
-    def _may_tell(self) -> bool:
-        return self._ctx.clock.now() - self._told_at >= TELL_INTERVAL_S
+    def _apply_to(self, service: str, group: _groups.Group) -> bool:
+        """Sets the shares in a group; returns whether there is recent news."""
+        peers = self._ctx.sharing(service)
+        told = self._table.fresh(service, peers)
+        if told:
+            self._set_shares(group, told, len(peers) - len(told))
+        return bool(told)
+
+    def _may_tell(self, queued: Iterable[_groups.Group]) -> bool:
+        age_s = self._ctx.clock.now() - self._told_at
+        if age_s < TELL_INTERVAL_S:
+            return False
+        return age_s >= QUIET_INTERVAL_S or any(_waits(g) for g in queued)
 
     def _queued_groups(self) -> dict[str, _groups.Group]:
         """Returns the groups for whose members statements wait at any node."""
@@ -125,7 +141,7 @@
         }
 
     def _is_queued(self, service: str, group: _groups.Group) -> bool:
-        if _demands.is_queued(_own_demands(group)):
+        if _waits(group):
             return True
         told = self._table.fresh(service, self._ctx.sharing(service))
         return any(_demands.is_queued(d) for d in told.values())
@@ -135,11 +151,7 @@
         self._told_at = self._ctx.clock.now()
         by_peer: dict[str, dict[str, dict[str, _demands.Row]]] = {}
         for service, group in queued.items():
-            rows = {
-                m: _demands.row(d)
-                for m, d in _own_demands(group).items()
-                if d.total
-            }
+            rows = self._meter.sample(service, _own_demands(group))
             for peer in self._ctx.sharing(service):
                 by_peer.setdefault(peer, {})[service] = rows
         streams = self._ctx.streams()
@@ -174,6 +186,11 @@
             pool.parallel = found[own]
 
 
+def _waits(group: _groups.Group) -> bool:
+    """Whether a statement waits at this node for a member of the group."""
+    return _demands.is_queued(_own_demands(group))
+
+
 def _own_demands(group: _groups.Group) -> dict[str, decisions.Demand]:
     return {m: _own_demand(p) for m, p in group.pools.items()}
 
--- a/packages/proxy/src/ferry_proxy/queueing/_demands.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demands.py
@@ -14,6 +14,10 @@
 # No node has more statements for one member; a larger figure is invalid.
 MAX_DEMAND = 100_000
 
+# The weight of a new sample in the mean of statements in progress. With several
+# samples a second, the mean covers about half a second.
+SAMPLE_WEIGHT = 0.2
+
 Demands = Mapping[str, decisions.Demand]
 # A demand as it is sent: the statements in progress, and those waiting.
 Row = tuple[int, int]
@@ -86,16 +90,44 @@
                 del self._told[service]
 
 
+class DemandMeter:
+    """Smooths the demands of this node before they are told.
+
+    A told demand counts for several statements' time, so a single statement or
+    status request that is in progress at that moment should not count. Where
+    statements wait, all that are in progress count.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[tuple[str, str], float] = {}
+
+    def sample(self, service: str, demands: Demands) -> dict[str, Row]:
+        """Adds a sample, and returns the demands to tell, by member.
+
+        Args:
+            service: The group.
+            demands: The demands for its members now.
+        """
+        rows: dict[str, Row] = {}
+        for member, demand in demands.items():
+            mean = self._means.get((service, member), 0.0)
+            mean += SAMPLE_WEIGHT * (demand.running - mean)
+            self._means[(service, member)] = mean
+            running = demand.running if demand.waiting else round(mean)
+            if running:
+                rows[member] = (running, demand.waiting)
+        return rows
+
+    def keep(self, services: Collection[str]) -> None:
+        """Drops the samples of all other groups."""
+        self._means = {k: m for k, m in self._means.items() if k[0] in services}
+
+
 def is_queued(demands: Demands) -> bool:
     """Whether a statement waits for any of the members."""
     return any(d.waiting for d in demands.values())
 
 
-def row(demand: decisions.Demand) -> Row:
-    """Returns a demand in the form in which it is sent."""
-    return demand.running, demand.waiting
-
-
 def _demand(value: object) -> decisions.Demand | None:
     """Returns the demand that a peer sent; None if it is invalid."""
     match value:
--- a/packages/proxy/src/ferry_proxy/queueing/tests/test_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/tests/test_demand_exchange.py
@@ -323,7 +323,7 @@
     assert sum(shares.values()) <= TOTAL + len(NAMES)
 
 
-def test_a_member_that_restarts_gets_new_shares():
+def test_a_flood_is_served_while_a_member_restarts():
     lab = Lab()
     lab.offer("n1", FLOOD_PER_S, 2.0)
     lab.run(0.5)
@@ -331,9 +331,11 @@
     for node in lab.nodes.values():
         node.group.set_members(lab.entries(), 12, len(lab.names))
         node.exchange.apply()
-    lab.run(0.3)
+    lab.run(0.1)
     assert lab.nodes["n1"].share > EQUAL
-    assert all(n.share >= 1 for n in lab.nodes.values())
+    lab.run(2.0)
+    assert lab.served("n1") > 0.95
+    assert {n.share for n in lab.nodes.values()} == {EQUAL}
 
 
 @pytest.mark.parametrize(
@@ -376,6 +378,18 @@
     assert lab.served("n1") > 0.95
 
 
+def test_a_single_statement_in_progress_is_not_told():
+    meter = _demands.DemandMeter()
+    assert meter.sample("orders", {"a": decisions.Demand(2, 0)}) == {}
+    waiting = decisions.Demand(2, 1)
+    assert meter.sample("orders", {"a": waiting}) == {"a": (2, 1)}
+    for _ in range(10):
+        rows = meter.sample("orders", {"a": decisions.Demand(2, 0)})
+    assert rows == {"a": (2, 0)}
+    meter.keep([])
+    assert not meter._means
+
+
 def test_the_table_holds_only_recent_demands():
     clock = decisions.VirtualTimers()
     table = _demands.DemandTable(clock)
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -198,3 +198,18 @@
         for _ in range(6):
             heard |= {p for n in heard for p in peers[n] & left}
         assert heard == left
+
+
+def test_peers_learn_that_this_build_understands_load():
+    pair = Pair()
+    assert pair.receiver.understands_load
+
+
+def test_older_builds_get_no_messages_that_they_do_not_know():
+    """Their `Hello` has the call number 0, and they ignore that of ours."""
+    pair = Pair()
+    hello = _peer_messages.encode(0, _peer_messages.Hello("a"))
+    pair.raw.other.on_data(hello)
+    assert not pair.receiver.understands_load
+    first = _peer_messages.Decoder().feed(pair.raw.sent[0])[0]
+    assert first.body == _peer_messages.Hello("a")
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -17,6 +17,7 @@
 from ferry_proxy import _serving_plan
 from ferry_proxy import _statements
 from ferry_proxy import _store
+from ferry_proxy.queueing import _demand_messages
 from ferry_proxy.tests import fakes
 
 # With fewer than three connections for each node of the fleet, only some of
@@ -54,7 +55,11 @@
 class Lab:
     """One serving node of a fleet, and a group of three members."""
 
-    def __init__(self, halls: tuple[str, ...] = ("hall-b",)) -> None:
+    def __init__(
+        self,
+        halls: tuple[str, ...] = ("hall-b",),
+        features: _features.Features = _features.NONE,
+    ) -> None:
         self.clock = decisions.VirtualTimers()
         self.policy = _policy.Policy()
         self.cluster = fakes.FakeCluster(self.clock)
@@ -93,7 +98,7 @@
                 mesh=self.mesh,
                 metrics=_metrics.Metrics(),
                 gate=_gates.OPEN,
-                features=_features.NONE,
+                features=features,
                 is_stopping=lambda: self.stopping,
             )
         )
@@ -204,3 +209,56 @@
     pool = lab.groups.groups["orders"].pools["a"]
     expected = _queueing.parallel_statements(pool.member.slots, sharing)
     assert pool.parallel == expected
+
+
+ENABLED = _features.Features(
+    _policy.Policy(features={f.value: True for f in _policy.Feature}),
+    lambda: None,
+)
+FLOOD = _demand_messages.DemandReport(
+    {"orders": dict.fromkeys("abc", (0, 50)), "unknown": {"a": (1, 1)}}
+)
+
+
+def _shared_lab(features: _features.Features) -> tuple[Lab, str]:
+    """Returns a lab in which all serving nodes are heard, and one of them."""
+    lab = Lab(("hall-a", "hall-b", "hall-c"), features)
+    others = [n for n in lab.serving if n != lab.own.name]
+    for name in others:
+        lab.mesh.by_name[name] = FakePeer(name)
+    lab.clock.advance(3.0)
+    return lab, others[0]
+
+
+@pytest.mark.parametrize(
+    ("features", "is_less"), [(_features.NONE, False), (ENABLED, True)]
+)
+def test_an_idle_node_leaves_slots_to_a_busy_one(features, is_less):
+    lab, busy = _shared_lab(features)
+    pool = lab.groups.groups["orders"].pools["b"]
+    equal = pool.parallel
+    lab.groups.demands.note(busy, FLOOD)
+    assert (pool.parallel < equal) is is_less
+    lab.clock.advance(0.11)  # A check and a change of the store in between.
+    lab.put("members/x", None)
+    assert (pool.parallel < equal) is is_less
+    lab.clock.advance(1.0)
+    assert pool.parallel == equal
+
+
+def test_demands_of_nodes_that_do_not_serve_the_group_are_ignored():
+    lab, _ = _shared_lab(ENABLED)
+    pool = lab.groups.groups["orders"].pools["b"]
+    equal = pool.parallel
+    other = next(e.name for e in lab.entries if e.name not in lab.serving)
+    lab.mesh.by_name[other] = FakePeer(other)
+    lab.groups.demands.note(other, FLOOD)
+    assert pool.parallel == equal
+
+
+def test_loads_are_told_only_by_nodes_with_the_feature():
+    lab, _ = _shared_lab(_features.NONE)
+    assert lab.groups.told_load("orders") is None
+    lab, _ = _shared_lab(ENABLED)
+    assert lab.groups.told_load("orders") == []
+    assert lab.groups.told_load("unknown") is None
