Round shares up, as equal shares are

Without rounding, some of six nodes of equal demand had one statement in progress at a member and others two.

--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -182,7 +182,7 @@
             demands = {p: d.get(member, idle).total for p, d in told.items()}
             demands[own] = _own_demand(pool).total
             total = _queueing.total_statements(pool.member.slots)
-            found = _slot_shares.shares(member, total, demands, unknown)
+            found = _slot_shares.shares(total, demands, unknown)
             pool.parallel = found[own]
 
 
--- a/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
@@ -10,33 +10,30 @@
 from collections.abc import Mapping
 import math
 
-import ferry_decisions as decisions
-
 MIN_SHARE = 1
 
 
 def shares(
-    member: str, total: int, demands: Mapping[str, int], unknown: int = 0
+    total: int, demands: Mapping[str, int], unknown: int = 0
 ) -> dict[str, int]:
     """Returns how many statements each node may have in progress at a member.
 
-    The shares are max-min fair by demand. While more than `total` is demanded,
-    the shares of nodes with demand add up to the larger of `total` and their
-    number, and a node without demand gets `MIN_SHARE` in addition to that, so
+    The shares are max-min fair by demand and rounded up. While more than
+    `total` is demanded, the shares of nodes with demand add up to at most the
+    larger of `total` and their number, plus less than their number for the
+    rounding. A node without demand gets `MIN_SHARE` in addition to that, so
     that it can start a statement before the others know of it. While less is
     demanded, each node gets at least an equal share.
 
     Args:
-        member: The member's id; decides between nodes of equal demand.
         total: The number of statements in progress over all nodes.
         demands: The number of statements in progress and waiting by node.
         unknown: The number of nodes whose demand is unknown; an equal share is
             reserved for each.
     """
     reserved = unknown * total // max(1, unknown + len(demands))
-    order = sorted(demands, key=lambda n: decisions.rendezvous_score(member, n))
-    active = [n for n in order if demands[n] > 0]
-    found = dict.fromkeys(order, MIN_SHARE)
+    active = [n for n in demands if demands[n] > 0]
+    found = dict.fromkeys(demands, MIN_SHARE)
     left = max(0, total - reserved - len(active))
     _fill(found, active, left, demands)
     if sum(demands.values()) <= total - reserved:
@@ -53,7 +50,8 @@
 ) -> None:
     """Raises the smallest shares first, up to each node's demand.
 
-    A remainder goes to the nodes with the largest unmet demand.
+    A remainder is rounded up: with 1 and 2 statements in progress, nodes of
+    equal demand would differ twofold.
     """
     while left > 0:
         short = [n for n in nodes if found[n] < demands[n]]
@@ -61,7 +59,6 @@
             break
         least = min(found[n] for n in short)
         lowest = [n for n in short if found[n] == least]
-        lowest.sort(key=lambda n: -demands[n])
-        for node in lowest[:left]:
+        for node in lowest:
             found[node] += 1
-        left -= min(left, len(lowest))
+        left -= len(lowest)
