No node's share falls below the equal one; total that keeps slots busy

A flood could fill a member up to two statements a slot, so that the statements of other nodes had to wait at the member, where no priority counts. What others leave is now divided up to one and a quarter statements a slot, and no node gets less than with equal shares.

--- a/packages/proxy/src/ferry_proxy/_queueing.py
+++ b/packages/proxy/src/ferry_proxy/_queueing.py
@@ -19,6 +19,9 @@
 # Statements in progress per slot, over all nodes: one runs, and one is in
 # transit or next. A statement takes at most twice its execution time.
 STATEMENTS_PER_SLOT = 2.0
+# With fewer, a slot idles while a statement is in transit; with more, urgent
+# statements wait at the member behind others.
+BUSY_STATEMENTS_PER_SLOT = 1.25
 
 
 def parallel_statements(slots: int, nodes: int) -> int:
@@ -33,9 +36,9 @@
     )
 
 
-def total_statements(slots: int) -> int:
-    """Returns how many statements all nodes may have in progress together."""
-    return parallel_statements(slots, 1)
+def busy_statements(slots: int) -> int:
+    """Returns how many statements keep all slots of a member busy."""
+    return math.ceil(BUSY_STATEMENTS_PER_SLOT * slots)
 
 
 def expected_wait_s(ahead: int, parallel: int, latency_s: float) -> float:
--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -181,8 +181,14 @@
         for member, pool in group.pools.items():
             demands = {p: d.get(member, idle).total for p, d in told.items()}
             demands[own] = _own_demand(pool).total
-            total = _queueing.total_statements(pool.member.slots)
-            found = _slot_shares.shares(total, demands, unknown)
+            slots = pool.member.slots
+            nodes = unknown + len(demands)
+            found = _slot_shares.shares(
+                _queueing.busy_statements(slots),
+                _queueing.parallel_statements(slots, nodes),
+                demands,
+                unknown,
+            )
             pool.parallel = found[own]
 
 
--- a/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_slot_shares.py
@@ -8,38 +8,32 @@
 """
 
 from collections.abc import Mapping
-import math
-
-MIN_SHARE = 1
 
 
 def shares(
-    total: int, demands: Mapping[str, int], unknown: int = 0
+    total: int, equal: int, demands: Mapping[str, int], unknown: int = 0
 ) -> dict[str, int]:
     """Returns how many statements each node may have in progress at a member.
 
-    The shares are max-min fair by demand and rounded up. While more than
-    `total` is demanded, the shares of nodes with demand add up to at most the
-    larger of `total` and their number, plus less than their number for the
-    rounding. A node without demand gets `MIN_SHARE` in addition to that, so
-    that it can start a statement before the others know of it. While less is
-    demanded, each node gets at least an equal share.
+    No node gets less than an equal share. Beyond that, `total` is divided
+    max-min fairly by demand, and what nobody demands goes to the nodes with
+    demand. The shares that exceed `equal` therefore add up to at most `total`
+    and half of their number, for rounding.
 
     Args:
-        total: The number of statements in progress over all nodes.
+        total: The number of statements that keeps all slots busy.
+        equal: The share of a node while demands are not known.
         demands: The number of statements in progress and waiting by node.
         unknown: The number of nodes whose demand is unknown; an equal share is
             reserved for each.
     """
-    reserved = unknown * total // max(1, unknown + len(demands))
     active = [n for n in demands if demands[n] > 0]
-    found = dict.fromkeys(demands, MIN_SHARE)
-    left = max(0, total - reserved - len(active))
-    _fill(found, active, left, demands)
-    if sum(demands.values()) <= total - reserved:
-        equal = math.ceil(total / max(1, unknown + len(demands)))
-        found = {n: max(s, equal) for n, s in found.items()}
-    return found
+    found = dict.fromkeys(demands, 0)
+    left = _fill(found, active, total - unknown * equal, demands)
+    if all(found[n] == demands[n] for n in active):
+        for node in active:
+            found[node] += max(0, left) // len(active)
+    return {n: max(share, equal) for n, share in found.items()}
 
 
 def _fill(
@@ -47,18 +41,20 @@
     nodes: list[str],
     left: int,
     demands: Mapping[str, int],
-) -> None:
+) -> int:
     """Raises the smallest shares first, up to each node's demand.
 
-    A remainder is rounded up: with 1 and 2 statements in progress, nodes of
-    equal demand would differ twofold.
+    Nodes of equal demand get equal shares, so a remainder is rounded.
+
+    Returns:
+        How much of `left` is not used.
     """
-    while left > 0:
+    while True:
         short = [n for n in nodes if found[n] < demands[n]]
-        if not short:
-            break
-        least = min(found[n] for n in short)
+        least = min((found[n] for n in short), default=0)
         lowest = [n for n in short if found[n] == least]
+        if not lowest or left <= 0 or 2 * left < len(lowest):
+            return left
         for node in lowest:
             found[node] += 1
         left -= len(lowest)
