--- a/packages/proxy/src/ferry_proxy/_forwarder.py
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -197,7 +197,8 @@
         if need.team:
             name = self._choose_for_team(plan, candidates, need)
         elif self.uses_loads:
-            name = self._choose_by_load(candidates)
+            salt = f"{self._own.name} {next(self._draws)}"
+            name = _load_reports.choose(candidates, salt).node
         else:
             name = min(
                 candidates,
@@ -267,11 +268,6 @@
         found = _load_reports.relief(by_name[home], candidates, need.allowed_s)
         return found.node if found else home
 
-    def _choose_by_load(self, candidates: list[_load_reports.Candidate]) -> str:
-        salt = f"{self._own.name} {next(self._draws)}"
-        found = _load_reports.choose(candidates, salt)
-        return found.node if found else ""
-
     def is_served_by_peer(self, service: str, team: str) -> bool:
         """Whether a team's statements run at a peer instead of this node.
 
--- a/packages/proxy/src/ferry_proxy/placement/_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/_load_reports.py
@@ -234,18 +234,16 @@
         return self.wait_s + self.added_s + way_s
 
 
-def choose(candidates: Collection[Candidate], salt: str) -> Candidate | None:
-    """Returns the node that a request goes to; None without candidates.
+def choose(candidates: Collection[Candidate], salt: str) -> Candidate:
+    """Returns the node that a request goes to.
 
     Of the comparable nodes, two are drawn and the one with fewer pending calls
     is taken, so that entry nodes do not all turn to the same one.
 
     Args:
-        candidates: The nodes.
+        candidates: The nodes; at least one.
         salt: Varies with each request; decides which two are drawn.
     """
-    if not candidates:
-        return None
     bound_s = min(c.cost_s for c in candidates) + COMPARABLE_S
     comparable = [c for c in candidates if c.cost_s <= bound_s]
     drawn = sorted(
--- a/packages/proxy/src/ferry_proxy/placement/tests/test_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/tests/test_load_reports.py
@@ -83,9 +83,7 @@
         candidate("near", near),
         candidate("far", far, is_near=False),
     ]
-    chosen = _load_reports.choose(nodes, "e")
-    assert chosen is not None
-    assert chosen.node == expected
+    assert _load_reports.choose(nodes, "e").node == expected
 
 
 @pytest.mark.parametrize(
