--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -28,6 +28,9 @@
 # The same for a node at which nothing waits, which only has to be known.
 QUIET_INTERVAL_S = 0.1
 
+# A busy member answers several statements in this time.
+MIN_ANSWER_S = 0.05
+
 
 @attrs.frozen(slots=True)
 class ExchangeContext:
@@ -183,13 +186,17 @@
             demands[own] = _own_demand(pool).total
             slots = pool.member.slots
             nodes = unknown + len(demands)
+            equal = _queueing.parallel_statements(slots, nodes)
             found = _slot_shares.shares(
-                _queueing.busy_statements(slots),
-                _queueing.parallel_statements(slots, nodes),
-                demands,
-                unknown,
+                _queueing.busy_statements(slots), equal, demands, unknown
             )
-            pool.parallel = found[own]
+            pool.parallel = found[own] if _is_answering(pool) else equal
+
+
+def _is_answering(pool: _pools.Pool) -> bool:
+    """Whether a member answers; one that does not gets no more statements."""
+    contact = pool.contact
+    return contact.unanswered_s <= max(MIN_ANSWER_S, contact.latency_s)
 
 
 def _waits(group: _groups.Group) -> bool:
--- a/packages/proxy/src/ferry_proxy/queueing/tests/test_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/tests/test_demand_exchange.py
@@ -338,6 +338,17 @@
     assert {n.share for n in lab.nodes.values()} == {EQUAL}
 
 
+def test_a_member_that_stops_answering_gets_no_more_statements():
+    """They would all hang there until their callers give up."""
+    lab = Lab()
+    lab.offer("n1", FLOOD_PER_S, 2.0)
+    lab.run(0.5)
+    assert lab.nodes["n1"].share == BUSY
+    lab.cluster.members["b"].dark = True
+    lab.run(_demand_exchange.MIN_ANSWER_S + 0.02)
+    assert lab.nodes["n1"].share == EQUAL
+
+
 @pytest.mark.parametrize(
     "demands",
     [
