--- a/packages/proxy/src/ferry_proxy/_forward_messages.py
+++ b/packages/proxy/src/ferry_proxy/_forward_messages.py
@@ -18,6 +18,8 @@
 
 NOT_OFFERED = -1.0
 NO_INDEX = -1
+_WRITE = _statements.Kind.WRITE.value
+_PRIMARY = _configuration.Consistency.PRIMARY.value
 
 
 @_peer_messages.message("run?")
@@ -132,6 +134,14 @@
             queued_for_s=request.queued_for_s,
         )
 
+    @property
+    def needs_primary(self) -> bool:
+        """Whether only the primary can run the statement."""
+        if self.transaction:
+            return not self.read_only
+        writes = self.prepared_writes or self.kind == _WRITE
+        return writes or self.consistency == _PRIMARY
+
     def request(self, clock: _clocks.Clock) -> _requests.Request:
         """Returns the request, with its times on this node's clocks.
 
@@ -198,6 +208,8 @@
             was first sent to a member; negative if it was not sent.
         retry_after_s: The delay before a retry, in seconds; None if the reason
             implies it.
+        load: The expected waits at the serving node, encoded by
+            `_load_reports.Load`; None if it tells none.
         keeps_place: Whether a caller that returns after it keeps its place.
     """
 
@@ -213,6 +225,7 @@
     attempts: int
     offered_after_s: float
     retry_after_s: float | None = None
+    load: list[int] | None = None
     keeps_place: bool = False
 
     @classmethod
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -206,6 +206,7 @@
         self._numbers = itertools.count(1)
         self._heard_at = loop.now()
         self.peer = ""
+        self._protocol = 0
         self.covered = decisions.UNREAD_REVISION
         self.version = 0
         self.store_seen = float("-inf")
@@ -219,7 +220,8 @@
         stream.keep_alive(TCP_USER_TIMEOUT_MS)
         self._last_sent_state: _peer_messages.Ping | None = None
         self._pending_replies = 0
-        self.tell(_peer_messages.Hello(node))
+        protocol = _peer_messages.PROTOCOL
+        stream.send(_peer_messages.encode(protocol, _peer_messages.Hello(node)))
         self._send_ping(EncodedPing.of(handler.describe()))
 
     @property
@@ -227,6 +229,11 @@
         """Whether the stream has ended."""
         return self._stream.closed
 
+    @property
+    def understands_load(self) -> bool:
+        """Whether the peer's build knows demands and load reports."""
+        return self._protocol >= _peer_messages.LOAD_PROTOCOL
+
     @property
     def is_opening(self) -> bool:
         """Whether the connection is not established yet."""
@@ -315,6 +322,7 @@
         body = envelope.body
         if isinstance(body, _peer_messages.Hello):
             self.peer = body.node
+            self._protocol = envelope.number
             self._on_change()
         elif isinstance(body, _peer_messages.Ping):
             self.covered = body.newest
--- a/packages/proxy/src/ferry_proxy/_queueing.py
+++ b/packages/proxy/src/ferry_proxy/_queueing.py
@@ -19,6 +19,9 @@
 # Statements in progress per slot, over all nodes: one runs, and one is in
 # transit or next. A statement takes at most twice its execution time.
 STATEMENTS_PER_SLOT = 2.0
+# With fewer, a slot idles while a statement is in transit; with more, urgent
+# statements wait at the member behind others.
+BUSY_STATEMENTS_PER_SLOT = 1.25
 
 
 def parallel_statements(slots: int, nodes: int) -> int:
@@ -33,6 +36,11 @@
     )
 
 
+def busy_statements(slots: int) -> int:
+    """Returns how many statements keep all slots of a member busy."""
+    return math.ceil(BUSY_STATEMENTS_PER_SLOT * slots)
+
+
 def expected_wait_s(ahead: int, parallel: int, latency_s: float) -> float:
     """Returns the expected queueing time at this node, in seconds.
 
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -11,12 +11,15 @@
 from ferry_proxy import _metrics
 from ferry_proxy import _peers
 from ferry_proxy import _policy
+from ferry_proxy import _pools
 from ferry_proxy import _queueing
 from ferry_proxy import _records
 from ferry_proxy import _served_groups
+from ferry_proxy import _serving_peers
 from ferry_proxy import _serving_plan
 from ferry_proxy import _statements
 from ferry_proxy import _store
+from ferry_proxy.queueing import _demand_messages
 from ferry_proxy.tests import fakes
 
 # With fewer than three connections for each node of the fleet, only some of
@@ -31,6 +34,7 @@
 
     peer: str
     silence_s: float = 0.0
+    understands_load: bool = True
 
     def call(self, body):
         return decisions.Future()
@@ -43,7 +47,7 @@
     """The streams to other nodes, initially none."""
 
     def __init__(self) -> None:
-        self.by_name: dict[str, _peers.Peer] = {}
+        self.by_name: dict[str, _serving_peers.ServingPeer] = {}
 
     @property
     def streams(self) -> list[_peers.Peer]:
@@ -53,7 +57,11 @@
 class Lab:
     """One serving node of a fleet, and a group of three members."""
 
-    def __init__(self, halls: tuple[str, ...] = ("hall-b",)) -> None:
+    def __init__(
+        self,
+        halls: tuple[str, ...] = ("hall-b",),
+        features: _features.Features = _features.NONE,
+    ) -> None:
         self.clock = decisions.VirtualTimers()
         self.policy = _policy.Policy()
         self.cluster = fakes.FakeCluster(self.clock)
@@ -92,7 +100,7 @@
                 mesh=self.mesh,
                 metrics=_metrics.Metrics(),
                 gate=_gates.OPEN,
-                features=_features.NONE,
+                features=features,
                 is_stopping=lambda: self.stopping,
             )
         )
@@ -214,3 +222,63 @@
     pool = lab.groups.groups["orders"].pools["a"]
     expected = _queueing.parallel_statements(pool.member.slots, sharing)
     assert pool.parallel == expected
+
+
+ENABLED = _features.Features(
+    _policy.Policy(features={f.value: True for f in _policy.Feature}),
+    lambda: None,
+)
+IDLE = _demand_messages.DemandReport({"orders": {}, "unknown": {"a": (1, 1)}})
+
+
+def _shared_lab(features: _features.Features) -> tuple[Lab, list[str]]:
+    """Returns a lab in which all serving nodes are heard, and the others."""
+    lab = Lab(("hall-a", "hall-b", "hall-c"), features)
+    others = [n for n in lab.serving if n != lab.own.name]
+    for name in others:
+        lab.mesh.by_name[name] = FakePeer(name)
+    lab.clock.advance(3.0)
+    return lab, others
+
+
+def _queue_statements(lab: Lab) -> _pools.Pool:
+    pool = lab.groups.groups["orders"].pools["b"]
+    for _ in range(30):
+        until = lab.clock.now() + 10.0
+        pool.acquire(_pools.Use.STATEMENT, 1, until)
+    return pool
+
+
+@pytest.mark.parametrize(
+    ("features", "grows"), [(_features.NONE, False), (ENABLED, True)]
+)
+def test_a_busy_node_gets_slots_that_the_others_leave(features, grows):
+    lab, others = _shared_lab(features)
+    pool = _queue_statements(lab)
+    equal = pool.parallel
+    for name in others:
+        lab.groups.demands.note(name, IDLE)
+    assert (pool.parallel > equal) is grows
+    lab.clock.advance(0.11)  # A check and a change of the store in between.
+    lab.put("members/c", b"y")
+    assert (pool.parallel > equal) is grows
+    lab.clock.advance(1.0)
+    assert pool.parallel == equal
+
+
+def test_demands_of_nodes_that_do_not_serve_the_group_are_ignored():
+    lab, _ = _shared_lab(ENABLED)
+    pool = _queue_statements(lab)
+    equal = pool.parallel
+    other = next(e.name for e in lab.entries if e.name not in lab.serving)
+    lab.mesh.by_name[other] = FakePeer(other)
+    lab.groups.demands.note(other, IDLE)
+    assert pool.parallel == equal
+
+
+def test_loads_are_told_only_by_nodes_with_the_feature():
+    lab, _ = _shared_lab(_features.NONE)
+    assert lab.groups.told_load("orders") is None
+    lab, _ = _shared_lab(ENABLED)
+    assert lab.groups.told_load("orders") == []
+    assert lab.groups.told_load("unknown") is None
