--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -247,7 +247,9 @@
     for name in others:
         lab.groups.demands.note(name, IDLE)
     assert (pool.parallel > equal) is grows
-    lab.clock.advance(0.11)  # A check and a change of the store in between.
+    for _ in range(3):  # A check and a change of the store in between.
+        lab.clock.advance(0.04)
+        pool.contact.note_heard()
     lab.put("members/c", b"y")
     assert (pool.parallel > equal) is grows
     lab.clock.advance(1.0)
