--- a/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _events
 from ferry_proxy import _reported_position
 from ferry_proxy.placement import _read_waits
 from ferry_proxy.tests import fakes
@@ -130,6 +131,24 @@
     assert len(lab.served) == 100
 
 
+def test_an_operator_sees_ejections_and_returns(monkeypatch):
+    seen: list[attrs.AttrsInstance] = []
+    monkeypatch.setattr(_events, "emit", seen.append)
+    lab = Load()
+    lab.member("b").fault = FAULT.RESET
+    lab.offer(200, 0.5)
+    lab.member("b").fault = None
+    lab.offer(100, 2.0)
+    kinds = (_events.MemberEjected, _events.MemberReturned)
+    ejected, returned = [e for e in seen if isinstance(e, kinds)]
+    assert isinstance(ejected, _events.MemberEjected)
+    assert (ejected.service, ejected.member) == ("orders", "b")
+    assert ejected.failure_share > 0.25
+    assert isinstance(returned, _events.MemberReturned)
+    assert (returned.service, returned.member) == ("orders", "b")
+    assert returned.ejected_s > 0.5
+
+
 def test_a_member_that_comes_and_goes_is_ejected_for_longer_each_time():
     lab = Load()
     for _ in range(4):
--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -124,6 +124,17 @@
     }
 
 
+def test_the_number_of_ejected_members_is_a_gauge_of_each_group():
+    lab = Lab()
+    lab.clock.advance(1.0)
+    line = b'members_ejected{service="orders"}'
+    metrics = lab.groups._ctx.metrics
+    assert line + b" 0" in metrics.render()
+    outcomes = lab.groups.groups["orders"].pools["b"].contact.outcomes
+    outcomes.is_ejected = True
+    assert line + b" 1" in metrics.render()
+
+
 def test_a_stopping_node_serves_nobody_well():
     lab = Lab()
     lab.clock.advance(1.0)
