--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -96,6 +96,7 @@
                 retry.
         """
         pool = yield from self.primary(job)
+        job.group.commits.require_commits(pool)
         hold = job.hold_end(self._policy)
         try:
             pooled_link = yield pool.acquire(
@@ -104,6 +105,7 @@
                 hold,
                 job.values,
                 job.caller.team,
+                job.work,
             )
             return (yield from self.run_on_link(job, pool, pooled_link, None))
         except decisions.RequestFailedError as exc:
@@ -245,6 +247,7 @@
         """
         started_at = self._clock.now()
         fut = self.send(job, pool, pooled_link, floor)
+        job.group.commits.watch(pool, pooled_link, fut)
         limit = job.deadline - started_at
         try:
             reply: _links.Reply = yield decisions.with_timeout(
@@ -278,7 +281,9 @@
         name = pooled_link.prepared[job.prepared] if job.prepared else ""
         pool.note_sent(pooled_link)
         job.note_dispatched(pool.member.id, self._clock.now())
-        return pooled_link.link.run([*commands, job.command(floor, name)])[-1]
+        fut = pooled_link.link.run([*commands, job.command(floor, name)])[-1]
+        pool.note_statement(pooled_link, job.work, fut)
+        return fut
 
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
         """Whether there is time to retry a statement that did not run."""
--- a/packages/proxy/src/ferry_proxy/_features.py
+++ b/packages/proxy/src/ferry_proxy/_features.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 
 from ferry_proxy import _configuration
+from ferry_proxy import _events
 from ferry_proxy import _policy
 
 # A member counts as unresponsive after 0.15 s at the earliest. A request with a
@@ -86,16 +87,26 @@
         self._policy = policy
         self._configuration = configuration
         self._evaluated_for: _configuration.Configuration | None = None
-        self._active = self._evaluate(None)
+        self._active: Mapping[_policy.Feature, bool] = dict.fromkeys(
+            _policy.Feature, False
+        )
+        self._update(self._evaluate(None))
 
     def is_on(self, feature: _policy.Feature) -> bool:
         """Whether a feature is on now."""
         cfg = self._configuration()
         if cfg is not self._evaluated_for:
             self._evaluated_for = cfg
-            self._active = self._evaluate(cfg)
+            self._update(self._evaluate(cfg))
         return self._active[feature]
 
+    def _update(self, active: Mapping[_policy.Feature, bool]) -> None:
+        """Sets the active features, with an event for each that changes."""
+        was_active, self._active = self._active, active
+        for feature, on in active.items():
+            if on is not was_active[feature]:
+                _events.emit(_events.FeatureChanged(feature.value, on))
+
     def _evaluate(
         self, cfg: _configuration.Configuration | None
     ) -> Mapping[_policy.Feature, bool]:
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -247,7 +247,12 @@
             promoter,
             _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
             _runners.LocalRunner(
-                ctx.clock, ctx.policy, self._executor, group, ctx.gate
+                ctx.clock,
+                ctx.policy,
+                self._executor,
+                group,
+                ctx.gate,
+                ctx.features,
             ),
         )
         self._served[name] = served
@@ -357,7 +362,7 @@
                 group.leaderless_since, now - policy.probe_s
             )
             for pool in group.pools.values():
-                pool.contact.exclude_pause(late_s)
+                pool.exclude_pause(late_s)
 
     def close(self) -> None:
         """Removes all members, which closes their links."""
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -176,6 +176,7 @@
             job.hold_end(self._policy),
             job.values,
             job.caller.team,
+            job.work,
         )
 
     def _target(
@@ -242,6 +243,8 @@
         if job.writes:
             self._wrote = True
         may_be_committed = is_commit and self._wrote
+        if job.writes or may_be_committed:
+            self._group.commits.require_commits(pool)
         lost = (
             decisions.ANSWER_LOST
             if may_be_committed
@@ -252,7 +255,9 @@
         limit = job.deadline - self._clock.now()
         started_at = self._clock.now()
         outcomes = self._executor.outcomes
-        if not may_be_committed:
+        if may_be_committed:
+            self._group.commits.watch(pool, pooled_link, fut)
+        else:
             self._close_if_unresponsive(pool, pooled_link, fut)
         try:
             reply: _links.Reply = yield decisions.with_timeout(
