--- a/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_member_outcomes.py
@@ -132,7 +132,7 @@
 
 
 def test_an_operator_sees_ejections_and_returns(monkeypatch):
-    seen: list[object] = []
+    seen: list[attrs.AttrsInstance] = []
     monkeypatch.setattr(_events, "emit", seen.append)
     lab = Load()
     lab.member("b").fault = FAULT.RESET
