Tell an entry node's callers a promised time at once

A serving node refused at once during a change of primary, but the entry node then waited 0.15 s for streams to further serving nodes before it told its caller. A promised time is now told once the nodes with open streams have refused; streams to others open with the next check.

--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -451,30 +451,36 @@
     assert lab.seeks == 1
 
 
-def test_a_transaction_that_all_nodes_refused_tells_their_reason():
-    """Guards against NO_SERVING_NODE after a wait, instead of the refusal."""
-    lab = EntryLab()
-    told = decisions.RequestFailedError(decisions.NO_PRIMARY, "changing", 0.7)
+class Refusing:
+    """A serving node's runner and transaction that refuse all."""
 
-    class Refusing:
-        failure = None
-        wrote = False
-        holds_link = False
-        last_used_at = 0.0
+    failure = None
+    wrote = False
+    holds_link = False
+    last_used_at = 0.0
 
-        def run(self, _):
-            yield decisions.completed(None)
-            raise told
+    def __init__(self, keeps_place: bool = False) -> None:
+        self._told = decisions.RequestFailedError(
+            decisions.NO_PRIMARY, "changing", 0.7, keeps_place
+        )
 
-        def begin(self, _):
-            return self
+    def run(self, _):
+        yield decisions.completed(None)
+        raise self._told
 
-        def fail(self, _) -> None:
-            """Nothing is open."""
+    def begin(self, _):
+        return self
 
-        def roll_back(self) -> None:
-            """Nothing is open."""
+    def fail(self, _) -> None:
+        """Nothing is open."""
 
+    def roll_back(self) -> None:
+        """Nothing is open."""
+
+
+def test_a_transaction_that_all_nodes_refused_tells_their_reason():
+    """Guards against NO_SERVING_NODE after a wait, instead of the refusal."""
+    lab = EntryLab()
     lab.local = Refusing()
     session = lab.session()
     lab.do(session, fakes.statement("BEGIN"))
@@ -486,3 +492,17 @@
     assert len(begun) == 2
     assert lab.mesh.by_name["near"].open_transactions == 0
     assert lab.mesh.by_name["far"].open_transactions == 0
+
+
+@pytest.mark.parametrize("texts", [["WRITE x 1"], ["BEGIN", "WRITE x 1"]])
+def test_a_caller_with_a_promised_time_is_told_at_once(texts):
+    """Guards against a wait for streams to further serving nodes."""
+    lab = EntryLab()
+    lab.local = Refusing(keeps_place=True)
+    session = lab.session()
+    started_at = lab.clock.now()
+    for text in texts:
+        reply = lab.do(session, fakes.statement(text))
+    assert reply.reason is decisions.NO_PRIMARY
+    assert lab.clock.now() - started_at < 0.03
+    assert (len(lab.near.sent) > 0, len(lab.far.sent) > 0) == (True, True)
