Correct expected waits by those lately seen

Change: each kind compares waits with what was expected, and the ratio corrects later estimates. Kinds are bounded in number.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -158,6 +158,7 @@
     from ferry_decisions._revisions import Revision as Revision
     from ferry_decisions._routing import READ_POLICIES as READ_POLICIES
     from ferry_decisions._routing import ReadRequest as ReadRequest
+    from ferry_decisions._service_times import Pace as Pace
     from ferry_decisions._service_times import ServiceTimes as ServiceTimes
     from ferry_decisions._service_times import TimeHistogram as TimeHistogram
     from ferry_decisions._session_floors import SessionFloors as SessionFloors
@@ -300,7 +301,7 @@
     "_retries": ["RetryBudget", "backoff"],
     "_revisions": ["Revision", "UNREAD_REVISION"],
     "_routing": ["READ_POLICIES", "ReadRequest"],
-    "_service_times": ["ServiceTimes", "TimeHistogram"],
+    "_service_times": ["Pace", "ServiceTimes", "TimeHistogram"],
     "_session_floors": ["SessionFloors"],
     "_sessions": ["SessionState", "parse_staleness"],
     "_statements": ["SETTING_PREFIX", "Statement", "StatementKind", "classify"],
--- a/packages/decisions/src/ferry_decisions/_service_times.py
+++ b/packages/decisions/src/ferry_decisions/_service_times.py
@@ -103,14 +103,14 @@
 
 @attrs.define(slots=True)
 class Pace:
-    """The time of statements now, as a multiple of what is expected."""
+    """Times now, as a multiple of what is expected."""
 
     _elapsed_s: float = 0.0
     _expected_s: float = 0.0
     _noted_at: float = 0.0
 
     def note(self, elapsed_s: float, expected_s: float, now: float) -> None:
-        """Records a statement, its expected time and when it ended."""
+        """Records a time, what was expected and when it ended."""
         if not self._expected_s:
             self._expected_s = self._elapsed_s = expected_s
         pace = self.at(now)
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -37,6 +37,7 @@
         values: The session's values; a link that has them is preferred.
         fut: Resolved with the link.
         work: What is to run on it.
+        expected_wait_s: The wait that was expected when it was let in.
     """
 
     rank: int
@@ -50,6 +51,7 @@
             takes_self=True,
         )
     )
+    expected_wait_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
@@ -26,6 +26,9 @@
 # Statements in progress for each slot, as `_queueing` shares them out.
 STATEMENTS_PER_SLOT = 2
 
+# Shorter waits say nothing about the estimate.
+MIN_WAIT_S = 0.01
+
 time_to_room_s = _waits.time_to_room_s
 Waiter = _link_queue.Waiter
 
@@ -131,6 +134,9 @@
         estimate = self.estimate(waiter, load)
         problem = self._problem(waiter, estimate, estimate.margin_s)
         if problem is None:
+            # The ratio is that to the uncorrected wait.
+            ratio = self._kinds.wait_ratio(waiter.rank)
+            waiter.expected_wait_s = estimate.wait_s / ratio
             return None
         self.refusals[problem, waiter.rank] += 1
         return _overloaded(waiter, estimate, load)
@@ -175,9 +181,23 @@
             may_wait=lambda: self._is_queueing(load()),
             give_up=give_up,
         )
-        waiter.fut.add_done_callback(lambda _: hold.end())
+        queued_at = self._clock.now()
+
+        def end(_: object) -> None:
+            hold.end()
+            self._note_wait(waiter, queued_at)
+
+        waiter.fut.add_done_callback(end)
         hold.start()
 
+    def _note_wait(self, waiter: Waiter, queued_at: float) -> None:
+        """Compares the wait of a request with what was expected."""
+        if waiter.expected_wait_s < MIN_WAIT_S:
+            return
+        self._kinds.note_wait(
+            waiter.rank, self._clock.now() - queued_at, waiter.expected_wait_s
+        )
+
     def _is_queueing(self, load: _link_queue.MemberLoad) -> bool:
         """Whether requests wait for statements that the member works on.
 
@@ -306,6 +326,7 @@
         # All of its kind that can still be in time go before a late one.
         rank = waiter.rank + self._is_late(waiter.work, own_s)
         wait_s = self._start_delay_s(rank, ahead, load)
+        wait_s *= self._kinds.wait_ratio(waiter.rank)
         keys = [w.work.key for w in ahead]
         if wait_s:
             keys += [w.key for w in self.running.works]
--- a/packages/proxy/src/ferry_proxy/queueing/_kinds.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_kinds.py
@@ -27,6 +27,10 @@
 MIN_AGE_S = 0.1
 # Use that faded to less than this part, without any since, is over.
 IDLE_FACTOR = 0.05
+# The number of kinds that are remembered.
+MAX_KINDS = 32
+# A kind gets at least what it is owed, so it waits no longer than this.
+MAX_WAIT_RATIO = 1.0 / KIND_SHARE
 # The number of teams of a kind that are remembered; those that used least go.
 MAX_TEAMS = 256
 
@@ -42,6 +46,7 @@
         teams: The use of its teams.
         shares: The clock of its teams.
         recent_s: The slot seconds that it used lately.
+        waits: Its waits as a multiple of what was expected.
     """
 
     part: decisions.Account = attrs.field(
@@ -50,6 +55,7 @@
     teams: dict[str, decisions.Account] = attrs.field(factory=dict)
     shares: decisions.FairShares = attrs.field(factory=decisions.FairShares)
     recent_s: float = 0.0
+    waits: decisions.Pace = attrs.field(factory=decisions.Pace)
 
 
 class Kinds:
@@ -72,7 +78,7 @@
 
     def charge(self, rank: int, team: str, slot_s: float) -> None:
         """Charges the expected slot time of a statement that is sent."""
-        kind = self._kinds.setdefault(rank, _Kind())
+        kind = self._kind(rank)
         self._limit_credit(kind)
         self._fade()
         kind.recent_s += slot_s
@@ -97,6 +103,19 @@
         span_s = RECENT_S * (1.0 - math.exp(-age_s / RECENT_S))
         return recent_s * fade / span_s
 
+    def note_wait(self, rank: int, waited_s: float, expected_s: float) -> None:
+        """Records a wait and what was expected, in seconds."""
+        self._kind(rank).waits.note(waited_s, expected_s, self._now())
+
+    def wait_ratio(self, rank: int) -> float:
+        """Returns by how much waits of a kind lately exceed what is expected.
+
+        Teams that have used less go first when their requests arrive.
+        """
+        kind = self._kinds.get(rank)
+        ratio = kind.waits.at(self._now()) if kind else 1.0
+        return min(MAX_WAIT_RATIO, max(1.0, ratio))
+
     def correct(self, rank: int, team: str, extra_s: float) -> None:
         """Adds what a statement used beyond the charge; may be negative."""
         kind = self._kinds.get(rank)
@@ -198,6 +217,16 @@
         self._limit_credit(kind)
         return kind.part.virtual_time
 
+    def _kind(self, rank: int) -> _Kind:
+        """Returns a kind; beyond the bound, the least used one goes."""
+        kind = self._kinds.get(rank)
+        if kind is None:
+            if len(self._kinds) >= MAX_KINDS:
+                used = {r: k.recent_s for r, k in self._kinds.items()}
+                del self._kinds[min(used, key=lambda r: used[r])]
+            kind = self._kinds[rank] = _Kind()
+        return kind
+
     def _fade(self) -> None:
         """Lets the recent use of all kinds decay."""
         now = self._now()
--- a/packages/proxy/src/ferry_proxy/queueing/tests/test_kinds.py
+++ b/packages/proxy/src/ferry_proxy/queueing/tests/test_kinds.py
@@ -106,6 +106,25 @@
     assert found.index(late) > 0
 
 
+def test_waits_that_exceed_what_was_expected_correct_later_ones():
+    kinds = kinds_at_0()
+    for _ in range(30):
+        kinds.note_wait(1, 0.6, 0.2)
+    assert kinds.wait_ratio(1) == pytest.approx(3.0, rel=0.1)
+    assert kinds.wait_ratio(0) == 1.0
+    for _ in range(60):
+        kinds.note_wait(1, 0.1, 0.2)
+    assert kinds.wait_ratio(1) == 1.0
+
+
+def test_kinds_are_bounded():
+    kinds = kinds_at_0()
+    for number in range(500):
+        kinds.charge(number, "", 0.01)
+        kinds.note_wait(number, 0.1, 0.1)
+    assert len(kinds) <= _kinds.MAX_KINDS
+
+
 def test_accounts_are_bounded():
     kinds = kinds_at_0()
     for number in range(5000):
