--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -124,8 +124,8 @@
             end = self._request.retry_until
         if self._forwarder.clock.now() >= end:
             return False
-        if not self._has_opened_streams and not reply.keeps_place:
-            return True  # More streams may open; a promised time is told now.
+        if not self._has_opened_streams:
+            return True
         return self._choose() is not None
 
     def _choose(self) -> _forwarder.Stream | None:
