--- a/packages/proxy/src/ferry_proxy/placement/_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/_load_reports.py
@@ -37,6 +37,9 @@
 # The time that one more statement adds at a node that told no report.
 USUAL_STEP_S = 0.005
 
+# A peer with invalid reports sends one with each reply.
+INVALID_PER_LINE = 1_000
+
 # The largest number of reports that are kept, for 24 groups of a large fleet.
 MAX_REPORTS = 512
 
@@ -121,12 +124,14 @@
 
     Attributes:
         refusals: How many requests were refused because of reports.
+        invalid: How many invalid reports were ignored.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
         self._reports: dict[tuple[object, str], _Report] = {}
         self.refusals = 0
+        self.invalid = 0
 
     def __len__(self) -> int:
         """Returns the number of reports that are kept."""
@@ -141,8 +146,11 @@
             units: The load as received; None if there was none. An invalid
                 one is ignored.
         """
+        if units is None:
+            return
         load = decode(units)
         if load is None:
+            self._note_invalid(service, units)
             return
         if len(self._reports) >= MAX_REPORTS:
             self._trim()
@@ -192,6 +200,12 @@
             return 0.0
         return report.sent_since * report.load.step_s
 
+    def _note_invalid(self, service: str, units: object) -> None:
+        """Logs one of `INVALID_PER_LINE` invalid reports."""
+        if self.invalid % INVALID_PER_LINE == 0:
+            decisions.log_warning("invalid load of %s: %.80r", service, units)
+        self.invalid += 1
+
     def _fresh(self, stream: object, service: str) -> _Report | None:
         report = self._reports.get((stream, service))
         if report is None:
--- a/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demand_exchange.py
@@ -58,13 +58,14 @@
     """Tells this node's demands, and sets its shares of members' slots.
 
     Attributes:
+        table: The demands that peers told.
         messages_sent: How many messages were sent.
         shared_groups: The groups whose shares follow demand now.
     """
 
     def __init__(self, ctx: ExchangeContext) -> None:
         self._ctx = ctx
-        self._table = _demands.DemandTable(ctx.clock)
+        self.table = _demands.DemandTable(ctx.clock)
         self._meter = _demands.DemandMeter()
         self._told_at = float("-inf")
         self._is_scheduled = False
@@ -76,7 +77,7 @@
         if not self._ctx.is_on():
             self.shared_groups.clear()
             return
-        self._table.trim()
+        self.table.trim()
         queued = self._queued_groups()
         self._meter.keep(queued)
         if queued:
@@ -106,7 +107,7 @@
                 service
             ):
                 rows = message.demands[service]
-                self._table.note(service, peer, rows, group.pools)
+                self.table.note(service, peer, rows, group.pools)
         self.update()
 
     def apply(self) -> None:
@@ -124,7 +125,7 @@
     def _apply_to(self, service: str, group: _groups.Group) -> bool:
         """Sets the shares in a group; returns whether there is recent news."""
         peers = self._ctx.sharing(service)
-        told = self._table.fresh(service, peers)
+        told = self.table.fresh(service, peers)
         if told:
             self._set_shares(group, told, len(peers) - len(told))
         return bool(told)
@@ -146,7 +147,7 @@
     def _is_queued(self, service: str, group: _groups.Group) -> bool:
         if _waits(group):
             return True
-        told = self._table.fresh(service, self._ctx.sharing(service))
+        told = self.table.fresh(service, self._ctx.sharing(service))
         return any(_demands.is_queued(d) for d in told.values())
 
     def _tell(self, queued: Mapping[str, _groups.Group]) -> None:
--- a/packages/proxy/src/ferry_proxy/queueing/_demands.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_demands.py
@@ -14,6 +14,9 @@
 # No node has more statements for one member; a larger figure is invalid.
 MAX_DEMAND = 100_000
 
+# A peer with invalid figures sends several messages a second.
+INVALID_PER_LINE = 1_000
+
 # The weight of a new sample in the mean of statements in progress. With several
 # samples a second, the mean covers about half a second.
 SAMPLE_WEIGHT = 0.2
@@ -37,11 +40,16 @@
 
 
 class DemandTable:
-    """The latest demands of peers by group."""
+    """The latest demands of peers by group.
+
+    Attributes:
+        invalid: How many invalid messages were ignored.
+    """
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
         self._told: dict[str, dict[str, _Told]] = {}
+        self.invalid = 0
 
     def note(
         self,
@@ -58,14 +66,10 @@
             rows: The demands by member, as received.
             members: The ids of the group's members.
         """
-        by_member: dict[str, decisions.Demand] = {}
-        if not isinstance(rows, Mapping):
+        by_member = _decode(rows, members)
+        if by_member is None:
+            self._note_invalid(service, peer, rows)
             return
-        for member in rows.keys() & set(members):
-            demand = _demand(rows[member])
-            if demand is None:
-                return
-            by_member[member] = demand
         told = self._told.setdefault(service, {})
         told[peer] = _Told(self._clock.now(), by_member)
 
@@ -79,6 +83,14 @@
             if peer in told and told[peer].at >= cutoff
         }
 
+    def _note_invalid(self, service: str, peer: str, rows: object) -> None:
+        """Logs one of `INVALID_PER_LINE` invalid messages."""
+        if self.invalid % INVALID_PER_LINE == 0:
+            decisions.log_warning(
+                "invalid demands of %s from %s: %.80r", service, peer, rows
+            )
+        self.invalid += 1
+
     def trim(self) -> None:
         """Drops everything that no longer counts."""
         cutoff = self._clock.now() - DEMAND_TTL_S
@@ -128,6 +140,21 @@
     return any(d.waiting for d in demands.values())
 
 
+def _decode(
+    rows: object, members: Collection[str]
+) -> dict[str, decisions.Demand] | None:
+    """Returns the demands that a peer sent; None if one is invalid."""
+    if not isinstance(rows, Mapping):
+        return None
+    found: dict[str, decisions.Demand] = {}
+    for member in rows.keys() & set(members):
+        demand = _demand(rows[member])
+        if demand is None:
+            return None
+        found[member] = demand
+    return found
+
+
 def _demand(value: object) -> decisions.Demand | None:
     """Returns the demand that a peer sent; None if it is invalid."""
     match value:
--- a/packages/proxy/src/ferry_proxy/tests/test_load_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_load_forwarding.py
@@ -353,6 +353,7 @@
     lab.run(1.5)
     assert lab.count("ran") == 100
     assert len(lab.forwarder.loads) == 0
+    assert lab.forwarder.loads.invalid == 100
 
 
 def test_a_node_that_refuses_although_it_tells_no_wait_is_left():
