Count the statements that a crash loses as one failure of the member

Cause: a member that goes down loses all statements in flight; five of them ejected it, for up to 3.2 s, though it came back within 1.4 s and its refused connections already kept statements away.

Change: a lost statement that was sent before the last loss was noted tells nothing new and is not counted.

Result: the new test fails on the code before (ejected at the first crash).

--- a/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
@@ -100,6 +100,7 @@
     _lost_in_a_row: int = 0
     _noted_at: float = float("-inf")
     _paused_at: float = float("-inf")
+    _lost_at: float = float("-inf")
     _retry_at: float = float("-inf")
     _returned_at: float = float("-inf")
     _probe_until: float = float("-inf")
@@ -123,6 +124,11 @@
         is_failure = verdict is not Verdict.SERVED
         if is_failure and sent_at <= self._paused_at:
             return None
+        if verdict is Verdict.LOST:
+            # A crash loses all statements in flight, and is one failure.
+            if sent_at < self._lost_at:
+                return None
+            self._lost_at = now
         self._count(verdict, now)
         if self.is_ejected:
             return self._note_while_ejected(is_failure, sent_at, now)
--- a/packages/proxy/src/ferry_proxy/placement/tests/test_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/placement/tests/test_member_outcomes.py
@@ -63,6 +63,17 @@
     assert noted(verdicts).is_ejected is expected
 
 
+def test_statements_lost_in_one_crash_are_one_failure():
+    """A member that comes and goes can be used while it is there."""
+    outcomes = noted([Verdict.SERVED] * 5)
+    for crash_at in (0.2, 1.6, 3.0):
+        for number in range(10):
+            sent_at = crash_at - 0.001 * number - 0.01
+            outcomes.note(Verdict.LOST, sent_at, crash_at)
+    assert not outcomes.is_ejected
+    assert not outcomes.loses_all
+
+
 def test_an_unused_member_is_forgiven():
     outcomes = noted([Verdict.FAILED] * 4)
     assert outcomes.failure_share(0.04) > 0.5
