Try an ejected member again after 0.8 s at the latest

Cause: each failed probe doubled the time of an ejection, up to 3.2 s.

Change: 0.8 s. A probe that fails costs one read a new attempt.

--- a/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
+++ b/packages/proxy/src/ferry_proxy/placement/_member_outcomes.py
@@ -32,9 +32,10 @@
 MAX_CONSECUTIVE = 5
 
 # How long a member is ejected at first and at most; each failed probe and each
-# new ejection doubles it.
+# new ejection doubles it. A member that goes down for a second is used again
+# soon after it is back, and a probe that fails costs one read a new attempt.
 FIRST_EJECTION_S = 0.2
-MAX_EJECTION_S = 3.2
+MAX_EJECTION_S = 0.8
 
 # A member that has served for this long after its return starts anew.
 FORGIVEN_AFTER_S = 10.0
