Test the aim for urgent requests beside floods, which is missed

Cause: the bound that stood in the test (30 ms above the time alone) was not the stated aim, 1.2 times of alone.

--- a/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
@@ -214,6 +214,14 @@
     assert load.p99_s(route="order") < alone.p99_s(route="order") + 0.03
 
 
+def test_floods_of_others_hardly_delay_urgent_requests():
+    alone = MemberLoad()
+    alone.offer("order", 40, 6.0)
+    alone.run(9.0)
+    load = flood_of_kinds()
+    assert load.p99_s(route="order") <= 1.2 * alone.p99_s(route="order")
+
+
 def test_a_teams_flood_does_not_push_out_other_teams_of_its_priority():
     shares = {}
     for is_on in (False, True):
