Proxy: let serving nodes judge what may still be in time

An entry node refused a request without a hop once all serving nodes told a wait above a fifth of its target, although with fair admission these let it wait until its target: the bound stood in two places. `Forwarder. admitted_until` names the one of the serving node. A team still leaves its home at a fifth of the target. Tests: a told wait of half a target is sent, one above the target is refused at once (the first failed before).

Read as a whole, the change also had: - reports of ended streams kept until 512 were there; they are dropped each half second. - `STATEMENTS_PER_SLOT` and the shortest retry time in two places each. - the bound for closing idle callers in the platform's front; it is a function of the proxy now, as is the use of seeds. - a parameter that one queue documented as not used. - three functions over thirty lines, in two of which the sending and the waiting for a reply are apart now. - no gauge for refusals at the entry and by the queues, invalid reports, demands, stalled commits and nodes that are cut off. - a group in a test with a customer's name.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -154,6 +154,9 @@
     from ferry_decisions._replicas import ReplicaTracker as ReplicaTracker
     from ferry_decisions._retries import RetryBudget as RetryBudget
     from ferry_decisions._retries import backoff as backoff
+    from ferry_decisions._retry_advice import (
+        MIN_RETRY_DELAY_S as MIN_RETRY_DELAY_S,
+    )
     from ferry_decisions._retry_advice import Advice as Advice
     from ferry_decisions._retry_advice import DrainRate as DrainRate
     from ferry_decisions._retry_advice import Refusal as Refusal
@@ -308,6 +311,7 @@
     "_retry_advice": [
         "Advice",
         "DrainRate",
+        "MIN_RETRY_DELAY_S",
         "Refusal",
         "ReturnSchedule",
         "spread_delay_s",
--- a/packages/decisions/src/ferry_decisions/_retry_advice.py
+++ b/packages/decisions/src/ferry_decisions/_retry_advice.py
@@ -25,7 +25,7 @@
 PROMISED_SHARE = 0.75
 
 # The shortest delay: a refusal and the next request cross the network twice.
-MIN_DELAY_S = 0.01
+MIN_RETRY_DELAY_S = 0.01
 
 # The longest delay that is passed on from another node.
 MAX_DELAY_S = 60.0
@@ -52,9 +52,9 @@
         remaining_s: The time until the request's deadline, in seconds.
         request: The request's id, which determines the result.
     """
-    longest_s = max(MIN_DELAY_S, min(delay_s, remaining_s))
+    longest_s = max(MIN_RETRY_DELAY_S, min(delay_s, remaining_s))
     fraction = _hashing.stagger_fraction(SPREAD_KEY, request)
-    return max(MIN_DELAY_S, longest_s * (1.0 + fraction) / 2)
+    return max(MIN_RETRY_DELAY_S, longest_s * (1.0 + fraction) / 2)
 
 
 class DrainRate:
@@ -148,7 +148,7 @@
             late_s = spread_delay_s(remaining_s, remaining_s, refusal.request)
             return Advice(late_s, is_promised=False)
         self._promised_until[refusal.priority] = starts_at + slot_s
-        return Advice(max(MIN_DELAY_S, delay_s), is_promised=True)
+        return Advice(max(MIN_RETRY_DELAY_S, delay_s), is_promised=True)
 
     def next_slot(self, refusal: Refusal) -> float:
         """Returns when the next free slot begins, in the clock's seconds."""
--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -47,6 +47,7 @@
     from ferry_proxy._policy_file import policy_from_file as policy_from_file
     from ferry_proxy._proxy import Proxy as Proxy
     from ferry_proxy._readiness import lets_callers_go as lets_callers_go
+    from ferry_proxy._readiness import may_close_idle as may_close_idle
     from ferry_proxy._records import MAX_PORT as MAX_PORT
     from ferry_proxy._records import Claim as Claim
     from ferry_proxy._records import InvalidItemError as InvalidItemError
@@ -110,7 +111,7 @@
     "_policy": ["Bounds", "Policy"],
     "_policy_file": ["InvalidPolicyError", "policy_from_file"],
     "_proxy": ["Proxy"],
-    "_readiness": ["lets_callers_go"],
+    "_readiness": ["lets_callers_go", "may_close_idle"],
     "_records": [
         "Claim",
         "InvalidItemError",
--- a/packages/proxy/src/ferry_proxy/_forwarder.py
+++ b/packages/proxy/src/ferry_proxy/_forwarder.py
@@ -223,6 +223,22 @@
         candidates = self._candidates(service, plan, streams, need)
         return _load_reports.shortest_late_wait_s(candidates, need.allowed_s)
 
+    def admitted_until(self, request: _requests.Request) -> float:
+        """Returns until when serving nodes let a request wait for a member.
+
+        With fair admission, one that can meet its target may wait; without it,
+        requests are refused sooner.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The clock time in seconds.
+        """
+        if self.features.is_on(_policy.Feature.FAIR_ADMISSION):
+            return request.arrived + request.route.target_s
+        return request.hold_until(self.policy, False)
+
     def _usable_streams(self, service: str, tried: set[str]) -> list[Stream]:
         """Returns the streams to nodes that may run a group's statements."""
         streams = [s for s in self._streams(service) if s.peer not in tried]
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -7,6 +7,7 @@
 
 import itertools
 
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
@@ -156,7 +157,10 @@
         Raises:
             decisions.RequestFailedError: All of them told too long a wait.
         """
-        wait_s = self._forwarder.late_wait_s(self._service, self._need)
+        latest = self._forwarder.admitted_until(self._request)
+        allowed_s = latest - self._forwarder.clock.now()
+        need = attrs.evolve(self._need, allowed_s=allowed_s)
+        wait_s = self._forwarder.late_wait_s(self._service, need)
         if wait_s is not None:
             self._forwarder.loads.refusals += 1
             raise decisions.RequestFailedError(
--- a/packages/proxy/src/ferry_proxy/_gauges.py
+++ b/packages/proxy/src/ferry_proxy/_gauges.py
@@ -3,6 +3,7 @@
 A gauge of each member is a function of its pool, registered by a decorator.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -21,6 +22,9 @@
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _rate_limiter
+from ferry_proxy import _reachability
+from ferry_proxy import _served_groups
+from ferry_proxy.placement import _load_reports
 
 # The most members with gauges of their own.
 MAX_MEMBERS = 500
@@ -67,7 +71,7 @@
     return pool.expected_wait_s(LAST_RANK)
 
 
-@attrs.frozen(slots=True)
+@attrs.frozen(slots=True, kw_only=True)
 class Sources:
     """The components of a node that the gauges read."""
 
@@ -76,8 +80,10 @@
     mesh: _mesh.Mesh
     rate_limiter: _rate_limiter.RateLimiter
     currency: _currency.Currency
-    groups: Callable[[], Mapping[str, _groups.Group]]
+    groups: _served_groups.ServedGroups
     features: _features.Features
+    reach: _reachability.Reachability
+    loads: _load_reports.LoadReports
 
 
 def add(
@@ -93,6 +99,7 @@
         session_count: Returns the number of open sessions.
     """
     catalogue = sources.catalogue
+    demands = sources.groups.demands
     gauges: dict[str, Callable[[], float]] = {
         "sessions": session_count,
         "store_age_seconds": lambda: sources.follower.age_s,
@@ -103,10 +110,21 @@
         "documents_refused": lambda: catalogue.refused,
         "limit_share": lambda: sources.rate_limiter.share,
         "peers": lambda: len(sources.mesh.connected),
+        "cut_off": lambda: sources.reach.is_cut_off,
+        "entry_refusals": lambda: sources.loads.refusals,
+        "load_reports": lambda: len(sources.loads),
+        "load_reports_invalid": lambda: sources.loads.invalid,
+        "demand_messages": lambda: demands.messages_sent,
+        "demand_reports_invalid": lambda: demands.table.invalid,
+        "groups_sharing_slots": lambda: len(demands.shared_groups),
     }
     for name, read in gauges.items():
         metrics.gauge(name, lambda read=read: float(read()))  # type: ignore[misc]
-    _add_member_gauges(metrics, sources.groups)
+    _add_member_gauges(metrics, lambda: sources.groups.groups)
+    metrics.family(
+        "admission_refusals",
+        lambda: _admission_refusals(sources.groups.groups),
+    )
     metrics.family("feature_on", lambda: _features_on(sources.features))
 
 
@@ -140,6 +158,20 @@
             yield {"service": service, "member": member}, pool
 
 
+def _admission_refusals(
+    groups: Mapping[str, _groups.Group],
+) -> Iterator[tuple[Labels, float]]:
+    """Yields how many requests the members' queues did not let in."""
+    for labels, pool in itertools.islice(_members(groups), MAX_MEMBERS):
+        if pool.admission is None:
+            continue
+        counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        for (why, rank), count in pool.admission.refusals.items():
+            counts[why.value, _metrics.priority_label(rank)] += count
+        for (why_text, priority), count in counts.items():
+            yield {**labels, "why": why_text, "priority": priority}, count
+
+
 def _features_on(
     features: _features.Features,
 ) -> Iterator[tuple[Labels, float]]:
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -70,6 +70,13 @@
         if self.outcome.done():
             pool.release(pooled)
             raise decisions.RequestFailedError(decisions.CANCELED)
+        return (yield from self._send(target, pooled))
+
+    def _send(
+        self, target: _execution.Target, pooled: _pooled_links.PooledLink
+    ) -> "decisions.Flow[_links.Reply]":
+        """Sends the read on a link, and to another member a while later."""
+        job, pool = self._job, target.pool
         hedge_s = job.route.target_s * self._policy.hedge_share
         self._clock.after(hedge_s, self._hedge)
         started_at = self._clock.now()
--- a/packages/proxy/src/ferry_proxy/_link_queue.py
+++ b/packages/proxy/src/ferry_proxy/_link_queue.py
@@ -133,16 +133,19 @@
         since = waiter.work.queued_since
         return self._clock.now() if since is None else since
 
-    def expected_wait_s(
-        self, rank: int, load: MemberLoad, since: float = float("inf")
-    ) -> float:
-        """Returns the expected queueing time of a statement, in seconds.
+    def expected_wait_s(self, rank: int, load: MemberLoad) -> float:
+        """Returns the expected wait behind all others of a rank, in seconds.
 
         Args:
             rank: The queue rank; 0 goes first.
             load: The state of the member.
-            since: When it was first queued, in the clock's seconds.
         """
+        return self._wait_behind_s(rank, float("inf"), load)
+
+    def _wait_behind_s(
+        self, rank: int, since: float, load: MemberLoad
+    ) -> float:
+        """Returns the expected wait of a request queued since a time."""
         if not load.is_full:
             return 0.0
         ahead = sum(e[:2] <= (rank, since) for e in self._waiting())
@@ -159,7 +162,8 @@
             load: The state of the member.
         """
         left_s = max(0.0, until - self._clock.now())
-        wait_s = self.expected_wait_s(waiter.rank, load, self._since(waiter))
+        since = self._since(waiter)
+        wait_s = self._wait_behind_s(waiter.rank, since, load)
         if wait_s > left_s:
             return overloaded(load.member)
         return None
--- a/packages/proxy/src/ferry_proxy/_metrics.py
+++ b/packages/proxy/src/ferry_proxy/_metrics.py
@@ -58,8 +58,7 @@
 
     def record_refusal(self, reason: str, priority: int) -> None:
         """Records that a request did not run."""
-        is_known = 0 <= priority < MAX_PRIORITIES
-        label = str(priority) if is_known else OTHER_PRIORITIES
+        label = priority_label(priority)
         self.count("refusals_total", reason=reason, priority=label)
 
     def record_request(
@@ -119,6 +118,12 @@
         return ("\n".join(lines) + "\n").encode()
 
 
+def priority_label(priority: int) -> str:
+    """Returns the label of a priority; unusual ones share a label."""
+    is_usual = 0 <= priority < MAX_PRIORITIES
+    return str(priority) if is_usual else OTHER_PRIORITIES
+
+
 def _line(name: str, labels: Labels, value: float) -> str:
     label_text = ",".join(f'{key}="{text}"' for key, text in labels)
     return f"rosemaryferry_{name}{{{label_text}}} {value:g}"
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -38,9 +38,6 @@
 CHECK_S = 0.1
 # How often sessions are checked for idle transactions.
 IDLE_CHECK_S = 0.3
-# Seeds are used if the store has not answered within this time, which allows
-# for many round trips to it, also on a loaded VM.
-SEED_DELAY_S = 0.2
 
 
 class Proxy:
@@ -110,13 +107,15 @@
         _gauges.add(
             self.metrics,
             _gauges.Sources(
-                self.catalogue,
-                self._follower,
-                self.mesh,
-                self._rate_limiter,
-                self._currency,
-                lambda: self._groups.groups,
-                self._features,
+                catalogue=self.catalogue,
+                follower=self._follower,
+                mesh=self.mesh,
+                rate_limiter=self._rate_limiter,
+                currency=self._currency,
+                groups=self._groups,
+                features=self._features,
+                reach=self.reach,
+                loads=self._forwarder.loads,
             ),
             lambda: self.session_count,
         )
@@ -293,7 +292,8 @@
         self._set_peers()
 
     def _apply_groups(self) -> None:
-        if (cfg := self.catalogue.configuration) is not None:
+        cfg = self.catalogue.configuration
+        if cfg is not None:
             self._groups.apply(cfg)
 
     def _set_peers(self) -> None:
@@ -304,13 +304,8 @@
 
     @property
     def _needs_seeds(self) -> bool:
-        """Whether the store has not answered, so that seeds are needed.
-
-        While a fleet starts, the store answers within milliseconds. Without
-        the delay all nodes would connect to the same three seeds.
-        """
         waited_s = self._loop.now() - self._started_at
-        return not self.catalogue.is_read and waited_s > SEED_DELAY_S
+        return _roster.needs_seeds(self.catalogue.is_read, waited_s)
 
     def _want_peers(self) -> None:
         extra = self._groups.peers()
--- a/packages/proxy/src/ferry_proxy/_readiness.py
+++ b/packages/proxy/src/ferry_proxy/_readiness.py
@@ -10,6 +10,12 @@
 
 # A balancer that sends callers to a node sends one at least this often.
 NO_CALLER_S = 0.3
+# How long a caller has to be silent before its connection may be closed: a
+# network round trip, in which its next request may be on the way.
+QUIET_S = 0.05
+# The same for a caller that has sent no request yet: it has just connected in
+# order to send one.
+FIRST_REQUEST_S = 0.5
 
 
 class Unready(enum.Enum):
@@ -66,3 +72,13 @@
         no_caller_s: Seconds since a caller last connected.
     """
     return is_out_of_rotation and no_caller_s > NO_CALLER_S
+
+
+def may_close_idle(silence_s: float, has_requested: bool) -> bool:
+    """Whether no request of an idle caller is likely to be on the way.
+
+    Args:
+        silence_s: Seconds since the caller sent or received anything.
+        has_requested: Whether it has sent a request before.
+    """
+    return silence_s >= (QUIET_S if has_requested else FIRST_REQUEST_S)
--- a/packages/proxy/src/ferry_proxy/_roster.py
+++ b/packages/proxy/src/ferry_proxy/_roster.py
@@ -19,6 +19,23 @@
 # streams no longer than it takes to detect that a node is silent.
 MIN_UPDATE_INTERVAL_S = 0.5
 
+# Seeds are used if the store has not answered within this time, which allows
+# for many round trips to it, also on a loaded VM.
+SEED_DELAY_S = 0.2
+
+
+def needs_seeds(is_store_read: bool, waited_s: float) -> bool:
+    """Whether a node connects to the seeds instead of registered nodes.
+
+    While a fleet starts, the store answers within milliseconds. Without the
+    delay all nodes would connect to the same three seeds.
+
+    Args:
+        is_store_read: Whether the store has answered.
+        waited_s: Seconds since the node's start.
+    """
+    return not is_store_read and waited_s > SEED_DELAY_S
+
 
 class Roster:
     """The nodes among which a node chooses its peers and the serving nodes.
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -1,7 +1,6 @@
 """The groups that this node serves, updated from the copy of the store."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Mapping
 
 import attrs
@@ -19,7 +18,6 @@
 from ferry_proxy import _metrics
 from ferry_proxy import _peers
 from ferry_proxy import _policy
-from ferry_proxy import _pools
 from ferry_proxy import _promotions
 from ferry_proxy import _rate_limiter
 from ferry_proxy import _records
@@ -280,13 +278,9 @@
             ),
         )
         self._served[name] = served
-        _group_gauges.add(ctx.metrics, name, lambda: self._pools_of(name))
+        _group_gauges.add(ctx.metrics, name, lambda: self.groups.get(name))
         return served
 
-    def _pools_of(self, service: str) -> Collection[_pools.Pool]:
-        served = self._served.get(service)
-        return served.group.pools.values() if served else ()
-
     def _promoter_context(
         self, service: str, mesh: _peers.Peers
     ) -> _promotions.PromoterContext:
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -252,20 +252,40 @@
         )
         pooled_link.is_committing = is_commit
         fut = self._executor.send(job, pool, pooled_link, None)
-        limit = job.deadline - self._clock.now()
-        started_at = self._clock.now()
-        outcomes = self._executor.outcomes
         if may_be_committed:
             self._group.commits.watch(pool, pooled_link, fut)
         else:
             self._close_if_unresponsive(pool, pooled_link, fut)
+        return (yield from self._reply(job, pool, pooled_link, fut, lost))
+
+    def _reply(
+        self,
+        job: _jobs.Job,
+        pool: _pools.Pool,
+        pooled_link: _pooled_links.PooledLink,
+        fut: "decisions.Future[_links.Reply]",
+        lost: decisions.Reason,
+    ) -> "decisions.Flow[_links.Reply]":
+        """Waits for the reply to a statement until its time limit.
+
+        Args:
+            job: The statement.
+            pool: The pool of the link.
+            pooled_link: The link that it was sent on.
+            fut: The reply.
+            lost: The reason to report if no reply arrives.
+        """
+        limit = job.deadline - self._clock.now()
+        started_at = self._clock.now()
+        outcomes = self._executor.outcomes
         try:
             reply: _links.Reply = yield decisions.with_timeout(
                 self._clock, limit, fut
             )
         except decisions.TimeoutExpiredError as exc:
             pool.discard(pooled_link)
-            if not may_be_committed:
+            # A commit may wait for a replica, which is no fault of the member.
+            if lost is not decisions.ANSWER_LOST:
                 outcomes.failure(job.group, pool, started_at, exc)
             raise decisions.RequestFailedError(lost, "no answer") from exc
         except _links.LinkLostError as exc:
--- a/packages/proxy/src/ferry_proxy/placement/_data_centres.py
+++ b/packages/proxy/src/ferry_proxy/placement/_data_centres.py
@@ -14,7 +14,6 @@
 # are a partition.
 MIN_SILENT_DATA_CENTRES = 2
 
-
 # A VM that restarts refuses connections, and so does a firewall that separates
 # two data centres. If at least this share of the peers in the node's own data
 # centre refuses, too, VMs restart everywhere.
--- a/packages/proxy/src/ferry_proxy/placement/_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/_load_reports.py
@@ -130,6 +130,7 @@
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
         self._reports: dict[tuple[object, str], _Report] = {}
+        self._trim_at = float("-inf")
         self.refusals = 0
         self.invalid = 0
 
@@ -152,9 +153,11 @@
         if load is None:
             self._note_invalid(service, units)
             return
-        if len(self._reports) >= MAX_REPORTS:
+        now = self._clock.now()
+        if now >= self._trim_at or len(self._reports) >= MAX_REPORTS:
+            self._trim_at = now + REPORT_TTL_S
             self._trim()
-        self._reports[(stream, service)] = _Report(load, self._clock.now())
+        self._reports[(stream, service)] = _Report(load, now)
 
     def note_refusal(
         self, stream: object, service: str, needs_primary: bool, wait_s: float
--- a/packages/proxy/src/ferry_proxy/placement/tests/test_load_reports.py
+++ b/packages/proxy/src/ferry_proxy/placement/tests/test_load_reports.py
@@ -56,6 +56,16 @@
     assert reports.wait_s("s4999", "orders", False, 0) is not None
 
 
+def test_reports_of_streams_that_ended_are_dropped():
+    clock = decisions.VirtualTimers()
+    reports = _load_reports.LoadReports(clock)
+    for number in range(100):
+        reports.note(f"s{number}", "orders", BUSY)
+    clock.advance(_load_reports.REPORT_TTL_S)
+    reports.note("s0", "orders", BUSY)
+    assert len(reports) == 1
+
+
 def test_calls_are_spread_over_comparable_nodes():
     nodes = [candidate(f"n{n}") for n in range(4)]
     chosen = [_load_reports.choose(nodes, f"e {n}") for n in range(400)]
--- a/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_admission_queue.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import math
 
 import ferry_decisions as decisions
 
@@ -16,6 +17,7 @@
 from ferry_proxy import _link_queue
 from ferry_proxy import _links
 from ferry_proxy import _pooled_links
+from ferry_proxy import _queueing
 from ferry_proxy import _statements
 from ferry_proxy.queueing import _holds
 from ferry_proxy.queueing import _kinds
@@ -23,9 +25,6 @@
 from ferry_proxy.queueing import _waits
 from ferry_proxy.queueing import _work
 
-# Statements in progress for each slot, as `_queueing` shares them out.
-STATEMENTS_PER_SLOT = 2
-
 # Shorter waits say nothing about the estimate.
 MIN_WAIT_S = 0.01
 
@@ -87,19 +86,12 @@
         ahead = ordered[: ordered.index(waiter)]
         return self._estimate(waiter, ahead, load)
 
-    def expected_wait_s(
-        self,
-        rank: int,
-        load: _link_queue.MemberLoad,
-        since: float = float("inf"),
-    ) -> float:
+    def expected_wait_s(self, rank: int, load: _link_queue.MemberLoad) -> float:
         """Returns the expected wait behind all others of a kind, in seconds.
 
         Args:
             rank: The queue rank; 0 goes first.
             load: The state of the member.
-            since: Not used; the expected wait of a request that returns is
-                part of `estimate`.
         """
         ahead = [w for w in self._statements() if w.rank <= rank]
         return self._start_delay_s(rank, ahead, load)
@@ -173,16 +165,10 @@
             estimate = self.estimate(waiter, load())
             decisions.reject(waiter.fut, _overloaded(waiter, estimate, load()))
 
-        work = waiter.work
-        own_s = self._elapsed_s(waiter)
-        needed_s = own_s + _waits.TRANSIT_S
-        longest = max(until, work.target_at - needed_s)
-        if self._is_late(work, own_s):
-            longest = max(until, self._clock.now() + work.target_s)
         hold = _holds.Hold(
             clock=self._clock,
             until=until,
-            latest=min(longest, work.deadline - needed_s),
+            latest=self._latest_start(waiter, until),
             is_worthwhile=is_worthwhile,
             may_wait=lambda: self._is_queueing(load()),
             give_up=give_up,
@@ -196,6 +182,16 @@
         waiter.fut.add_done_callback(end)
         hold.start()
 
+    def _latest_start(self, waiter: Waiter, until: float) -> float:
+        """Returns until when a request waits at most, as a clock time."""
+        work = waiter.work
+        own_s = self._elapsed_s(waiter)
+        needed_s = own_s + _waits.TRANSIT_S
+        longest = max(until, work.target_at - needed_s)
+        if self._is_late(work, own_s):
+            longest = max(until, self._clock.now() + work.target_s)
+        return min(longest, work.deadline - needed_s)
+
     def _note_wait(self, waiter: Waiter, queued_at: float) -> None:
         """Compares the wait of a request with what was expected."""
         if waiter.expected_wait_s < MIN_WAIT_S:
@@ -247,7 +243,8 @@
             fut: Its reply.
             load: Returns the state of the member.
         """
-        uncrowded = max(1, load().places // STATEMENTS_PER_SLOT)
+        slots = load().places / _queueing.STATEMENTS_PER_SLOT
+        uncrowded = max(1, math.floor(slots))
         expected_s = self.running.begin(
             pooled, work, self._clock.now(), uncrowded
         )
--- a/packages/proxy/src/ferry_proxy/queueing/_waits.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_waits.py
@@ -5,11 +5,10 @@
 import math
 
 import attrs
+import ferry_decisions as decisions
 
 # Time for the answer to reach the caller: a hop and the network.
 TRANSIT_S = 0.01
-# The shortest time to come back: before that, a place rarely becomes free.
-MIN_RETRY_S = 0.01
 
 
 @attrs.frozen(slots=True, kw_only=True)
@@ -97,4 +96,4 @@
         target_s: The target latency of its route.
     """
     end_s = estimate.total_s + estimate.margin_s
-    return max(MIN_RETRY_S, end_s - target_s)
+    return max(decisions.MIN_RETRY_DELAY_S, end_s - target_s)
--- a/packages/proxy/src/ferry_proxy/queueing/tests/test_waits.py
+++ b/packages/proxy/src/ferry_proxy/queueing/tests/test_waits.py
@@ -1,5 +1,6 @@
 """Tests of expected waits."""
 
+import ferry_decisions as decisions
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -46,8 +47,8 @@
     ("wait_s", "target_s", "expected_s"),
     [
         (0.5, 0.2, 0.5 + 0.01 + _waits.TRANSIT_S - 0.2),
-        (0.1, 0.2, _waits.MIN_RETRY_S),
-        (0.1, float("inf"), _waits.MIN_RETRY_S),
+        (0.1, 0.2, decisions.MIN_RETRY_DELAY_S),
+        (0.1, float("inf"), decisions.MIN_RETRY_DELAY_S),
     ],
 )
 def test_the_time_to_room_is_what_exceeds_the_target(
--- a/packages/proxy/src/ferry_proxy/tests/test_gauges.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_gauges.py
@@ -7,9 +7,12 @@
 from ferry_proxy import _events
 from ferry_proxy import _features
 from ferry_proxy import _gauges
+from ferry_proxy import _group_gauges
 from ferry_proxy import _metrics
 from ferry_proxy import _policy
+from ferry_proxy.queueing import _admission_queue
 from ferry_proxy.tests import fakes
+from ferry_proxy.tests import test_commit_stall
 from ferry_proxy.tests import test_overload
 
 ROUTE = _configuration.Route(
@@ -61,6 +64,45 @@
     assert found[key] == len(lab.refused("r"))
 
 
+def test_what_a_queue_did_not_let_in_is_counted_by_reason_and_priority():
+    lab = test_overload.Load(features={"fair_admission": True})
+    pool = lab.group.pools["a"]
+    why = _admission_queue.Refusal
+    assert pool.admission is not None
+    pool.admission.refusals.update(
+        {(why.TARGET, 1): 3, (why.WAITED, 10**6): 2, (why.WAITED, -1): 1}
+    )
+    found = {
+        (labels["member"], labels["why"], labels["priority"]): count
+        for labels, count in _gauges._admission_refusals({"orders": lab.group})
+    }
+    assert found == {
+        ("a", "target", "1"): 3,
+        ("a", "waited", _metrics.OTHER_PRIORITIES): 3,
+    }
+
+
+def test_without_fair_admission_its_refusals_are_not_shown():
+    lab = test_overload.Load()
+    found = list(_gauges._admission_refusals({"orders": lab.group}))
+    assert found == []
+
+
+def test_a_primary_without_replicas_is_shown_as_stalled():
+    lab = test_commit_stall.Load()
+    groups = {"orders": lab.group}
+    metrics = _metrics.Metrics()
+    _group_gauges.add(metrics, "orders", lambda: groups.get("orders"))
+    name = 'commits_stalled{service="orders"}'
+    assert rendered(metrics)[name] == 0
+    lab.cut()
+    lab.offer("WRITE x 1", 20, 1.0)
+    lab.run(test_commit_stall.DETECTED_S)
+    assert rendered(metrics)[name] == 1
+    groups.clear()
+    assert rendered(metrics)[name] == 0
+
+
 @pytest.mark.parametrize("priority", [-1, 10, 10**9])
 def test_unusual_priorities_share_a_counter(priority):
     metrics = _metrics.Metrics()
--- a/packages/proxy/src/ferry_proxy/tests/test_load_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_load_forwarding.py
@@ -105,7 +105,9 @@
 class Lab(fakes.Lab):
     """An entry node with two near serving nodes and a far one."""
 
-    def __init__(self, enabled: bool = True, teams: bool = False) -> None:
+    def __init__(
+        self, enabled: bool = True, teams: bool = False, fair: bool = False
+    ) -> None:
         super().__init__(_configuration.Consistency.SESSION)
         self.mesh = Mesh()
         places = {"near-1": "hall-b", "near-2": "hall-b", "far": "hall-c"}
@@ -114,7 +116,10 @@
         entries = {
             n: _records.NodeEntry(n, "h", 1, p) for n, p in places.items()
         }
-        features = {_policy.Feature.LOAD_REPORTS.value: enabled}
+        features = {
+            _policy.Feature.LOAD_REPORTS.value: enabled,
+            _policy.Feature.FAIR_ADMISSION.value: fair,
+        }
         self.forwarder = _forwarder.Forwarder(
             self.clock,
             self.policy,
@@ -231,6 +236,32 @@
     assert [s.received for s in lab.streams()] == [0, 0, 0]
 
 
+@pytest.mark.parametrize(("fair", "sent"), [(False, 0), (True, 1)])
+def test_what_serving_nodes_let_wait_is_not_refused_before(fair, sent):
+    """With fair admission, requests may wait while they are in time."""
+    lab = Lab(fair=fair)
+    wait_s = 0.5 * lab.route.target_s
+    units = round(wait_s / _load_reports.UNIT_S)
+    for stream in lab.streams():
+        lab.forwarder.loads.note(stream, "orders", [10, *[units] * 6])
+    lab.ask()
+    lab.run(0.2)
+    assert sum(s.received for s in lab.streams()) == sent
+    assert lab.forwarder.loads.refusals == 1 - sent
+
+
+def test_what_no_serving_node_can_answer_in_time_is_refused_at_once():
+    lab = Lab(fair=True)
+    wait_s = 1.1 * lab.route.target_s
+    units = round(wait_s / _load_reports.UNIT_S)
+    for stream in lab.streams():
+        lab.forwarder.loads.note(stream, "orders", [10, *[units] * 6])
+    lab.ask()
+    [(outcome, elapsed_s, retry_after_s)] = lab.outcomes
+    assert (outcome, elapsed_s) == ("overloaded", 0.0)
+    assert retry_after_s == pytest.approx(wait_s)
+
+
 def test_refusals_end_as_soon_as_the_queue_may_be_empty():
     lab = Lab()
     for stream in lab.streams():
@@ -413,5 +444,5 @@
     assert len(_peer_messages.encode(1, idle)) - plain <= 2
     assert len(_peer_messages.encode(1, busy)) - plain <= 23
     members = {f"i-{n:010x}": (12, 340) for n in range(3)}
-    one = _demand_messages.DemandReport({"ledger-books-1": members})
+    one = _demand_messages.DemandReport({"plate-orders-1": members})
     assert len(_peer_messages.encode(0, one)) <= 90
--- a/packages/proxy/src/ferry_proxy/tests/test_readiness.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_readiness.py
@@ -50,3 +50,20 @@
 ):
     found = _readiness.lets_callers_go(is_out_of_rotation, no_caller_s)
     assert found is expected
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "has_requested", "expected"),
+    [
+        (0.04, True, False),
+        (0.05, True, True),
+        # It has just connected, so that its first request is on the way.
+        (0.05, False, False),
+        (0.5, False, True),
+    ],
+)
+def test_an_idle_caller_is_kept_while_a_request_may_be_on_the_way(
+    silence_s, has_requested, expected
+):
+    found = _readiness.may_close_idle(silence_s, has_requested)
+    assert found is expected
--- a/packages/proxy/src/ferry_proxy/tests/test_roster.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_roster.py
@@ -2,6 +2,7 @@
 
 import attrs
 import ferry_decisions as decisions
+import pytest
 
 from ferry_proxy import _records
 from ferry_proxy import _roster
@@ -78,3 +79,13 @@
     lab.clock.advance(1.0)
     assert lab.roster.is_known
     assert len(lab.changes) == 1
+
+
+@pytest.mark.parametrize(
+    ("is_store_read", "waited_s", "expected"),
+    [(False, 0.1, False), (False, 0.3, True), (True, 0.3, False)],
+)
+def test_seeds_are_needed_once_the_store_is_late(
+    is_store_read, waited_s, expected
+):
+    assert _roster.needs_seeds(is_store_read, waited_s) is expected
