--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -120,6 +120,14 @@
         """The newest sample, or None if there is none."""
         return self._samples[-1] if self._samples else None
 
+    def age_s(self, now: float) -> float:
+        """Returns the age of the newest sample; infinity if there is none.
+
+        Args:
+            now: The current time, in seconds of boot time.
+        """
+        return now - self._samples[-1].at if self._samples else float("inf")
+
     def covering(self, moment: float) -> decisions.Position | None:
         """Returns a floor for all commits acknowledged before `moment`.
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -54,6 +54,7 @@
         self.service = service
         self.pools: dict[str, _pools.Pool] = {}
         self.leader: _members.Leader | None = None
+        self.term = 0
         self.floors = _freshness.Floors()
         self.last_leader = ""
         self.last_round_at = float("-inf")
@@ -61,7 +62,7 @@
         self.removed_members: dict[str, _members.RemovedMember] = {}
         self.restarted_at: dict[str, float] = {}
         self._asking: set[str] = set()
-        self._next_replica = self.term = 0
+        self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.member_joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
@@ -127,13 +128,10 @@
 
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
-        pool.close()
-        self._last_report.pop(name, None)
+        self._close(pool)
         self.removed_members[name] = _members.RemovedMember(
             pool.member, self._clock.now()
         )
-        if self.leader is not None and self.leader.member == name:
-            self._lose_leader()
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
         """Discards all state of a member whose process has restarted.
@@ -141,15 +139,19 @@
         The new process is not paused and may be empty. It counts as a further
         replica for a while, as one does that joins under a new name.
         """
-        name = pool.member.id
+        self._close(pool)
+        self.member_joined_at = self._clock.now()
+        self.restarted_at[pool.member.id] = self.member_joined_at
+
+    def _close(self, pool: _pools.Pool) -> None:
         pool.close()
-        self._last_report.pop(name, None)
-        self.member_joined_at = self.restarted_at[name] = self._clock.now()
-        if self.leader is not None and self.leader.member == name:
+        self._last_report.pop(pool.member.id, None)
+        if self.leader is not None and self.leader.member == pool.member.id:
             self._lose_leader()
 
     def _lose_leader(self) -> None:
-        self.leader, self.leaderless_since = None, self._clock.now()
+        self.leader = None
+        self.leaderless_since = self._clock.now()
 
     @property
     def leader_pool(self) -> _pools.Pool | None:
@@ -202,10 +204,7 @@
     @property
     def floor_age_s(self) -> float:
         """Age in seconds of the newest floor that covers all commits."""
-        newest = self.floors.newest
-        if newest is None:
-            return float("inf")
-        return self._clock.boot_now() - newest.at
+        return self.floors.age_s(self._clock.boot_now())
 
     @property
     def has_failed_contact(self) -> bool:
