--- a/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_fair_admission.py
@@ -1,168 +1,21 @@
 """Tests of the queue for a member that gets more than it can run."""
 
-import random
-
 import attrs
 import ferry_decisions as decisions
 import pytest
 
-from ferry_proxy import _configuration
-from ferry_proxy import _features
 from ferry_proxy import _link_queue
-from ferry_proxy import _links
 from ferry_proxy import _members
-from ferry_proxy import _policy
-from ferry_proxy import _pools
 from ferry_proxy.queueing import _kinds
 from ferry_proxy.queueing import _work
 from ferry_proxy.tests import fakes
+from ferry_proxy.tests import member_load
 from ferry_proxy.tests import test_overload
 
-SLOTS = 5
-ROUTES = {
-    "order": _configuration.Route(
-        "order", "o", "orders", _configuration.Consistency.PRIMARY, 3.0, 0.2, 0
-    ),
-    "upload": _configuration.Route(
-        "upload", "u", "orders", _configuration.Consistency.SESSION, 3.0, 0.4, 1
-    ),
-    "view": _configuration.Route(
-        "view", "v", "orders", _configuration.Consistency.BOUNDED, 10.0, 1.2, 2
-    ),
-}
-WORK_S = {"order": 0.008, "upload": 0.024, "view": 0.04, "rare": 0.1}
-STATES = fakes.STATES
-
-
-@attrs.define(eq=False)
-class Answer:
-    """The end of a request: when it came, how long it took, and why."""
-
-    route: str
-    team: str
-    asked_at: float
-    took_s: float
-    failure: decisions.RequestFailedError | None
-
-    @property
-    def in_time(self) -> bool:
-        return (
-            self.failure is None and self.took_s <= ROUTES[self.route].target_s
-        )
-
-
-class MemberLoad:
-    """Callers of three routes at one member with five slots."""
-
-    def __init__(self, is_on: bool = True, parallel: int = SLOTS) -> None:
-        self.clock = decisions.VirtualTimers()
-        self.draw = random.Random(7)
-        self.cluster = fakes.FakeCluster(self.clock)
-        self.cluster.work_s = self._work_s
-        self.member = self.cluster.members["a"]
-        self.member.slots = SLOTS
-        policy = _policy.Policy(features={"fair_admission": is_on})
-        self.policy = policy
-        self.features = _features.Features(policy, lambda: None)
-        self.parallel = parallel
-        self.pool = self.open_pool()
-        self.answers: list[Answer] = []
-        self.factors: dict[str, float] = {}
-
-    def open_pool(self) -> _pools.Pool:
-        pool = _pools.Pool(
-            self.clock,
-            self.member.entry(),
-            self.cluster,
-            self.policy,
-            40,
-            self.features,
-        )
-        pool.parallel = self.parallel
-        return pool
-
-    def _work_s(self, statement) -> float:
-        mean_s = WORK_S[statement.text.split()[1]]
-        return mean_s * self.draw.uniform(0.5, 1.5) * self.factor()
-
-    def factor(self) -> float:
-        return 1.0
-
-    def offer(self, route, per_s, seconds, team="", text="") -> None:
-        for number in range(int(per_s * seconds)):
-            at = (number + self.draw.random()) / per_s
-            self.clock.after(
-                at, lambda: decisions.start(self._ask(route, team, text))
-            )
-
-    def run(self, seconds) -> None:
-        self.clock.advance(seconds)
-
-    def _ask(self, name, team, text):
-        route = ROUTES[name]
-        asked_at = self.clock.now()
-        work = _work.Work(
-            key=decisions.WorkKey(name, text or "read"),
-            priority=route.priority,
-            target_s=route.target_s,
-            target_at=asked_at + route.target_s,
-            deadline=asked_at + route.timeout_s,
-        )
-        failure = None
-        try:
-            yield from self._run(self.pool, work, team, text or name)
-        except decisions.RequestFailedError as exc:
-            failure = exc
-        took_s = self.clock.now() - asked_at
-        self.answers.append(Answer(name, team, asked_at, took_s, failure))
-
-    def _run(self, pool, work, team, text):
-        until = self.clock.now() + work.target_s * self.policy.hold_share
-        pooled = yield pool.acquire(
-            _link_queue.Use.STATEMENT, work.priority, until, {}, team, work
-        )
-        started_at = self.clock.now()
-        pool.note_sent(pooled)
-        command = _links.Run(fakes.statement(f"READ {text}"), None, "")
-        fut = pooled.link.run([command])[-1]
-        pool.note_statement(pooled, work, fut)
-        try:
-            reply = yield fut
-        except _links.LinkLostError as exc:
-            pool.discard(pooled)
-            raise decisions.RequestFailedError(decisions.READ_CUT) from exc
-        pool.note_heard(pooled, self.clock.now() - started_at)
-        pool.give_back(pooled, reply)
-
-    def of(self, route=None, team=None, since=0.0) -> list[Answer]:
-        return [
-            a
-            for a in self.answers
-            if route in (None, a.route)
-            and team in (None, a.team)
-            and a.asked_at >= since
-        ]
-
-    def share_in_time(self, **which) -> float:
-        found = self.of(**which)
-        assert found
-        return sum(a.in_time for a in found) / len(found)
-
-    def p99_s(self, **which) -> float:
-        took = sorted(a.took_s for a in self.of(**which))
-        return took[int(0.99 * len(took))]
-
-    def slot_parts(self, since) -> dict[str, float]:
-        used = dict.fromkeys(ROUTES, 0.0)
-        for answer in self.of(since=since):
-            if answer.failure is None:
-                used[answer.route] += WORK_S[answer.route]
-        return {n: u / sum(used.values()) for n, u in used.items()}
-
 
 def flood_of_kinds(is_on=True, orders_per_s=40):
     """Load: both replicas are behind; orders need 6%, the others 190%."""
-    load = MemberLoad(is_on)
+    load = member_load.MemberLoad(is_on)
     load.offer("order", orders_per_s, 6.0)
     load.offer("upload", 200, 6.0)
     load.offer("view", 115, 6.0)
@@ -185,28 +38,28 @@
     for is_on in (False, True):
         load = flood_of_kinds(is_on)
         in_time_s[is_on] = sum(
-            WORK_S[a.route] for a in load.answers if a.in_time
+            member_load.WORK_S[a.route] for a in load.answers if a.in_time
         )
-    capacity_s = SLOTS * 6.0
+    capacity_s = member_load.SLOTS * 6.0
     assert in_time_s[True] > 0.9 * capacity_s
     assert in_time_s[True] > in_time_s[False]
 
 
 def test_the_least_urgent_kind_keeps_its_part_in_floods_of_the_others():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("order", 700, 6.0)  # More than all slots.
     load.offer("view", 125, 6.0)
     load.run(9.0)
     assert load.slot_parts(since=2.0)["view"] > 0.08
     # The urgent kind gets the rest of the places.
-    place_s = WORK_S["order"] + 2 * fakes.NET_S
-    rest = (1.0 - _kinds.KIND_SHARE) * SLOTS / place_s / 700
+    place_s = member_load.WORK_S["order"] + 2 * fakes.NET_S
+    rest = (1.0 - _kinds.KIND_SHARE) * member_load.SLOTS / place_s / 700
     assert load.share_in_time(route="order", since=2.0) > 0.95 * rest
 
 
 def test_urgent_requests_wait_for_a_place_at_most_in_floods_of_others():
     """They are not preempted: one statement of each kind may go before."""
-    alone = MemberLoad()
+    alone = member_load.MemberLoad()
     alone.offer("order", 40, 6.0)
     alone.run(9.0)
     load = flood_of_kinds()
@@ -215,7 +68,7 @@
 
 
 def test_floods_of_others_hardly_delay_urgent_requests():
-    alone = MemberLoad()
+    alone = member_load.MemberLoad()
     alone.offer("order", 40, 6.0)
     alone.run(9.0)
     load = flood_of_kinds()
@@ -225,7 +78,7 @@
 def test_a_teams_flood_does_not_push_out_other_teams_of_its_priority():
     shares = {}
     for is_on in (False, True):
-        load = MemberLoad(is_on)
+        load = member_load.MemberLoad(is_on)
         load.offer("upload", 600, 6.0, team="flood")
         for number in range(5):
             load.offer("upload", 20, 6.0, team=f"t{number}")
@@ -237,7 +90,7 @@
 
 
 def test_floods_of_a_team_and_of_a_kind_at_once_leave_the_others_alone():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("view", 250, 6.0, team="flood")
     load.offer("upload", 300, 6.0, team="flood")
     load.offer("upload", 40, 6.0, team="calm")
@@ -267,7 +120,7 @@
 
 
 def test_after_all_capacity_was_gone_requests_are_served_at_once_again():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("upload", 100, 2.0)
     load.run(2.0)
     load.member.dark = True
@@ -286,7 +139,7 @@
 
 def test_requests_do_not_wait_for_a_member_whose_statements_hang():
     """Guards against taking a silent member for one with a long queue."""
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("view", 100, 1.0)
     load.run(1.0)
     load.member.dark = True
@@ -300,12 +153,12 @@
         if a.failure is not None and a.failure.reason is decisions.OVERLOADED
     ]
     assert len(waited) > 20
-    hold_s = ROUTES["view"].target_s * load.policy.hold_share
+    hold_s = member_load.ROUTES["view"].target_s * load.policy.hold_share
     assert max(a.took_s for a in waited) <= hold_s + 0.25
 
 
 def test_a_pause_of_the_node_is_no_time_of_the_member():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("upload", 150, 3.0)
     load.run(3.0)
     admission = load.pool.admission
@@ -325,7 +178,7 @@
 
 
 def test_requests_in_the_queue_of_a_paused_node_go_behind_those_in_time():
-    load = MemberLoad(parallel=1)
+    load = member_load.MemberLoad(parallel=1)
     load.offer("view", 40, 2.0)
     load.run(2.0)
     admission = load.pool.admission
@@ -352,15 +205,17 @@
 
 
 def test_waiting_requests_keep_their_target_when_routes_change():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("upload", 400, 1.0)
     load.run(0.5)
-    before = dict(ROUTES)
+    before = dict(member_load.ROUTES)
     try:
-        ROUTES["upload"] = attrs.evolve(before["upload"], priority=2)
+        member_load.ROUTES["upload"] = attrs.evolve(
+            before["upload"], priority=2
+        )
         load.run(1.5)
     finally:
-        ROUTES.update(before)
+        member_load.ROUTES.update(before)
     admission = load.pool.admission
     assert admission is not None
     assert len(load.answers) == 400
@@ -370,7 +225,7 @@
 
 
 def test_a_kind_never_seen_is_let_in_and_known_after_a_few():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("upload", 230, 4.0)
     load.run(1.0)
     load.offer("view", 4, 3.0, text="rare")  # Within the part of its kind.
@@ -380,12 +235,14 @@
     assert load.share_in_time(route="view") > 0.9
     rare_s = admission.times.mean_s(decisions.WorkKey("view", "rare"))
     assert 0.05 < rare_s < 0.2
-    rest = (SLOTS - 4 * WORK_S["rare"]) / (WORK_S["upload"] + 2 * fakes.NET_S)
+    rest = (member_load.SLOTS - 4 * member_load.WORK_S["rare"]) / (
+        member_load.WORK_S["upload"] + 2 * fakes.NET_S
+    )
     assert load.share_in_time(route="upload") > rest / 230
 
 
 def test_a_member_that_just_turned_slow_gets_no_more_than_it_answers_in_time():
-    load = MemberLoad()
+    load = member_load.MemberLoad()
     load.offer("upload", 150, 5.0)
     load.run(2.0)
     load.member.slowness = 4.0
@@ -397,7 +254,7 @@
     assert sum(a.in_time for a in served) > 0.9 * len(served)
 
 
-class TailLoad(MemberLoad):
+class TailLoad(member_load.MemberLoad):
     """Three in a hundred statements take seven times as long."""
 
     def factor(self) -> float:
@@ -409,16 +266,19 @@
     load.offer("upload", 300, 6.0)  # 1.7 times what it can run.
     load.run(9.0)
     served = [a for a in load.answers if a.failure is None]
-    assert sum(WORK_S["upload"] * 1.18 for _ in served) > 0.9 * SLOTS * 6.0
+    assert (
+        sum(member_load.WORK_S["upload"] * 1.18 for _ in served)
+        > 0.9 * member_load.SLOTS * 6.0
+    )
     assert sum(a.in_time for a in served) > 0.95 * len(served)
 
 
 def test_the_queue_without_the_feature_is_the_one_that_was_there():
-    load = MemberLoad(is_on=False)
+    load = member_load.MemberLoad(is_on=False)
     assert load.pool.admission is None
     load.offer("upload", 400, 2.0)
     load.run(4.0)
-    hold_s = ROUTES["upload"].target_s * load.policy.hold_share
+    hold_s = member_load.ROUTES["upload"].target_s * load.policy.hold_share
     refused = [a for a in load.answers if a.failure is not None]
     assert max(a.took_s for a in refused) <= hold_s + 0.001
     times_s = [a.failure.retry_after_s for a in refused if a.failure]
@@ -472,7 +332,7 @@
 
 @pytest.mark.parametrize("is_on", [False, True])
 def test_control_commands_are_never_refused(is_on):
-    load = MemberLoad(is_on)
+    load = member_load.MemberLoad(is_on)
     load.offer("view", 400, 1.0)
     load.run(0.5)
     fut = load.pool.acquire(_link_queue.Use.CONTROL, 0, load.clock.now() + 0.3)
