--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -233,28 +233,6 @@
     term: int
 
 
-@attrs.frozen(slots=True, repr=False, eq=False)
-class PrimarySuspected:
-    """A change of primary is proposed; `peers` counts the peers in favour."""
-
-    service: str
-    member: str
-    why: str
-    silence_s: float
-    peers: int
-
-
-@attrs.frozen(slots=True, repr=False, eq=False)
-class PromotionStep:
-    """A step in a change of primary."""
-
-    service: str
-    step: str
-    token: int
-    member: str
-    detail: str
-
-
 @attrs.frozen(slots=True, repr=False, eq=False)
 class RequestDone:
     """The outcome of a request, and how it came about.
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -4,9 +4,13 @@
 commit of its term can be acknowledged any more, even if it does not obey.
 """
 
+import typing
+
+import attrs
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _change_events
 from ferry_proxy import _clocks
 from ferry_proxy import _events
 from ferry_proxy import _fencing
@@ -40,10 +44,49 @@
     for callback in group.on_step:
         callback(step)
     _events.emit(
-        _events.PromotionStep(group.service.name, step, token, member, detail)
+        _change_events.PromotionStep(
+            group.service.name, step, token, member, detail
+        )
     )
 
 
+@attrs.frozen(slots=True)
+class RemovedOutcome:
+    """What became of a member that is listed no more.
+
+    Attributes:
+        member: Its last entry.
+        age_s: Seconds since it was removed from the list.
+        report: Its report, if it was paused.
+        is_refused: Whether its address refuses connections or is now another
+            member's.
+        failure: Why it was not paused.
+    """
+
+    member: _members.Member
+    age_s: float
+    report: _members.Report | None
+    is_refused: bool
+    failure: str
+
+    @property
+    def is_unsure(self) -> bool:
+        """Whether it may still receive commits."""
+        has_departed = self.is_refused or self.member.draining
+        return self.report is None and not has_departed
+
+    def describe(self) -> str:
+        """Returns a description for the log."""
+        if self.report is not None:
+            state = f"paused at {self.report.received}"
+        elif self.is_refused:
+            state = "ended"
+        else:
+            state = f"unreachable: {self.failure}"
+        leaving = "leaving, " if self.member.draining else ""
+        return f"{leaving}{state}, removed {self.age_s:.1f} s ago"
+
+
 class Fence:
     """Pauses the members of one group, and resumes them."""
 
@@ -59,6 +102,7 @@
         self._catalogue = catalogue
         self._group = group
         self._fence_started_at = clock.now()
+        self._token = 0
 
     def raise_fence(
         self, cause: _fencing.Cause, token: int
@@ -77,6 +121,7 @@
                 lack acknowledged commits.
         """
         group = self._group
+        self._token = token
         old_primary = group.leader.member if group.leader else group.last_leader
         yield from self._refresh_members()
         self._fence_started_at = self._clock.now()
@@ -95,11 +140,16 @@
             decisions.start(self._pause(p, term, reports))
             for p in other_members.values()
         ]
-        yield decisions.settle_all(futs, lambda _: False)
-        unsure = yield from self._pause_removed(old_primary, term)
+        settled = yield decisions.settle_all(futs, lambda _: False)
+        failed = _failures(other_members, settled)
+        removed = yield from self._pause_removed(old_primary, term)
+        unsure = sum(r.is_unsure for r in removed.values())
         needed = _fencing.fence_needed(
             len(other_members), unsure, group.service.sync_replicas
         )
+        self._log_fence(
+            cause, token, old_primary, reports, failed, removed, needed
+        )
         detail = (
             f"{len(reports)} of {len(other_members)} paused, {needed} needed"
         )
@@ -114,6 +164,38 @@
             decisions.start(self._demote(old_primary, term))
         return reports
 
+    def _log_fence(
+        self,
+        cause: _fencing.Cause,
+        token: int,
+        old_primary: str,
+        reports: dict[str, _members.Report],
+        failed: dict[str, str],
+        removed: "dict[str, RemovedOutcome]",
+        needed: int,
+    ) -> None:
+        """Logs what the decision to promote is based on."""
+        group = self._group
+        last = group.last_report(old_primary)
+        revision = self._catalogue.revision
+        event = _change_events.MembersFenced(
+            service=group.service.name,
+            token=token,
+            cause=cause.value,
+            old_primary=old_primary,
+            old_end=str(last.received) if last else "",
+            list_revision=f"{revision.era}:{revision.number}",
+            listed=[
+                f"{n} leaving" if p.member.draining else n
+                for n, p in group.pools.items()
+            ],
+            paused={n: str(r.received) for n, r in reports.items()},
+            failed=failed,
+            removed={n: r.describe() for n, r in removed.items()},
+            needed=needed,
+        )
+        _events.emit(event)
+
     def _may_lack_commits(self, reports: dict[str, _members.Report]) -> bool:
         """Whether the old primary alone may hold an acknowledged commit.
 
@@ -230,33 +312,34 @@
 
     def _pause_removed(
         self, old_primary: str, term: int
-    ) -> "decisions.Flow[int]":
+    ) -> "decisions.Flow[dict[str, RemovedOutcome]]":
         """Pauses members that are no longer listed but may still be running.
 
         A member that was leaving runs on for a while after its removal from
         the list. Once it does not answer, it has left.
 
         Returns:
-            How many of them could neither be paused nor shown to have ended.
+            What became of each of them, by id.
         """
         now = self._clock.now()
-        unsure = 0
+        outcomes: dict[str, RemovedOutcome] = {}
         for name, removed in list(self._group.removed_members.items()):
-            if (
-                name == old_primary
-                or now - removed.at > _fencing.MAX_REMOVED_MEMBER_S
-            ):
+            age_s = now - removed.at
+            if name == old_primary or age_s > _fencing.MAX_REMOVED_MEMBER_S:
                 continue
             reports: dict[str, _members.Report] = {}
             pool = self._group.open_pool(removed.member)
-            paused = decisions.start(self._pause(pool, term, reports))
-            yield decisions.settled(paused)
-            is_gone = pool.is_refused
+            fut = decisions.start(self._pause(pool, term, reports))
+            yield decisions.settled(fut)
+            outcomes[name] = RemovedOutcome(
+                removed.member,
+                age_s,
+                reports.get(name),
+                pool.is_refused,
+                repr(fut.exception()),
+            )
             pool.close()
-            has_departed = is_gone or removed.member.draining
-            if not reports and not has_departed:
-                unsure += 1
-        return unsure
+        return outcomes
 
     def resume(
         self, reports: dict[str, _members.Report]
@@ -268,9 +351,26 @@
         Args:
             reports: The reports of the paused members, by id.
         """
+        pools = {n: p for n, p in self._group.pools.items() if n in reports}
         futs = [
             decisions.start(self._group.ask(pool, _links.Resume()))
-            for name, pool in self._group.pools.items()
-            if name in reports
+            for pool in pools.values()
         ]
-        yield decisions.settle_all(futs, lambda _: False)
+        settled = yield decisions.settle_all(futs, lambda _: False)
+        failed = _failures(pools, settled)
+        event = _change_events.MembersResumed(
+            self._group.service.name, self._token, sorted(pools), failed
+        )
+        _events.emit(event)
+
+
+def _failures(
+    pools: "dict[str, _pools.Pool]",
+    settled: "list[decisions.Settled[typing.Any]]",
+) -> dict[str, str]:
+    """Returns why members could not be asked, by id."""
+    return {
+        name: repr(outcome.failure)
+        for name, outcome in zip(pools, settled, strict=True)
+        if outcome.failure is not None
+    }
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -14,6 +14,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _change_events
 from ferry_proxy import _claims
 from ferry_proxy import _clocks
 from ferry_proxy import _events
@@ -269,7 +270,7 @@
             return
         vetoed = _fencing.is_vetoed(cause, opinions, self._ctx.policy)
         _events.emit(
-            _events.PrimarySuspected(
+            _change_events.PrimarySuspected(
                 self._group.service.name,
                 leader.member,
                 f"{cause.value}{' (vetoed)' if vetoed else ''}",
