Tests that fail: promotions over commits of members that have left

On the code as it is a group of two promotes a replica that lacks acknowledged commits: planned, on a stall, after a crash, and after the old primary was demoted. A member that is off the list but runs is taken for gone when it answers busy, and its log is ignored when it was paused. A change whose claim took long acts on the primary that came meanwhile.

--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -35,6 +35,14 @@
 APPLY_S = 0.02
 
 
+CONTROL_COMMANDS = (
+    _links.Status,
+    _links.Pause,
+    _links.Resume,
+    _links.StepDown,
+)
+
+
 class Fault(enum.Enum):
     """How a member fails statements while it answers status requests."""
 
@@ -53,7 +61,9 @@
         crashed: Whether its process has ended.
         isolated: Whether it is cut off from the other members.
         busy: How many of the next statements fail with MEMBER_BUSY.
+        is_control_busy: Whether control commands fail with MEMBER_BUSY.
         replies_to_drop: How many of the next replies to statements are lost.
+        commands: The control commands that it received.
         opened: How many links to it were opened.
         fault: How it fails statements; None if it does not.
         fault_every: It fails each statement whose number is a multiple of this.
@@ -74,12 +84,14 @@
     isolated: bool = False
     lag_s: float = APPLY_S
     busy: int = 0
+    is_control_busy: bool = False
     replies_to_drop: int = 0
     fault: Fault | None = None
     fault_every: int = 1
     statements: int = 0
     links: list["FakeLink"] = attrs.field(factory=list)
     runs: list[tuple[str, str]] = attrs.field(factory=list)
+    commands: list[_links.Command] = attrs.field(factory=list)
     opened: int = 0
     slots: int = 0
     slot_free_at: list[float] = attrs.field(factory=list)
@@ -202,6 +214,10 @@
 
     def _reply(self, command):
         member = self.member
+        if isinstance(command, CONTROL_COMMANDS):
+            member.commands.append(command)
+            if member.is_control_busy:
+                return self._error(decisions.MEMBER_BUSY)
         match command:
             case _links.Status():
                 return self._ok(report=member.report())
@@ -335,6 +351,10 @@
             for name, role in zip("abc", roles, strict=True)
         }
 
+    def commands_to(self, name: str) -> set[type]:
+        """Returns the types of the control commands sent to a member."""
+        return {type(c) for c in self.members[name].commands}
+
     def entries(self) -> dict[str, _members.Member]:
         return {n: m.entry() for n, m in self.members.items()}
 
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -0,0 +1,159 @@
+"""Changes of primary after a member has left that had acknowledged commits."""
+
+import pytest
+
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy.tests import fakes
+
+PRIMARY = _members.Role.PRIMARY
+REPLICA = _members.Role.REPLICA
+
+
+def write(lab, name):
+    return lab.do(lab.session(), fakes.statement("WRITE x 1", name))
+
+
+def apply_entries(lab):
+    lab.group.set_members(lab.cluster.entries(), lab.limit)
+
+
+def leave(lab, name):
+    """Lets a member drain, end, and vanish from the list with its log."""
+    lab.cluster.members[name].draining = True
+    apply_entries(lab)
+    lab.run(0.5)
+    lab.cluster.crash(name)
+    listed = lab.cluster.entries()
+    del listed[name]
+    lab.group.set_members(listed, lab.limit)
+    return listed
+
+
+def lab_with_a_lagging_replica():
+    """Returns a group in which `c` lacks a commit that `a` and `b` hold."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.run(0.5)
+    lab.cluster.members["c"].isolated = True
+    assert write(lab, "held by a and b").reason is None
+    return lab
+
+
+def apply_listed(lab, listed):
+    """Applies a list of members in which entries may have changed."""
+    entries = lab.cluster.entries()
+    lab.group.set_members({n: entries[n] for n in listed}, lab.limit)
+
+
+def test_a_planned_change_waits_for_the_commits_of_a_departed_replica():
+    lab = lab_with_a_lagging_replica()
+    listed = leave(lab, "b")
+    lab.cluster.members["a"].draining = True
+    apply_listed(lab, listed)
+    lab.run(3.0)
+    assert lab.cluster.lost == []
+    assert lab.cluster.members["a"].role is PRIMARY
+    lab.cluster.members["c"].isolated = False
+    lab.cluster.replicate(lab.cluster.members["a"])
+    lab.run(3.0)
+    assert [member for member, _ in lab.cluster.promotions] == ["c"]
+    assert lab.cluster.lost == []
+
+
+def test_a_stall_promotes_no_replica_without_a_departed_ones_commits():
+    lab = lab_with_a_lagging_replica()
+    leave(lab, "b")
+    lab.session().run(fakes.statement("WRITE x 1", "unacknowledged"))
+    lab.run(4.0)
+    assert lab.cluster.lost == []
+    assert lab.cluster.members["a"].role is PRIMARY
+
+
+def test_a_crash_promotes_no_replica_without_a_departed_ones_commits():
+    lab = lab_with_a_lagging_replica()
+    leave(lab, "b")
+    lab.cluster.crash("a")
+    lab.run(4.0)
+    assert lab.cluster.promotions == []
+    lab.cluster.members["a"].crashed = False
+    lab.cluster.members["c"].isolated = False
+    lab.run(2.0)
+    assert write(lab, "after").reason is None
+    assert lab.cluster.lost == []
+
+
+def test_a_demoted_primary_that_alone_holds_a_commit_leads_again():
+    lab = lab_with_a_lagging_replica()
+    leave(lab, "b")
+    lab.cluster.members["a"].role = REPLICA
+    lab.run(6.0)
+    assert lab.cluster.lost == []
+    assert [member for member, _ in lab.cluster.promotions] == ["a"]
+
+
+def test_a_crash_after_a_replica_has_caught_up_is_followed_by_a_change():
+    lab = lab_with_a_lagging_replica()
+    leave(lab, "b")
+    lab.cluster.members["c"].isolated = False
+    lab.cluster.replicate(lab.cluster.members["a"])
+    lab.run(1.5)
+    lab.cluster.crash("a")
+    lab.run(2.5)
+    assert [member for member, _ in lab.cluster.promotions] == ["c"]
+    assert lab.cluster.lost == []
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_removed_member_that_answers_busy_is_not_taken_for_gone(draining):
+    """It runs on, and may acknowledge commits that the successor lacks."""
+    lab = lab_with_a_lagging_replica()
+    gone = lab.cluster.members["b"]
+    gone.draining = draining
+    apply_entries(lab)
+    listed = lab.cluster.entries()
+    del listed["b"]
+    lab.group.set_members(listed, lab.limit)
+    gone.is_control_busy = True
+    lab.cluster.crash("a")
+    lab.run(3.0)
+    assert lab.cluster.promotions == []
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_a_removed_member_that_holds_more_is_not_passed_over(draining):
+    lab = lab_with_a_lagging_replica()
+    lab.cluster.members["b"].draining = draining
+    apply_entries(lab)
+    listed = lab.cluster.entries()
+    del listed["b"]
+    lab.group.set_members(listed, lab.limit)
+    lab.cluster.crash("a")
+    lab.run(3.0)
+    assert lab.cluster.promotions == []
+    apply_entries(lab)
+    lab.run(3.0)
+    assert [member for member, _ in lab.cluster.promotions] == ["b"]
+    assert lab.cluster.lost == []
+
+
+def test_a_change_does_not_act_on_the_primary_that_came_meanwhile(monkeypatch):
+    """The cause held for the primary before; the claim took long."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.run(0.5)
+    lab.cluster.members["a"].draining = True
+    put_if = lab.store.put_if
+
+    def put_after_a_change(key, value, revision):
+        if lab.group.leader == _members.Leader("a", 1):
+            lab.cluster._lead(lab.cluster.members["b"])
+            lab.group.note_leader(_members.Leader("b", 2))
+        return put_if(key, value, revision)
+
+    monkeypatch.setattr(lab.store, "put_if", put_after_a_change)
+    apply_entries(lab)
+    lab.run(1.0)
+    assert lab.cluster.promotions == []
+    assert lab.cluster.members["b"].role is PRIMARY
+    assert _links.Pause not in lab.cluster.commands_to("c")
