Promote no member that may lack the commits of departed ones

Callers lost acknowledged commits after promotions. Cause: a fence stops every further acknowledgement, but that the successor holds the earlier ones was inferred from the members listed now. A commit that the primary and a replica held is on the primary alone once that replica has left the list, restarted empty or ended, until another one has caught up. A change before that promoted the one that lacked it: planned, on a stall (by the very replica that receives nothing), after a crash, or without the log of the old primary that had stepped down. A member off the list that answered "busy" counted as ended if it had been leaving, and the log of one that was paused was ignored.

A group now keeps its departures, open until a replica holds the end of the primary's log, asked after the departed process had ended. While one is open, a planned change and one on a stall need a replica that has caught up, before anything is paused; after a crash the successor must hold the newest position that any serving node passed on as acknowledged, and all of them must have answered and have watched for long enough, or 30 s must have passed. A departed member that runs is paused, and one that holds more than all listed ones ends the change. A last primary that answers as a replica counts as one and may lead again.

--- a/packages/proxy/src/ferry_proxy/_change_events.py
+++ b/packages/proxy/src/ferry_proxy/_change_events.py
@@ -35,11 +35,13 @@
         cause: Why the primary is to be replaced.
         old_primary: The member that the node takes for the primary.
         old_end: The end of its log, as it last reported it.
+        acknowledged: A position at or after all commits known to be
+            acknowledged.
         list_revision: The store's revision of the list of members.
         listed: The ids of all listed members; leaving ones are marked.
         paused: The ends of the logs of the paused members, by id.
         failed: Why members could not be paused, by id.
-        removed: What became of members that are listed no more, by id.
+        departed: What became of members that are no longer listed, by id.
         needed: How many members must be paused.
     """
 
@@ -48,11 +50,12 @@
     cause: str
     old_primary: str
     old_end: str
+    acknowledged: str
     list_revision: str
     listed: list[str]
     paused: dict[str, str]
     failed: dict[str, str]
-    removed: dict[str, str]
+    departed: dict[str, str]
     needed: int
 
 
--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -9,9 +9,9 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _change_steps
 from ferry_proxy import _clocks
 from ferry_proxy import _events
-from ferry_proxy import _fences
 from ferry_proxy import _groups
 from ferry_proxy import _policy
 from ferry_proxy import _records
@@ -58,7 +58,7 @@
             key, claim.encode(), self._catalogue.condition(key)
         )
         if item is None:
-            raise _fences.ChangeAbandonedError("another node was faster")
+            raise _change_steps.ChangeAbandonedError("another node was faster")
         self._catalogue.take((item,), "own claim")
         if previous is None:
             self._remove_outdated()
@@ -84,7 +84,9 @@
         except _store.StoreUnavailableError as exc:
             # The next claim has to wait until this one is too old to act on.
             token = held.claim.token
-            _fences.log_step(self._group, "unreleased", token, "", str(exc))
+            _change_steps.log_step(
+                self._group, "unreleased", token, "", str(exc)
+            )
             return
         if item is not None:
             self._catalogue.take((item,), "own claim")
@@ -99,12 +101,16 @@
         """
         if previous is not None and self._is_held_by_another(previous, now):
             self._group.expect_primary_change()
-            raise _fences.ChangeAbandonedError("another node holds the claim")
+            raise _change_steps.ChangeAbandonedError(
+                "another node holds the claim"
+            )
         # The holder of a claim that the store has lost may not know of the
         # loss yet. The wait also gives members that the restored copy lacks
         # the time to register again.
         if now - self._catalogue.era_seen_at < self._policy.claim_takeover_s:
-            raise _fences.ChangeAbandonedError("the store has just come back")
+            raise _change_steps.ChangeAbandonedError(
+                "the store has just come back"
+            )
 
     def _remove_outdated(self) -> None:
         """Removes the claims of earlier eras in the background."""
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -0,0 +1,249 @@
+"""Members that left a group, and the commits that may have left with them.
+
+An acknowledged commit is on the primary and on at least one replica, so a
+fence that reads all listed replicas finds it. Once that replica has left, the
+primary may be the only member that holds the commit, until another replica
+has received everything that the primary held at that time. The departure is
+open until then.
+"""
+
+from collections.abc import Collection
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _acknowledgements
+from ferry_proxy import _members
+
+# A member that is no longer listed may still be running, cut off by a
+# partition. It is taken into account for this long, which is longer than any
+# known partition has lasted.
+MAX_RUNNING_S = 30.0
+# Departures that are remembered. Those that ended earlier are covered by the
+# same sample as the latest one.
+MAX_DEPARTURES = 32
+
+
+@attrs.frozen(slots=True)
+class Departure:
+    """A process of a member that is no longer listed, or has ended.
+
+    Attributes:
+        member: Its last entry.
+        removed_at: When this node learned of its departure, in boot time.
+        ended_at: By when the process had ended, in boot time; infinite if it
+            may still be running.
+    """
+
+    member: _members.Member
+    removed_at: float
+    ended_at: float = float("inf")
+
+    @property
+    def key(self) -> str:
+        """A name that differs between the processes of a member."""
+        return f"{self.member.id}@{self.member.born}"
+
+    @property
+    def latest_end(self) -> float:
+        """By when the process no longer receives commits, in boot time."""
+        return min(self.ended_at, self.removed_at + MAX_RUNNING_S)
+
+    def may_run(self, now: float) -> bool:
+        """Whether the process may still be receiving commits.
+
+        Args:
+            now: The current boot time, in seconds.
+        """
+        return now < self.latest_end
+
+
+@attrs.frozen(slots=True)
+class PrimaryEnd:
+    """The end of a primary's log at some point in time.
+
+    Attributes:
+        leader: The primary.
+        position: The end of its log.
+        at: When it was asked, in boot time.
+    """
+
+    leader: _members.Leader
+    position: decisions.Position
+    at: float
+
+
+class Departures:
+    """The departures from one group."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, Departure] = {}
+        self._covered: dict[str, None] = {}
+        self._end: PrimaryEnd | None = None
+
+    def open(self) -> list[Departure]:
+        """Returns the departures that are not covered, the latest one last."""
+        return list(self._open.values())
+
+    @property
+    def covered_keys(self) -> list[str]:
+        """The keys of departures covered lately, the latest one last."""
+        return list(self._covered)
+
+    def note_removed(self, member: _members.Member, now: float) -> None:
+        """Records that a member was removed from the list.
+
+        Args:
+            member: Its last entry.
+            now: The current boot time, in seconds.
+        """
+        self._add(Departure(member, now))
+
+    def note_restarted(self, before: _members.Member, now: float) -> None:
+        """Records that a member restarted, perhaps without its log.
+
+        Args:
+            before: The last entry of the process that ended.
+            now: The current boot time, in seconds.
+        """
+        self._add(Departure(before, now, now))
+
+    def note_listed(self, member: _members.Member, now: float) -> None:
+        """Records that a member is listed.
+
+        Args:
+            member: Its entry.
+            now: The current boot time, in seconds.
+        """
+        for key, departure in list(self._open.items()):
+            if departure.member.id != member.id:
+                continue
+            if departure.member.born == member.born:
+                self._open.pop(key)
+            else:
+                self.note_ended(key, now)
+
+    def note_ended(self, key: str, now: float) -> None:
+        """Records that the process of a departed member has ended.
+
+        Args:
+            key: The departure's key.
+            now: The current boot time, in seconds.
+        """
+        known = self._open.get(key)
+        if known is not None and now < known.latest_end:
+            self._open[key] = attrs.evolve(known, ended_at=now)
+
+    def adopt(self, departure: Departure) -> None:
+        """Adds a departure that another node has observed.
+
+        The caller leaves out members that are listed.
+        """
+        is_known = departure.key in self._open or departure.key in self._covered
+        if not is_known:
+            self._add(departure)
+
+    def cover(self, keys: Collection[str]) -> None:
+        """Closes departures that another node found to be covered."""
+        for key in keys:
+            if self._open.pop(key, None) is not None:
+                self._note_covered(key)
+
+    def observe(
+        self, leader: _members.Leader, reports: dict[str, _members.Report]
+    ) -> None:
+        """Closes the departures that a round of reports covers.
+
+        Replicas may be some commits behind a primary that was asked at the
+        same time. They are therefore compared with one position until they
+        have received it.
+
+        Args:
+            leader: The primary.
+            reports: The reports of listed members, by id.
+        """
+        if not self._open:
+            self._end = None
+            return
+        if self._end is not None and self._end.leader != leader:
+            self._end = None
+        if self._end is not None and _is_held_by_replica(self._end, reports):
+            self._cover_before(self._end.at)
+            self._end = None
+        own = reports.get(leader.member)
+        if own is not None and own.leads(leader) and not self._covers_any():
+            self._end = PrimaryEnd(leader, own.received, own.asked_at)
+
+    def _covers_any(self) -> bool:
+        """Whether the known end of the log covers a departure."""
+        end = self._end
+        return end is not None and any(
+            d.latest_end <= end.at for d in self._open.values()
+        )
+
+    def _cover_before(self, moment: float) -> None:
+        for key, departure in list(self._open.items()):
+            if departure.latest_end <= moment:
+                del self._open[key]
+                self._note_covered(key)
+
+    def _add(self, departure: Departure) -> None:
+        self._open.pop(departure.key, None)
+        self._open[departure.key] = departure
+        if len(self._open) > MAX_DEPARTURES:
+            del self._open[next(iter(self._open))]
+
+    def _note_covered(self, key: str) -> None:
+        self._covered[key] = None
+        if len(self._covered) > MAX_DEPARTURES:
+            del self._covered[next(iter(self._covered))]
+
+
+def _is_held_by_replica(
+    end: PrimaryEnd, reports: dict[str, _members.Report]
+) -> bool:
+    """Whether a replica has received everything up to the end of a log."""
+    return any(
+        report.role is _members.Role.REPLICA
+        and report.term <= end.leader.term
+        and report.received >= end.position
+        for name, report in reports.items()
+        if name != end.leader.member
+    )
+
+
+@attrs.frozen(slots=True)
+class MissingCommits:
+    """Acknowledged commits that a successor lacks, or may lack.
+
+    Attributes:
+        is_known: Whether it is known to lack one.
+        detail: Why, for the log.
+    """
+
+    is_known: bool
+    detail: str
+
+
+def missing_commits(
+    received: decisions.Position,
+    departures: list[Departure],
+    acks: _acknowledgements.Acknowledgements,
+) -> MissingCommits | None:
+    """Returns the commits that a successor may lack; None if it holds all.
+
+    Args:
+        received: The end of its log.
+        departures: The open departures, without the old primary's.
+        acks: The acknowledgements known to the serving nodes.
+    """
+    if not departures:
+        return None
+    names = ", ".join(d.member.id for d in departures)
+    if received < acks.position:
+        detail = f"{names} left, {acks.position} acknowledged, {received} held"
+        return MissingCommits(True, detail)
+    if any(d.removed_at < acks.since for d in departures):
+        detail = f"{names} left, not all acknowledgements known"
+        return MissingCommits(False, detail)
+    return None
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -78,7 +78,7 @@
             reply = yield from self._write_once(job)
             if reply is not None:
                 if reply.reason is None:
-                    yield from self.confirm(job)
+                    yield from self.confirm(job, reply)
                     return reply
                 if not reply.not_run or not self._retry_in_time(job, reply):
                     return reply
@@ -114,7 +114,9 @@
                 raise
             return None
 
-    def confirm(self, job: _jobs.Job) -> "decisions.Flow[None]":
+    def confirm(
+        self, job: _jobs.Job, reply: _links.Reply
+    ) -> "decisions.Flow[None]":
         """Ensures that an acknowledged commit survives a change of primary.
 
         A replica that joins a primary after the other replicas were paused
@@ -123,11 +125,16 @@
         members come and go, is therefore confirmed by a proof that the primary
         still leads.
 
+        Args:
+            job: The statement that committed.
+            reply: The primary's reply.
+
         Raises:
             decisions.RequestFailedError: It is unknown whether the commit is
                 durable.
         """
         group = job.group
+        group.acks.note(reply.position)
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
         if (
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -1,18 +1,25 @@
 """Fencing of the members of a group before another one is promoted.
 
 The old primary is ordered to step down. Enough replicas are paused that no
-commit of its term can be acknowledged any more, even if it does not obey.
+commit of its term can be acknowledged any more, even if it does not obey. The
+paused replicas must also hold every commit acknowledged before, with replicas
+that have left since among them: see `_departures`.
 """
 
-import typing
+from collections.abc import Iterable
 
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _catalogue
 from ferry_proxy import _change_events
+from ferry_proxy import _change_steps
 from ferry_proxy import _clocks
+from ferry_proxy import _departed_members
+from ferry_proxy import _departures
 from ferry_proxy import _events
+from ferry_proxy import _fence_views
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
 from ferry_proxy import _links
@@ -20,71 +27,26 @@
 from ferry_proxy import _pools
 from ferry_proxy import _store
 
-
-class ChangeAbandonedError(Exception):
-    """A change of primary was given up; another attempt may follow."""
-
-
-class VetoedError(ChangeAbandonedError):
-    """A peer's opinion shows that only this node lost the primary."""
-
-
-def log_step(
-    group: _groups.Group, step: str, token: int, member: str, detail: str
-) -> None:
-    """Announces a step of a change of primary, and emits its event.
-
-    Args:
-        group: The group.
-        step: The step's name.
-        token: The fencing token; 0 if there is none.
-        member: The member that the step concerns; empty for none.
-        detail: Further details.
-    """
-    for callback in group.on_step:
-        callback(step)
-    _events.emit(
-        _change_events.PromotionStep(
-            group.service.name, step, token, member, detail
-        )
-    )
+# A primary that was lost for longer is replaced although not all
+# acknowledgements are known. A crashed process is back sooner.
+MAX_LOST_PRIMARY_S = 30.0
+# Changes in which the old primary still answers.
+_PRIMARY_ANSWERS = frozenset({_fencing.Cause.LEAVING, _fencing.Cause.STALLED})
 
 
 @attrs.frozen(slots=True)
-class RemovedOutcome:
-    """What became of a member that is listed no more.
+class Order:
+    """The change of primary that a fence is raised for.
 
     Attributes:
-        member: Its last entry.
-        age_s: Seconds since it was removed from the list.
-        report: Its report, if it was paused.
-        is_refused: Whether its address refuses connections or is now another
-            member's.
-        failure: Why it was not paused.
+        cause: Why the primary is replaced.
+        token: The fencing token of the claim.
+        acks: The acknowledgements known to the serving nodes.
     """
 
-    member: _members.Member
-    age_s: float
-    report: _members.Report | None
-    is_refused: bool
-    failure: str
-
-    @property
-    def is_unsure(self) -> bool:
-        """Whether it may still receive commits."""
-        has_departed = self.is_refused or self.member.draining
-        return self.report is None and not has_departed
-
-    def describe(self) -> str:
-        """Returns a description for the log."""
-        if self.report is not None:
-            state = f"paused at {self.report.received}"
-        elif self.is_refused:
-            state = "ended"
-        else:
-            state = f"unreachable: {self.failure}"
-        leaving = "leaving, " if self.member.draining else ""
-        return f"{leaving}{state}, removed {self.age_s:.1f} s ago"
+    cause: _fencing.Cause
+    token: int
+    acks: _acknowledgements.Acknowledgements
 
 
 class Fence:
@@ -98,20 +60,19 @@
         group: _groups.Group,
     ) -> None:
         self._clock = clock
-        self._store = store
         self._catalogue = catalogue
         self._group = group
+        self._views = _fence_views.FenceViews(clock, store, catalogue, group)
         self._fence_started_at = clock.now()
         self._token = 0
 
     def raise_fence(
-        self, cause: _fencing.Cause, token: int
+        self, order: Order
     ) -> "decisions.Flow[dict[str, _members.Report]]":
         """Demotes the old primary and pauses its replicas.
 
         Args:
-            cause: Why the primary is replaced.
-            token: The fencing token of the claim.
+            order: The change that the fence is raised for.
 
         Returns:
             The reports of the paused members, by id.
@@ -120,70 +81,159 @@
             ChangeAbandonedError: Too few replicas could be paused, or they may
                 lack acknowledged commits.
         """
-        group = self._group
-        self._token = token
-        old_primary = group.leader.member if group.leader else group.last_leader
-        yield from self._refresh_members()
+        self._token = order.token
+        yield from self._views.refresh_members()
         self._fence_started_at = self._clock.now()
-        other_members = {
-            n: p for n, p in group.pools.items() if n != old_primary
+        view = yield from self._views.survey()
+        if order.cause in _PRIMARY_ANSWERS:
+            yield from self._views.require_caught_up(view)
+        term = self._views.next_term(view)
+        if order.cause is _fencing.Cause.LEAVING:
+            yield from self._demote(view.old_primary, term)
+        reports, failed = yield from self._pause_listed(view, term)
+        departed = yield from self._pause_departed(view, term)
+        view = attrs.evolve(view, departed=departed)
+        self._log_fence(order, view, reports, failed)
+        refusal = self._refusal(order, view, reports)
+        if refusal:
+            yield from self.resume(reports)
+            yield from self._resume_departed(departed.values())
+            raise _change_steps.ChangeAbandonedError(refusal)
+        if order.cause is _fencing.Cause.STALLED:
+            yield from self._demote(view.old_primary, term)
+        elif order.cause is not _fencing.Cause.LEAVING:
+            decisions.start(self._demote(view.old_primary, term))
+        return reports
+
+    # -- the fence -------------------------------------------------------
+
+    def _demote(self, old_primary: str, term: int) -> "decisions.Flow[None]":
+        """Orders the old primary to step down.
+
+        A failure is ignored, as the paused replicas fence it anyway.
+        """
+        pool = self._group.pools.get(old_primary)
+        if pool is None:
+            return
+        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
+        yield decisions.settled(asked)
+
+    def _pause_listed(
+        self, view: _fence_views.View, term: int
+    ) -> "decisions.Flow[tuple[dict[str, _members.Report], dict[str, str]]]":
+        """Pauses the listed members.
+
+        Returns:
+            The reports of those that are paused, and why others are not.
+        """
+        futs = {
+            name: decisions.start(self._pause(pool, term))
+            for name, pool in view.pools.items()
+        }
+        yield decisions.settle_all(list(futs.values()), lambda _: False)
+        reports = {
+            name: fut.result()
+            for name, fut in futs.items()
+            if fut.exception() is None
         }
-        # The members may still serve other nodes, so none of them is paused
-        # unless enough of them can be.
-        yield from self._require_reachable(other_members)
-        self._adopt_current_leader(other_members)
-        term = self._next_term()
-        if cause is _fencing.Cause.LEAVING:
-            yield from self._demote(old_primary, term)
-        reports: dict[str, _members.Report] = {}
-        futs = [
-            decisions.start(self._pause(p, term, reports))
-            for p in other_members.values()
+        return reports, _fence_views.failures(futs)
+
+    def _pause(
+        self, pool: _pools.Pool, term: int
+    ) -> "decisions.Flow[_members.Report]":
+        """Pauses a member, and returns its report.
+
+        Raises:
+            decisions.RequestFailedError: It is not paused.
+        """
+        group = self._group
+        try:
+            report = yield from group.ask(pool, _links.Pause(term))
+        except decisions.RequestFailedError:
+            report = yield from group.ask(pool, _links.Pause(term))
+        if report.role is _members.Role.PRIMARY and report.term < term:
+            # This is the primary of an earlier term, cut off until now.
+            yield from group.ask(pool, _links.StepDown(term))
+            report = yield from group.ask(pool, _links.Pause(term))
+        is_replica = report.role is _members.Role.REPLICA
+        if not is_replica or report.paused_term < term:
+            detail = f"{report.role.value}, paused for {report.paused_term}"
+            raise decisions.RequestFailedError(decisions.NOT_PRIMARY, detail)
+        return report
+
+    def _pause_departed(
+        self, view: _fence_views.View, term: int
+    ) -> "decisions.Flow[dict[str, _departed_members.Outcome]]":
+        """Pauses the departed members that answered; returns all outcomes."""
+        running = [
+            o.departure for o in view.departed.values() if not o.has_ended
         ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        failed = _failures(other_members, settled)
-        removed = yield from self._pause_removed(old_primary, term)
-        unsure = sum(r.is_unsure for r in removed.values())
-        needed = _fencing.fence_needed(
-            len(other_members), unsure, group.service.sync_replicas
+        paused = yield from _departed_members.reach_all(
+            self._clock,
+            self._group,
+            running,
+            lambda pool: self._pause(pool, term),
         )
-        self._log_fence(
-            cause, token, old_primary, reports, failed, removed, needed
-        )
-        detail = (
-            f"{len(reports)} of {len(other_members)} paused, {needed} needed"
+        return {**view.departed, **paused}
+
+    # -- the decision ----------------------------------------------------
+
+    def _refusal(
+        self,
+        order: Order,
+        view: _fence_views.View,
+        reports: dict[str, _members.Report],
+    ) -> str:
+        """Returns why no paused member may be promoted; empty if one may."""
+        needed = view.needed
+        detail = f"{len(reports)} of {len(view.pools)} paused, {needed} needed"
+        _change_steps.log_step(
+            self._group, "fenced", order.token, view.old_primary, detail
         )
-        log_step(self._group, "fenced", token, old_primary, detail)
         if len(reports) < needed or not reports:
-            yield from self.resume(reports)
-            raise ChangeAbandonedError(detail)
-        if self._may_lack_commits(reports):
-            yield from self.resume(reports)
-            raise ChangeAbandonedError("a member that began again held more")
-        if cause is not _fencing.Cause.LEAVING:
-            decisions.start(self._demote(old_primary, term))
-        return reports
+            return detail
+        received = max(r.received for r in reports.values())
+        for name, outcome in view.departed.items():
+            if outcome.report and outcome.report.received > received:
+                return f"{name} is not listed and holds more"
+        missing = _departures.missing_commits(
+            received, self._views.open_departures(view.old_primary), order.acks
+        )
+        if missing is None:
+            return ""
+        is_overdue = self._lost_for_s() > MAX_LOST_PRIMARY_S
+        if is_overdue and not missing.is_known:
+            _change_steps.log_step(
+                self._group, "unproved", order.token, "", missing.detail
+            )
+            return ""
+        return f"commits may be missing: {missing.detail}"
+
+    def _lost_for_s(self) -> float:
+        """Returns for how long the primary has not answered, in seconds."""
+        pool = self._group.leader_pool
+        if pool is not None:
+            return pool.contact.silence_s
+        return self._clock.now() - self._group.leaderless_since
 
     def _log_fence(
         self,
-        cause: _fencing.Cause,
-        token: int,
-        old_primary: str,
+        order: Order,
+        view: _fence_views.View,
         reports: dict[str, _members.Report],
         failed: dict[str, str],
-        removed: "dict[str, RemovedOutcome]",
-        needed: int,
     ) -> None:
         """Logs what the decision to promote is based on."""
         group = self._group
-        last = group.last_report(old_primary)
+        last = group.last_report(view.old_primary)
         revision = self._catalogue.revision
         event = _change_events.MembersFenced(
             service=group.service.name,
-            token=token,
-            cause=cause.value,
-            old_primary=old_primary,
+            token=order.token,
+            cause=order.cause.value,
+            old_primary=view.old_primary,
             old_end=str(last.received) if last else "",
+            acknowledged=str(order.acks.position),
             list_revision=f"{revision.era}:{revision.number}",
             listed=[
                 f"{n} leaving" if p.member.draining else n
@@ -191,24 +241,11 @@
             ],
             paused={n: str(r.received) for n, r in reports.items()},
             failed=failed,
-            removed={n: r.describe() for n, r in removed.items()},
-            needed=needed,
+            departed={n: o.describe() for n, o in view.departed.items()},
+            needed=view.needed,
         )
         _events.emit(event)
 
-    def _may_lack_commits(self, reports: dict[str, _members.Report]) -> bool:
-        """Whether the old primary alone may hold an acknowledged commit.
-
-        A replica that restarted has lost what it acknowledged before, and the
-        other replicas may have been behind it. If one restarted recently, no
-        member is promoted until the old primary returns or a paused replica
-        is known to have received everything up to the newest floor.
-        """
-        newest = self._group.floors.newest
-        if not self._group.recently_restarted or newest is None:
-            return False
-        return all(r.received < newest.floor for r in reports.values())
-
     def is_broken(self, reports: dict[str, _members.Report]) -> bool:
         """Whether a paused member has restarted since.
 
@@ -218,128 +255,13 @@
         Args:
             reports: The reports of the paused members, by id.
         """
-        restarted = self._group.restarted_at
+        restarted = self._group.membership.restarted_at
         return any(
             restarted.get(name, float("-inf")) >= self._fence_started_at
             for name in reports
         )
 
-    def _require_reachable(
-        self, other_members: "dict[str, _pools.Pool]"
-    ) -> "decisions.Flow[None]":
-        futs = [
-            decisions.start(self._group.ask(p, _links.Status()))
-            for p in other_members.values()
-        ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        reached = sum(s.failure is None for s in settled)
-        needed = _fencing.fence_needed(
-            len(other_members), 0, self._group.service.sync_replicas
-        )
-        if reached < needed:
-            raise ChangeAbandonedError(f"{reached} reached, {needed} needed")
-
-    def _adopt_current_leader(
-        self, other_members: "dict[str, _pools.Pool]"
-    ) -> None:
-        """Checks that no member leads already in a newer term.
-
-        Raises:
-            ChangeAbandonedError: One does. The group now follows it.
-        """
-        group = self._group
-        for name in other_members:
-            report = group.last_report(name)
-            if report is None or report.role is not _members.Role.PRIMARY:
-                continue
-            if report.term > group.term or group.leader is None:
-                group.note_leader(_members.Leader(name, report.term))
-                raise ChangeAbandonedError(f"{name} leads already")
-
-    def _demote(self, old_primary: str, term: int) -> "decisions.Flow[None]":
-        """Orders the old primary to step down.
-
-        A failure is ignored, as the paused replicas fence it anyway.
-        """
-        pool = self._group.pools.get(old_primary)
-        if pool is None:
-            return
-        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
-        yield decisions.settled(asked)
-
-    def _refresh_members(self) -> "decisions.Flow[None]":
-        """Reads the members from the store again.
-
-        A replica that this node does not know could still acknowledge commits.
-
-        Raises:
-            ChangeAbandonedError: The store was restored from a copy, which may
-                lack a replica.
-        """
-        prefix = self._catalogue.member_prefix
-        listed = yield self._store.list(prefix)
-        if listed.revision.era != self._catalogue.revision.era:
-            raise ChangeAbandonedError("the store has come back from a copy")
-        self._catalogue.take(listed.items, "store")
-
-    def _next_term(self) -> int:
-        group = self._group
-        terms = [group.term]
-        for name in group.pools:
-            report = group.last_report(name)
-            if report is not None:
-                terms += [report.term, report.paused_term]
-        return max(terms) + 1
-
-    def _pause(
-        self,
-        pool: _pools.Pool,
-        term: int,
-        reports: dict[str, _members.Report],
-    ) -> "decisions.Flow[None]":
-        group = self._group
-        try:
-            report = yield from group.ask(pool, _links.Pause(term))
-        except decisions.RequestFailedError:
-            report = yield from group.ask(pool, _links.Pause(term))
-        if report.role is _members.Role.PRIMARY and report.term < term:
-            # This is the primary of an earlier term, cut off until now.
-            yield from group.ask(pool, _links.StepDown(term))
-            report = yield from group.ask(pool, _links.Pause(term))
-        is_paused = report.paused_term >= term
-        if report.role is _members.Role.REPLICA and is_paused:
-            reports[pool.member.id] = report
-
-    def _pause_removed(
-        self, old_primary: str, term: int
-    ) -> "decisions.Flow[dict[str, RemovedOutcome]]":
-        """Pauses members that are no longer listed but may still be running.
-
-        A member that was leaving runs on for a while after its removal from
-        the list. Once it does not answer, it has left.
-
-        Returns:
-            What became of each of them, by id.
-        """
-        now = self._clock.now()
-        outcomes: dict[str, RemovedOutcome] = {}
-        for name, removed in list(self._group.removed_members.items()):
-            age_s = now - removed.at
-            if name == old_primary or age_s > _fencing.MAX_REMOVED_MEMBER_S:
-                continue
-            reports: dict[str, _members.Report] = {}
-            pool = self._group.open_pool(removed.member)
-            fut = decisions.start(self._pause(pool, term, reports))
-            yield decisions.settled(fut)
-            outcomes[name] = RemovedOutcome(
-                removed.member,
-                age_s,
-                reports.get(name),
-                pool.is_refused,
-                repr(fut.exception()),
-            )
-            pool.close()
-        return outcomes
+    # -- giving up -------------------------------------------------------
 
     def resume(
         self, reports: dict[str, _members.Report]
@@ -351,26 +273,28 @@
         Args:
             reports: The reports of the paused members, by id.
         """
-        pools = {n: p for n, p in self._group.pools.items() if n in reports}
-        futs = [
-            decisions.start(self._group.ask(pool, _links.Resume()))
-            for pool in pools.values()
-        ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        failed = _failures(pools, settled)
+        futs = {
+            name: decisions.start(self._group.ask(pool, _links.Resume()))
+            for name, pool in self._group.pools.items()
+            if name in reports
+        }
+        yield decisions.settle_all(list(futs.values()), lambda _: False)
         event = _change_events.MembersResumed(
-            self._group.service.name, self._token, sorted(pools), failed
+            self._group.service.name,
+            self._token,
+            sorted(futs),
+            _fence_views.failures(futs),
         )
         _events.emit(event)
 
-
-def _failures(
-    pools: "dict[str, _pools.Pool]",
-    settled: "list[decisions.Settled[typing.Any]]",
-) -> dict[str, str]:
-    """Returns why members could not be asked, by id."""
-    return {
-        name: repr(outcome.failure)
-        for name, outcome in zip(pools, settled, strict=True)
-        if outcome.failure is not None
-    }
+    def _resume_departed(
+        self, outcomes: Iterable[_departed_members.Outcome]
+    ) -> "decisions.Flow[None]":
+        group = self._group
+        paused = [o.departure for o in outcomes if o.report is not None]
+        yield from _departed_members.reach_all(
+            self._clock,
+            group,
+            paused,
+            lambda pool: group.ask(pool, _links.Resume()),
+        )
--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -12,7 +12,7 @@
 
 from ferry_proxy import _freshness
 from ferry_proxy import _members
-from ferry_proxy import _peer_messages
+from ferry_proxy import _opinion_messages
 from ferry_proxy import _policy
 
 # A group without a primary gets one after this time. Members that start
@@ -21,10 +21,6 @@
 # A primary whose VM has refused connections for this long is replaced. A
 # crashed process refuses at once, and one retry confirms it.
 REFUSED_PRIMARY_S = 0.25
-# A member that is no longer listed may still be running, cut off by a
-# partition. It is taken into account for this long, which is longer than any
-# known partition has lasted.
-MAX_REMOVED_MEMBER_S = 30.0
 
 
 class Cause(enum.Enum):
@@ -95,7 +91,7 @@
 
 def is_vetoed(
     cause: Cause,
-    opinions: list[_peer_messages.OpinionReply],
+    opinions: list[_opinion_messages.OpinionReply],
     policy: _policy.Policy,
 ) -> bool:
     """Whether a peer's opinion shows that only this node lost the primary.
--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -70,7 +70,7 @@
         needed: How many replicas prove that the primary still leads.
     """
     own = reports.get(leader.member)
-    if own is None or not _leads(own, leader):
+    if own is None or not own.leads(leader):
         return None
     following = [
         r
@@ -82,11 +82,6 @@
     return Sample(min(r.asked_at for r in [own, *following]), own.received)
 
 
-def _leads(report: _members.Report, leader: _members.Leader) -> bool:
-    is_primary = report.role is _members.Role.PRIMARY
-    return is_primary and report.term == leader.term
-
-
 class Floors:
     """The recent samples of one group."""
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -4,14 +4,17 @@
 
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
+from ferry_proxy import _departures
 from ferry_proxy import _events
 from ferry_proxy import _features
 from ferry_proxy import _freshness
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _membership_changes
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
@@ -21,9 +24,6 @@
 # A status round is evaluated after this long. Members without load answer in
 # 5 ms, and waiting reads need the floor that the round yields.
 STATUS_ROUND_S = 0.12
-# Members are replaced one after another, seconds apart. For this long after
-# one joins, more may have joined than are listed.
-MEMBERSHIP_CHANGE_S = 10.0
 
 
 class Group:
@@ -58,13 +58,13 @@
         self.floors = _freshness.Floors()
         self.last_leader = ""
         self.last_round_at = float("-inf")
-        self.leaderless_since = self.changed_at = clock.now()
-        self.removed_members: dict[str, _members.RemovedMember] = {}
-        self.restarted_at: dict[str, float] = {}
+        self.leaderless_since = clock.now()
+        self.membership = _membership_changes.MembershipChanges(clock)
+        self.departures = _departures.Departures()
+        self.acks = _acknowledgements.AckWatch(clock)
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
-        self.member_joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_step: list[Callable[[str], object]] = []
 
@@ -83,11 +83,10 @@
             limit: How many links to each this node may open.
             nodes: How many nodes send statements to the members.
         """
-        now = self._clock.now()
         if self.pools.keys() != members.keys():
-            self.changed_at = now
+            self.membership.note_changed()
         if self.pools and members.keys() - self.pools.keys():
-            self.member_joined_at = now
+            self.membership.note_joined()
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -98,7 +97,7 @@
             elif pool is not None and member.has_moved_from(pool.member):
                 pool.close()
                 pool = None
-            self.removed_members.pop(name, None)
+            self.departures.note_listed(member, self._clock.boot_now())
             if pool is None:
                 pool = self.pools[name] = self.open_pool(member, limit)
             else:
@@ -129,19 +128,16 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
-        self.removed_members[name] = _members.RemovedMember(
-            pool.member, self._clock.now()
-        )
+        self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
         """Discards all state of a member whose process has restarted.
 
-        The new process is not paused and may be empty. It counts as a further
-        replica for a while, as one does that joins under a new name.
+        The new process is not paused and may be empty.
         """
         self._close(pool)
-        self.member_joined_at = self._clock.now()
-        self.restarted_at[pool.member.id] = self.member_joined_at
+        self.departures.note_restarted(pool.member, self._clock.boot_now())
+        self.membership.note_restarted(pool.member.id)
 
     def _close(self, pool: _pools.Pool) -> None:
         pool.close()
@@ -163,16 +159,10 @@
         """The number of listed members other than the primary."""
         return max(0, len(self.pools) - 1)
 
-    @property
-    def recently_restarted(self) -> int:
-        """How many members restarted within `MEMBERSHIP_CHANGE_S`."""
-        cutoff = self._clock.now() - MEMBERSHIP_CHANGE_S
-        return sum(at > cutoff for at in self.restarted_at.values())
-
     @property
     def proof_size(self) -> int:
         """How many replicas must confirm that the primary still leads."""
-        replicas = self.replicas + self.recently_restarted
+        replicas = self.replicas + self.membership.recently_restarted
         return _freshness.proof_size(replicas, self.service.sync_replicas)
 
     @property
@@ -180,7 +170,7 @@
         """Whether members join or leave; some may not be listed yet."""
         if any(p.member.draining for p in self.pools.values()):
             return True
-        return self._clock.now() - self.member_joined_at < MEMBERSHIP_CHANGE_S
+        return self.membership.has_joined_recently
 
     @property
     def is_primary_changing(self) -> bool:
@@ -325,6 +315,8 @@
 
     def _apply_reports(self, reports: dict[str, _members.Report]) -> None:
         self._update_leader(reports)
+        if self.leader is not None:
+            self.departures.observe(self.leader, reports)
         sample = self._sample(reports)
         if sample is not None and self.leader is not None:
             self.floors.add(sample, self.leader.term)
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -86,6 +86,10 @@
         not_paused = self.paused_term <= term
         return self.role is Role.REPLICA and self.term <= term and not_paused
 
+    def leads(self, leader: "Leader") -> bool:
+        """Whether it is a primary's, in the term in which it is known."""
+        return self.role is Role.PRIMARY and self.term == leader.term
+
     def follows(self, term: int) -> bool:
         """Whether it is a replica that can receive commits of `term`."""
         receiving = self.paused_term <= term
@@ -103,16 +107,3 @@
 
     member: str
     term: int
-
-
-@attrs.frozen(slots=True)
-class RemovedMember:
-    """A member that is no longer listed but may still be running.
-
-    Attributes:
-        member: Its last entry.
-        at: When it was removed from the list, in the clock's seconds.
-    """
-
-    member: Member
-    at: float
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -0,0 +1,103 @@
+"""What the serving nodes of a group know of its primary and its commits."""
+
+from collections.abc import Collection
+
+import attrs
+import ferry_decisions as decisions
+
+from ferry_proxy import _acknowledgements
+from ferry_proxy import _clocks
+from ferry_proxy import _groups
+from ferry_proxy import _opinion_messages
+from ferry_proxy import _peers
+
+OPINION_WAIT_S = 0.1  # A peer answers in a few ms, a slow one in 25 ms.
+
+
+@attrs.frozen(slots=True)
+class Opinions:
+    """The replies of a group's serving nodes.
+
+    Attributes:
+        replies: The replies, by node.
+        at: When they had arrived, in boot time.
+    """
+
+    replies: dict[str, _opinion_messages.OpinionReply]
+    at: float
+
+    def acknowledgements(
+        self, own: _acknowledgements.AckWatch, peers: Collection[str]
+    ) -> _acknowledgements.Acknowledgements:
+        """Returns what is known of the commits acknowledged in the group.
+
+        Args:
+            own: The commits that this node passed on.
+            peers: The names of the group's other serving nodes.
+        """
+        position, since = own.position, own.since
+        for reply in self.replies.values():
+            told = decisions.Position(reply.acked_term, reply.acked_index)
+            position = max(position, told)
+        for name in peers:
+            found = self.replies.get(name)
+            if found is None or found.watched_s < 0:
+                since = float("inf")
+            else:
+                since = max(since, self.at - found.watched_s)
+        return _acknowledgements.Acknowledgements(position, since)
+
+
+def opinion_of(
+    clock: _clocks.Clock,
+    group: _groups.Group,
+    question: _opinion_messages.OpinionRequest,
+) -> _opinion_messages.OpinionReply:
+    """Returns this node's reply to a peer's request."""
+    acks = group.acks
+    reply = _opinion_messages.OpinionReply(
+        -1.0,
+        0.0,
+        acks.position.term,
+        acks.position.index,
+        clock.boot_now() - acks.since,
+    )
+    pool = group.pools.get(question.member)
+    if pool is None or pool.member.born != question.born:
+        return reply
+    return attrs.evolve(
+        reply,
+        heard_ago_s=clock.now() - pool.contact.heard,
+        unanswered_s=pool.contact.unanswered_s,
+    )
+
+
+def ask(
+    clock: _clocks.Clock, mesh: _peers.Peers, group: _groups.Group
+) -> "decisions.Flow[Opinions]":
+    """Asks the peers for their contact with the primary, and for commits."""
+    leader, pool = group.leader, group.leader_pool
+    question = _opinion_messages.OpinionRequest(
+        group.service.name,
+        leader.member if leader else "",
+        pool.member.born if pool else 0,
+    )
+    streams = list(mesh.streams)
+    futs = [
+        decisions.with_timeout(clock, OPINION_WAIT_S, s.call(question))
+        for s in streams
+    ]
+    yield decisions.settle_all(futs, lambda _: False)
+    replies = {
+        stream.peer: fut.result()
+        for stream, fut in zip(streams, futs, strict=True)
+        if fut.exception() is None
+    }
+    return Opinions(
+        {
+            peer: reply
+            for peer, reply in replies.items()
+            if isinstance(reply, _opinion_messages.OpinionReply)
+        },
+        clock.boot_now(),
+    )
--- a/packages/proxy/src/ferry_proxy/_peer_handler.py
+++ b/packages/proxy/src/ferry_proxy/_peer_handler.py
@@ -12,6 +12,8 @@
 from ferry_proxy import _followers
 from ferry_proxy import _forward_messages
 from ferry_proxy import _members
+from ferry_proxy import _opinion_messages
+from ferry_proxy import _opinions
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _rate_limiter
@@ -111,19 +113,16 @@
     return served.surveys.answer(served.group)
 
 
-@_handles(_peer_messages.OpinionRequest)
+@_handles(_opinion_messages.OpinionRequest)
 def _handle_opinion(
     node: PeerMessageHandler,
     _: _peers.PeerStream,
-    body: _peer_messages.OpinionRequest,
-) -> _peer_messages.OpinionReply:
+    body: _opinion_messages.OpinionRequest,
+) -> _opinion_messages.OpinionReply:
     served = node.groups.find(body.service)
-    pool = served.group.pools.get(body.member) if served else None
-    if pool is None or pool.member.born != body.born:
-        return _peer_messages.OpinionReply(-1.0)
-    return _peer_messages.OpinionReply(
-        node.clock.now() - pool.contact.heard, pool.contact.unanswered_s
-    )
+    if served is None:
+        return _opinion_messages.OpinionReply(-1.0)
+    return _opinions.opinion_of(node.clock, served.group, body)
 
 
 @_handles(_peer_messages.LeaderNotice)
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -251,39 +251,6 @@
     return _store.Item(key, plain, revision)
 
 
-@message("opinion?")
-@attrs.frozen(slots=True, repr=False)
-class OpinionRequest:
-    """Asks for a peer's view of its contact with a member.
-
-    Attributes:
-        service: The group.
-        member: The member's id.
-        born: Identifies the start of the member that is meant; it changes
-            when the member restarts.
-    """
-
-    service: str
-    member: str
-    born: int = 0
-
-
-@message("opinion")
-@attrs.frozen(slots=True, repr=False)
-class OpinionReply:
-    """The sender's contact with a member.
-
-    Attributes:
-        heard_ago_s: Seconds since the member last answered; negative for
-            never.
-        unanswered_s: Seconds for which a request sent after that has been
-            pending.
-    """
-
-    heard_ago_s: float
-    unanswered_s: float = 0.0
-
-
 @message("leader")
 @attrs.frozen(slots=True, repr=False)
 class LeaderNotice:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -15,6 +15,7 @@
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _change_events
+from ferry_proxy import _change_steps
 from ferry_proxy import _claims
 from ferry_proxy import _clocks
 from ferry_proxy import _events
@@ -23,6 +24,8 @@
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _opinion_messages
+from ferry_proxy import _opinions
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _policy
@@ -36,9 +39,8 @@
 # All nodes from this rank on claim at the same time, and the store accepts one
 # of the claims.
 MAX_RANK = 2
-OPINION_WAIT_S = 0.1  # A peer answers in a few ms, a slow one in 25 ms.
 FAILURE_BACKOFF_S = 0.4
-MAX_PROMOTE_WAIT_S = 16.0  # About half of `_fencing.MAX_REMOVED_MEMBER_S`.
+MAX_PROMOTE_WAIT_S = 16.0  # About half of `_departures.MAX_RUNNING_S`.
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
@@ -140,7 +142,8 @@
             unanswered_s=_unanswered_s(pool),
             refused_s=now - pool.contact.refused_since if pool else 0.0,
             stalled_s=self._stalled_s(),
-            leaderless_s=now - max(group.leaderless_since, group.changed_at),
+            leaderless_s=now
+            - max(group.leaderless_since, group.membership.changed_at),
             is_draining=pool is not None and pool.member.draining,
             successors=len(successors),
         )
@@ -183,7 +186,7 @@
         exc = fut.exception()
         if exc is None:
             return
-        vetoed = isinstance(exc, _fences.VetoedError)
+        vetoed = isinstance(exc, _change_steps.VetoedError)
         backoff_s = VETO_BACKOFF_S if vetoed else FAILURE_BACKOFF_S
         self._next_attempt_at = self._ctx.clock.now() + backoff_s
         self._log("abandoned", 0, "", repr(exc))
@@ -192,29 +195,38 @@
 
     def _change_primary(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
         started_at = self._ctx.clock.now()
-        opinions = decisions.start(self._ask_opinions())
+        asked = decisions.start(
+            _opinions.ask(self._ctx.clock, self._ctx.mesh, self._group)
+        )
         yield decisions.sleep(self._ctx.clock, self._rank() * RANK_DELAY_S)
         current = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if current is not cause:
             return
-        self._check_veto(cause, (yield opinions))
+        opinions = yield asked
+        self._check_veto(cause, list(opinions.replies.values()))
         if cause is _fencing.Cause.STALLED:
             yield from self._confirm_stall()
         held = yield from self._claims.take()
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
         try:
-            yield from self._replace(cause, held)
+            yield from self._replace(cause, held, opinions)
         finally:
             decisions.start(self._claims.release(held))
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
     def _replace(
-        self, cause: _fencing.Cause, held: _records.HeldClaim
+        self,
+        cause: _fencing.Cause,
+        held: _records.HeldClaim,
+        opinions: _opinions.Opinions,
     ) -> "decisions.Flow[None]":
         """Fences the old primary and begins the next term."""
         token = held.claim.token
-        reports = yield from self._fence.raise_fence(cause, token)
+        peers = {*self._ctx.nodes()} - {self._ctx.node}
+        acks = opinions.acknowledgements(self._group.acks, peers)
+        order = _fences.Order(cause, token, acks)
+        reports = yield from self._fence.raise_fence(order)
         successor = yield from self._promote(reports, held)
         yield from self._await_leader(successor, token)
 
@@ -227,38 +239,10 @@
         )
         return min(MAX_RANK, ranked.index(self._ctx.node))
 
-    def _ask_opinions(
-        self,
-    ) -> "decisions.Flow[list[_peer_messages.OpinionReply]]":
-        """Asks the peers for their contact with the primary."""
-        group = self._group
-        leader = group.leader
-        if leader is None:
-            return []
-        pool = group.leader_pool
-        question = _peer_messages.OpinionRequest(
-            group.service.name,
-            leader.member,
-            pool.member.born if pool else 0,
-        )
-        futs = [
-            decisions.with_timeout(
-                self._ctx.clock, OPINION_WAIT_S, s.call(question)
-            )
-            for s in self._ctx.mesh.streams
-        ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        return [
-            s.result
-            for s in settled
-            if s.failure is None
-            and isinstance(s.result, _peer_messages.OpinionReply)
-        ]
-
     def _check_veto(
         self,
         cause: _fencing.Cause,
-        opinions: list[_peer_messages.OpinionReply],
+        opinions: list[_opinion_messages.OpinionReply],
     ) -> None:
         """Checks that no peer has recent contact with the primary.
 
@@ -279,7 +263,7 @@
             )
         )
         if vetoed:
-            raise _fences.VetoedError("a peer hears the primary")
+            raise _change_steps.VetoedError("a peer hears the primary")
 
     def _confirm_stall(self) -> "decisions.Flow[None]":
         """Asks all members again before a primary that answers is replaced."""
@@ -295,7 +279,7 @@
         }
         self._update_stall(reports)
         if self._stall.stalled_s < self._ctx.policy.stall_s:
-            raise _fences.ChangeAbandonedError(
+            raise _change_steps.ChangeAbandonedError(
                 "a replica receives commits again"
             )
 
@@ -317,10 +301,14 @@
         token = held.claim.token
         if not self._claims.is_valid(held):
             yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError("the claim is too old to act on")
+            raise _change_steps.ChangeAbandonedError(
+                "the claim is too old to act on"
+            )
         if self._fence.is_broken(reports):
             yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError("a paused member began again")
+            raise _change_steps.ChangeAbandonedError(
+                "a paused member began again"
+            )
         detail = f"received {reports[successor].received}"
         self._log("promoting", token, successor, detail)
         try:
@@ -329,12 +317,12 @@
             )
         except _store.PromotionRefusedError as exc:
             yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError(str(exc)) from exc
+            raise _change_steps.ChangeAbandonedError(str(exc)) from exc
         except _store.StoreUnavailableError as exc:
             # The order may still be executed, even later, so only the member
             # itself can tell. The replicas stay paused meanwhile, so that the
             # old primary acknowledges nothing that the successor lacks.
-            _fences.log_step(
+            _change_steps.log_step(
                 self._group, "unanswered", token, successor, str(exc)
             )
         return successor
@@ -354,7 +342,7 @@
             try:
                 report = yield from group.ask(pool, _links.Status())
             except decisions.RequestFailedError as exc:
-                _fences.log_step(
+                _change_steps.log_step(
                     self._group, "asked", token, successor, exc.reason.name
                 )
             else:
@@ -365,7 +353,7 @@
         # Promotions may take longer on this platform. Another order would only
         # restart the wait, so the next attempt waits longer.
         self._promote_wait_s = min(MAX_PROMOTE_WAIT_S, 2 * self._promote_wait_s)
-        raise _fences.ChangeAbandonedError(f"{successor} does not lead")
+        raise _change_steps.ChangeAbandonedError(f"{successor} does not lead")
 
     def _announce(self, successor: str, term: int, token: int) -> None:
         group = self._group
@@ -379,7 +367,7 @@
         group.refresh()
 
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
-        _fences.log_step(self._group, step, token, member, detail)
+        _change_steps.log_step(self._group, step, token, member, detail)
 
 
 def _unanswered_s(pool: _pools.Pool | None) -> float:
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -14,6 +14,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _departed_members
 from ferry_proxy import _freshness
 from ferry_proxy import _groups
 from ferry_proxy import _members
@@ -54,6 +55,7 @@
         self._pause_s = pause_s
         self._next_request: decisions.Timer | None = None
         self._last_tick_at = float("-inf")
+        self._probes = _departed_members.Probes(clock)
 
     def survey(self, group: _groups.Group) -> None:
         """Updates a group's floor, by a status round or from the surveyor."""
@@ -63,7 +65,9 @@
             # A failed contact of this node ends only with an answer to a
             # request of its own.
             group.refresh()
-        if stream is not None and not self._is_request_planned:
+        if stream is None:
+            self._probes.probe(group)
+        elif not self._is_request_planned:
             self._ask(group, stream)
 
     @property
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -85,7 +85,7 @@
         elif job.statement.kind is _statements.Kind.COMMIT:
             self._end(reply)
             if self._wrote:
-                yield from self._executor.confirm(job)
+                yield from self._executor.confirm(job, reply)
         return reply
 
     def _admit(self, job: _jobs.Job) -> "decisions.Flow[None]":
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -9,6 +9,7 @@
 
 from ferry_proxy import _forwarder
 from ferry_proxy import _mesh
+from ferry_proxy import _opinion_messages
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _records
@@ -160,7 +161,7 @@
     for _ in range(40):
         timers.advance(0.05)
         assert pair.receiver.unresponsive_s < _forwarder.SILENT_PEER_S
-    answer.set_result(_peer_messages.OpinionReply(1.0))
+    answer.set_result(_opinion_messages.OpinionReply(1.0))
     sent = len(pair.raw.sent)
     timers.advance(1.0)
     assert pair.receiver.pending_calls == 0
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -7,6 +7,7 @@
 from ferry_proxy import _fencing
 from ferry_proxy import _freshness
 from ferry_proxy import _members
+from ferry_proxy import _opinion_messages
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _policy
@@ -71,7 +72,7 @@
 )
 def test_veto_of_peers(cause, heard, expected):
     pairs = [h if isinstance(h, tuple) else (h, 0.0) for h in heard]
-    opinions = [_peer_messages.OpinionReply(*pair) for pair in pairs]
+    opinions = [_opinion_messages.OpinionReply(*pair) for pair in pairs]
     assert _fencing.is_vetoed(cause, opinions, POLICY) is expected
 
 
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
@@ -9,6 +9,8 @@
 import ferry_decisions as decisions
 import pytest
 
+from ferry_proxy import _acknowledgements
+from ferry_proxy import _change_steps
 from ferry_proxy import _claims
 from ferry_proxy import _fences
 from ferry_proxy import _fencing
@@ -114,7 +116,7 @@
     lab.take("n1")
     lab.store.restore(copy)
     lab.run(0.3)
-    with pytest.raises(_fences.ChangeAbandonedError):
+    with pytest.raises(_change_steps.ChangeAbandonedError):
         lab.take("n2")
     lab.run(POLICY.claim_takeover_s)
     assert lab.take("n2").claim.holder == "n2"
@@ -154,9 +156,13 @@
     lab = Lab()
     fence = _fences.Fence(lab.clock, lab.store, lab.catalogue, lab.group)
     lab.store.restore(lab.store.copy())
-    raised = decisions.start(fence.raise_fence(_fencing.Cause.REFUSED, token=1))
+    acks = _acknowledgements.Acknowledgements(
+        _acknowledgements.NO_POSITION, since=0.0
+    )
+    order = _fences.Order(_fencing.Cause.REFUSED, 1, acks)
+    raised = decisions.start(fence.raise_fence(order))
     lab.run(2.0)
-    assert isinstance(raised.exception(), _fences.ChangeAbandonedError)
+    assert isinstance(raised.exception(), _change_steps.ChangeAbandonedError)
     paused = [m.paused_term for m in lab.cluster.members.values()]
     assert paused == [0, 0, 0]
 
