Give up a change of primary if another member leads after the claim

The cause of a change was established before its claim was written, and not compared again. A claim that took long, or came after the release of another node's, then replaced the primary that had just been promoted. The test drains the primary and lets another member lead while the claim is written; it ordered a second promotion before, and now gives up without pausing anybody.

--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -195,6 +195,7 @@
 
     def _change_primary(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
         started_at = self._ctx.clock.now()
+        leader = self._group.leader
         asked = decisions.start(
             _opinions.ask(self._ctx.clock, self._ctx.mesh, self._group)
         )
@@ -210,11 +211,21 @@
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
         try:
+            self._require_unchanged(leader)
             yield from self._replace(cause, held, opinions)
         finally:
             decisions.start(self._claims.release(held))
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
+    def _require_unchanged(self, leader: _members.Leader | None) -> None:
+        """Checks that the cause of the change is not of an earlier primary.
+
+        Raises:
+            ChangeAbandonedError: Another member leads by now.
+        """
+        if self._group.leader != leader:
+            raise _change_steps.ChangeAbandonedError("the primary has changed")
+
     def _replace(
         self,
         cause: _fencing.Cause,
