Count a stall of commits from the change of leader on

The detector kept its awaited position over a change of primary. The stall is now one of the known leader. The new test fails without the reset: the stall stays at 1.0 s.

--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -136,12 +136,14 @@
     REPLICATION_DELAY_S = 0.25
 
     def __init__(self) -> None:
+        self._leader: _members.Leader | None = None
         self._awaited_position: decisions.Position | None = None
         self._awaited_since = 0.0
         self.stalled_s = 0.0
 
     def observe(
         self,
+        leader: _members.Leader | None,
         primary: _members.Report | None,
         replicas: list[_members.Report],
         now: float,
@@ -149,10 +151,16 @@
         """Updates `stalled_s` from the reports of a status round.
 
         Args:
+            leader: The primary as far as known. A stall of another one says
+                nothing of it.
             primary: The primary's report; None if it did not answer.
             replicas: The replicas' reports.
             now: The current boot time, in seconds.
         """
+        if leader != self._leader:
+            self._leader = leader
+            self._awaited_position = None
+            self.stalled_s = 0.0
         for report in replicas:
             awaited_position = self._awaited_position
             if awaited_position is None or report.received >= awaited_position:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -124,7 +124,8 @@
             and n != leader.member
             and r.follows(leader.term)
         ]
-        self._stall.observe(primary, replicas, self._ctx.clock.boot_now())
+        now = self._ctx.clock.boot_now()
+        self._stall.observe(leader, primary, replicas, now)
 
     def evidence(self) -> _fencing.Evidence:
         """Returns what this node has observed of the primary."""
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -167,13 +167,32 @@
 
 
 def test_stall_is_seen_only_while_no_replica_receives():
+    leader = _members.Leader("a", 1)
     watch = _fencing.StallDetector()
-    watch.observe(report(PRIMARY, 7, 0.0), [report(REPLICA, 5, 0.0)], 0.0)
-    watch.observe(report(PRIMARY, 8, 0.5), [report(REPLICA, 5, 0.5)], 0.5)
+    for at, end in [(0.0, 7), (0.5, 8)]:
+        primary, replica = report(PRIMARY, end, at), report(REPLICA, 5, at)
+        watch.observe(leader, primary, [replica], at)
     assert watch.stalled_s == pytest.approx(0.5)
-    watch.observe(report(PRIMARY, 9, 1.0), [report(REPLICA, 5, 1.0)], 1.0)
+    primary, replica = report(PRIMARY, 9, 1.0), report(REPLICA, 5, 1.0)
+    watch.observe(leader, primary, [replica], 1.0)
+    assert watch.stalled_s == pytest.approx(1.0)
+    primary, replica = report(PRIMARY, 9, 1.5), report(REPLICA, 7, 1.5)
+    watch.observe(leader, primary, [replica], 1.5)
+    assert watch.stalled_s == 0.0
+
+
+def test_a_stall_of_the_primary_before_replaces_nobody():
+    leader = _members.Leader("a", 1)
+    watch = _fencing.StallDetector()
+    for at in (0.0, 1.0):
+        primary, replica = report(PRIMARY, 7, at), report(REPLICA, 5, at)
+        watch.observe(leader, primary, [replica], at)
     assert watch.stalled_s == pytest.approx(1.0)
-    watch.observe(report(PRIMARY, 9, 1.5), [report(REPLICA, 7, 1.5)], 1.5)
+    successor = report(PRIMARY, 5, 1.1, term=2)
+    watch.observe(_members.Leader("b", 2), successor, [], 1.1)
+    assert watch.stalled_s == 0.0
+    replica = report(REPLICA, 5, 1.2, term=2)
+    watch.observe(_members.Leader("b", 2), successor, [replica], 1.2)
     assert watch.stalled_s == 0.0
 
 
