Count replicas that receive commits before they are listed

A new member receives commits and counts for their acknowledgement from its start, but is listed up to 2 s later where the store is slow. A planned change had the same gap for as long as the new member was not listed.

Serving nodes now tell, with their opinion of the primary, when they last passed on a commit as acknowledged: a stall is refuted by one that came after it began. A planned change always needs a replica that holds all that the primary does. test_a_stall_is_refuted_by_commits_that_an_unlisted_replica_receives failed without the check.

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -18,10 +18,13 @@
         since: Since when all nodes that may have passed on acknowledgements
             have been observing them, in boot time; infinite if one of them
             was not heard from.
+        newest_at: When the newest known one was passed on, in boot time; minus
+            infinity if none is known.
     """
 
     position: decisions.Position
     since: float
+    newest_at: float = float("-inf")
 
 
 class AckWatch:
@@ -30,11 +33,15 @@
     Attributes:
         position: A position at or after all of them.
         since: Since when the node observes them, in boot time.
+        newest_at: When it passed on the newest one, in boot time; minus
+            infinity before the first one.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
+        self._clock = clock
         self.position = NO_POSITION
         self.since = clock.boot_now()
+        self.newest_at = float("-inf")
 
     def note(self, position: decisions.Position | None) -> None:
         """Records a commit, before its caller is told.
@@ -42,5 +49,6 @@
         Args:
             position: The position that the primary replied with, if any.
         """
+        self.newest_at = self._clock.boot_now()
         if position is not None:
             self.position = max(self.position, position)
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -142,7 +142,10 @@
                 )
 
     def require_caught_up(self, view: View) -> "decisions.Flow[None]":
-        """Checks that a replica has received what departed members held.
+        """Checks that a replica holds all that the primary does at the moment.
+
+        Others may hold commits that the listed replicas lack: members that
+        left, and members that are not listed yet.
 
         Raises:
             ChangeAbandonedError: None has; the primary goes on leading.
@@ -150,8 +153,6 @@
         """
         group = self._group
         leader, pool = group.leader, group.leader_pool
-        if not self.open_departures(view.old_primary):
-            return
         if leader is None or pool is None:
             raise _change_steps.ChangeAbandonedError("the primary is unknown")
         end = yield from group.ask(pool, _links.Status())
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -30,8 +30,6 @@
 # A primary that was lost for longer is replaced although not all
 # acknowledgements are known. A crashed process is back sooner.
 MAX_LOST_PRIMARY_S = 30.0
-# Changes in which the old primary still answers.
-_PRIMARY_ANSWERS = frozenset({_fencing.Cause.LEAVING, _fencing.Cause.STALLED})
 
 
 @attrs.frozen(slots=True)
@@ -85,7 +83,7 @@
         yield from self._views.refresh_members()
         self._fence_started_at = self._clock.now()
         view = yield from self._views.survey()
-        if order.cause in _PRIMARY_ANSWERS:
+        if self._needs_level_replica(order.cause, view):
             yield from self._views.require_caught_up(view)
         term = self._views.next_term(view)
         if order.cause is _fencing.Cause.LEAVING:
@@ -105,6 +103,20 @@
             decisions.start(self._demote(view.old_primary, term))
         return reports
 
+    def _needs_level_replica(
+        self, cause: _fencing.Cause, view: _fence_views.View
+    ) -> bool:
+        """Whether the primary goes on leading until a replica holds it all.
+
+        On a stall no replica does, but all commits acknowledged are on
+        replicas unless some have left.
+        """
+        if not self._group.service.sync_replicas:
+            return False
+        if cause is _fencing.Cause.STALLED:
+            return bool(self._views.open_departures(view.old_primary))
+        return cause is _fencing.Cause.LEAVING
+
     # -- the fence -------------------------------------------------------
 
     def _demote(self, old_primary: str, term: int) -> "decisions.Flow[None]":
--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -10,6 +10,7 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _freshness
 from ferry_proxy import _members
 from ferry_proxy import _opinion_messages
@@ -176,6 +177,23 @@
             self._awaited_since = primary.asked_at
 
 
+def is_stall_refuted(
+    acks: _acknowledgements.Acknowledgements, stalled_s: float, now: float
+) -> bool:
+    """Whether commits were acknowledged while no known replica received any.
+
+    A replica that is not listed yet has received them then, and would not be
+    fenced.
+
+    Args:
+        acks: The acknowledgements known to the serving nodes.
+        stalled_s: For how long the primary's commits have been stalled.
+        now: The current boot time, in seconds.
+    """
+    began_at = now - stalled_s + StallDetector.REPLICATION_DELAY_S
+    return acks.newest_at > began_at
+
+
 def choose_successor(
     reports: dict[str, _members.Report], members: dict[str, _members.Member]
 ) -> str:
--- a/packages/proxy/src/ferry_proxy/_opinion_messages.py
+++ b/packages/proxy/src/ferry_proxy/_opinion_messages.py
@@ -37,6 +37,8 @@
         acked_index: The index of that position.
         watched_s: Seconds for which the sender has observed the commits that
             it passes on; negative if it does not.
+        acked_ago_s: Seconds since it passed on the newest one; negative for
+            never.
     """
 
     heard_ago_s: float
@@ -44,3 +46,4 @@
     acked_term: int = 0
     acked_index: int = 0
     watched_s: float = -1.0
+    acked_ago_s: float = -1.0
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -1,6 +1,7 @@
 """What the serving nodes of a group know of its primary and its commits."""
 
 from collections.abc import Collection
+import math
 
 import attrs
 import ferry_decisions as decisions
@@ -36,16 +37,19 @@
             peers: The names of the group's other serving nodes.
         """
         position, since = own.position, own.since
+        newest_at = own.newest_at
         for reply in self.replies.values():
             told = decisions.Position(reply.acked_term, reply.acked_index)
             position = max(position, told)
+            if reply.acked_ago_s >= 0:
+                newest_at = max(newest_at, self.at - reply.acked_ago_s)
         for name in peers:
             found = self.replies.get(name)
             if found is None or found.watched_s < 0:
                 since = float("inf")
             else:
                 since = max(since, self.at - found.watched_s)
-        return _acknowledgements.Acknowledgements(position, since)
+        return _acknowledgements.Acknowledgements(position, since, newest_at)
 
 
 def opinion_of(
@@ -55,12 +59,13 @@
 ) -> _opinion_messages.OpinionReply:
     """Returns this node's reply to a peer's request."""
     acks = group.acks
+    acked_ago_s = clock.boot_now() - acks.newest_at
     reply = _opinion_messages.OpinionReply(
-        -1.0,
-        0.0,
-        acks.position.term,
-        acks.position.index,
-        clock.boot_now() - acks.since,
+        heard_ago_s=-1.0,
+        acked_term=acks.position.term,
+        acked_index=acks.position.index,
+        watched_s=clock.boot_now() - acks.since,
+        acked_ago_s=acked_ago_s if math.isfinite(acked_ago_s) else -1.0,
     )
     pool = group.pools.get(question.member)
     if pool is None or pool.member.born != question.born:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -13,6 +13,7 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _catalogue
 from ferry_proxy import _change_events
 from ferry_proxy import _change_steps
@@ -31,6 +32,7 @@
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _records
+from ferry_proxy import _stalls
 from ferry_proxy import _store
 
 # Nodes claim one after the other, this far apart. A claim reaches the next
@@ -91,7 +93,7 @@
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
         self._promote_wait_s = ctx.policy.promote_wait_s
-        self._stall = _fencing.StallDetector()
+        self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
         )
@@ -110,23 +112,9 @@
     # -- evidence --------------------------------------------------------
 
     def _on_status_round(self, reports: dict[str, _members.Report]) -> None:
-        self._update_stall(reports)
+        self._stalls.update(reports)
         self.check()
 
-    def _update_stall(self, reports: dict[str, _members.Report]) -> None:
-        """Passes a round's reports of the current term to the detector."""
-        leader = self._group.leader
-        primary = reports.get(leader.member) if leader else None
-        replicas = [
-            r
-            for n, r in reports.items()
-            if leader is not None
-            and n != leader.member
-            and r.follows(leader.term)
-        ]
-        now = self._ctx.clock.boot_now()
-        self._stall.observe(leader, primary, replicas, now)
-
     def evidence(self) -> _fencing.Evidence:
         """Returns what this node has observed of the primary."""
         group = self._group
@@ -142,18 +130,13 @@
             silence_s=pool.contact.silence_s if pool else 0.0,
             unanswered_s=_unanswered_s(pool),
             refused_s=now - pool.contact.refused_since if pool else 0.0,
-            stalled_s=self._stalled_s(),
+            stalled_s=self._stalls.stalled_s,
             leaderless_s=now
             - max(group.leaderless_since, group.membership.changed_at),
             is_draining=pool is not None and pool.member.draining,
             successors=len(successors),
         )
 
-    def _stalled_s(self) -> float:
-        if not self._group.service.sync_replicas:
-            return 0.0
-        return self._stall.stalled_s
-
     def _is_staying(self, pool: _pools.Pool) -> bool:
         return not pool.member.draining
 
@@ -207,7 +190,7 @@
         opinions = yield asked
         self._check_veto(cause, list(opinions.replies.values()))
         if cause is _fencing.Cause.STALLED:
-            yield from self._confirm_stall()
+            yield from self._stalls.confirm(self._acknowledgements(opinions))
         held = yield from self._claims.take()
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
@@ -218,6 +201,12 @@
             decisions.start(self._claims.release(held))
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
+    def _acknowledgements(
+        self, opinions: _opinions.Opinions
+    ) -> _acknowledgements.Acknowledgements:
+        peers = {*self._ctx.nodes()} - {self._ctx.node}
+        return opinions.acknowledgements(self._group.acks, peers)
+
     def _require_unchanged(self, leader: _members.Leader | None) -> None:
         """Checks that the cause of the change is not of an earlier primary.
 
@@ -235,9 +224,7 @@
     ) -> "decisions.Flow[None]":
         """Fences the old primary and begins the next term."""
         token = held.claim.token
-        peers = {*self._ctx.nodes()} - {self._ctx.node}
-        acks = opinions.acknowledgements(self._group.acks, peers)
-        order = _fences.Order(cause, token, acks)
+        order = _fences.Order(cause, token, self._acknowledgements(opinions))
         reports = yield from self._fence.raise_fence(order)
         successor = yield from self._promote(reports, held)
         yield from self._await_leader(successor, token)
@@ -277,24 +264,6 @@
         if vetoed:
             raise _change_steps.VetoedError("a peer hears the primary")
 
-    def _confirm_stall(self) -> "decisions.Flow[None]":
-        """Asks all members again before a primary that answers is replaced."""
-        futs = [
-            decisions.start(self._group.ask(pool, _links.Status()))
-            for pool in self._group.pools.values()
-        ]
-        yield decisions.settle_all(futs, lambda _: False)
-        reports = {
-            name: report
-            for name in self._group.pools
-            if (report := self._group.last_report(name)) is not None
-        }
-        self._update_stall(reports)
-        if self._stall.stalled_s < self._ctx.policy.stall_s:
-            raise _change_steps.ChangeAbandonedError(
-                "a replica receives commits again"
-            )
-
     def _promote(
         self,
         reports: dict[str, _members.Report],
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -157,3 +157,18 @@
     assert lab.cluster.promotions == []
     assert lab.cluster.members["b"].role is PRIMARY
     assert _links.Pause not in lab.cluster.commands_to("c")
+
+
+def test_a_stall_is_refuted_by_commits_that_an_unlisted_replica_receives():
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.run(0.5)
+    for name in "bc":
+        lab.cluster.members[name].isolated = True
+    joined = fakes.FakeMember("d", lab.cluster, REPLICA)
+    lab.cluster.members["d"] = joined
+    for number in range(15):
+        assert write(lab, f"held by a and d {number}").reason is None
+        lab.run(0.15)
+    assert lab.cluster.promotions == []
+    assert lab.cluster.lost == []
