Promote no member over commits that are known to be acknowledged

Nodes now tell two bounds with their opinion: the newest acknowledged commit is at least at one position, as the primary's log already ended just before it, and at most at another. Below the first nobody is promoted, whatever is known of departures; below the second only while a departure is open. Attempts that fail are repeated after a growing pause of up to 1.6 s, since each one writes to the store.

test_known_acknowledged_commits_are_not_promoted_away failed before.

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -13,8 +13,9 @@
     """What is known of the commits acknowledged in a group.
 
     Attributes:
-        position: A position at or after all commits that the nodes heard from
-            have passed on as acknowledged.
+        at_least: A position at or before the newest commit that the nodes
+            heard from have passed on as acknowledged.
+        at_most: A position at or after all of these commits.
         since: Since when all nodes that may have passed on acknowledgements
             have been observing them, in boot time; infinite if one of them
             was not heard from.
@@ -22,7 +23,8 @@
             infinity if none is known.
     """
 
-    position: decisions.Position
+    at_least: decisions.Position
+    at_most: decisions.Position
     since: float
     newest_at: float = float("-inf")
 
@@ -31,7 +33,8 @@
     """Observes the commits that this node passes on as acknowledged.
 
     Attributes:
-        position: A position at or after all of them.
+        at_least: A position at or before the newest of them.
+        at_most: A position at or after all of them.
         since: Since when the node observes them, in boot time.
         newest_at: When it passed on the newest one, in boot time; minus
             infinity before the first one.
@@ -39,16 +42,28 @@
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
-        self.position = NO_POSITION
+        self.at_least = self.at_most = NO_POSITION
         self.since = clock.boot_now()
         self.newest_at = float("-inf")
 
-    def note(self, position: decisions.Position | None) -> None:
+    def note(
+        self,
+        end_before: decisions.Position | None,
+        end_after: decisions.Position | None,
+    ) -> None:
         """Records a commit, before its caller is told.
 
+        The primary does not tell the position of the commit itself, and its
+        log may hold further ones that are not acknowledged.
+
         Args:
-            position: The position that the primary replied with, if any.
+            end_before: The end of the primary's log, as known before the
+                commit was sent; None if unknown.
+            end_after: The end that the primary replied with; None if unknown.
         """
         self.newest_at = self._clock.boot_now()
-        if position is not None:
-            self.position = max(self.position, position)
+        if end_after is not None:
+            self.at_most = max(self.at_most, end_after)
+        if end_before is not None:
+            position = attrs.evolve(end_before, index=end_before.index + 1)
+            self.at_least = max(self.at_least, position)
--- a/packages/proxy/src/ferry_proxy/_change_events.py
+++ b/packages/proxy/src/ferry_proxy/_change_events.py
@@ -35,7 +35,7 @@
         cause: Why the primary is to be replaced.
         old_primary: The member that the node takes for the primary.
         old_end: The end of its log, as it last reported it.
-        acknowledged: A position at or after all commits known to be
+        acknowledged: A position at or before the newest commit known to be
             acknowledged.
         list_revision: The store's revision of the list of members.
         listed: The ids of all listed members; leaving ones are marked.
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -237,13 +237,16 @@
         departures: The open departures, without the old primary's.
         acks: The acknowledgements known to the serving nodes.
     """
+    if received < acks.at_least:
+        detail = f"{acks.at_least} was acknowledged, {received} is held"
+        return MissingCommits(True, detail)
     if not departures:
         return None
     names = ", ".join(d.member.id for d in departures)
-    if received < acks.position:
-        detail = f"{names} left, {acks.position} acknowledged, {received} held"
-        return MissingCommits(True, detail)
+    if received < acks.at_most:
+        detail = f"{names} left, {acks.at_most} may be acknowledged"
+        return MissingCommits(False, f"{detail}, {received} is held")
     if any(d.removed_at < acks.since for d in departures):
-        detail = f"{names} left, not all acknowledgements known"
+        detail = f"{names} left, not all acknowledgements are known"
         return MissingCommits(False, detail)
     return None
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -134,7 +134,7 @@
                 durable.
         """
         group = job.group
-        group.acks.note(reply.position)
+        group.acks.note(job.progress.log_end, reply.position)
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
         if (
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -211,7 +211,7 @@
         missing = _departures.missing_commits(
             received, self._views.open_departures(view.old_primary), order.acks
         )
-        if missing is None:
+        if missing is None or not view.sync_replicas:
             return ""
         is_overdue = self._lost_for_s() > MAX_LOST_PRIMARY_S
         if is_overdue and not missing.is_known:
@@ -245,7 +245,7 @@
             cause=order.cause.value,
             old_primary=view.old_primary,
             old_end=str(last.received) if last else "",
-            acknowledged=str(order.acks.position),
+            acknowledged=str(order.acks.at_least),
             list_revision=f"{revision.era}:{revision.number}",
             listed=[
                 f"{n} leaving" if p.member.draining else n
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -61,6 +61,8 @@
         """Records that the request is now sent to a member."""
         leader = self.group.leader
         at_replica = leader is None or leader.member != member
+        pool = self.group.pools.get(member)
+        self.progress.log_end = pool.reported.position if pool else None
         self.progress.note_dispatched(member, at_replica, now)
 
     def command(
--- a/packages/proxy/src/ferry_proxy/_opinion_messages.py
+++ b/packages/proxy/src/ferry_proxy/_opinion_messages.py
@@ -32,9 +32,9 @@
             never.
         unanswered_s: Seconds for which a request sent after that has been
             pending.
-        acked_term: The term of a position at or after all commits that the
-            sender has passed on as acknowledged.
-        acked_index: The index of that position.
+        least_acked: The term and index of a position at or before the newest
+            commit that the sender has passed on as acknowledged.
+        most_acked: Likewise, at or after all of these commits.
         watched_s: Seconds for which the sender has observed the commits that
             it passes on; negative if it does not.
         acked_ago_s: Seconds since it passed on the newest one; negative for
@@ -43,7 +43,7 @@
 
     heard_ago_s: float
     unanswered_s: float = 0.0
-    acked_term: int = 0
-    acked_index: int = 0
+    least_acked: tuple[int, int] = (0, 0)
+    most_acked: tuple[int, int] = (0, 0)
     watched_s: float = -1.0
     acked_ago_s: float = -1.0
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -36,11 +36,11 @@
             own: The commits that this node passed on.
             peers: The names of the group's other serving nodes.
         """
-        position, since = own.position, own.since
-        newest_at = own.newest_at
+        at_least, at_most = own.at_least, own.at_most
+        since, newest_at = own.since, own.newest_at
         for reply in self.replies.values():
-            told = decisions.Position(reply.acked_term, reply.acked_index)
-            position = max(position, told)
+            at_least = max(at_least, decisions.Position(*reply.least_acked))
+            at_most = max(at_most, decisions.Position(*reply.most_acked))
             if reply.acked_ago_s >= 0:
                 newest_at = max(newest_at, self.at - reply.acked_ago_s)
         for name in peers:
@@ -49,7 +49,9 @@
                 since = float("inf")
             else:
                 since = max(since, self.at - found.watched_s)
-        return _acknowledgements.Acknowledgements(position, since, newest_at)
+        return _acknowledgements.Acknowledgements(
+            at_least, at_most, since, newest_at
+        )
 
 
 def opinion_of(
@@ -62,8 +64,8 @@
     acked_ago_s = clock.boot_now() - acks.newest_at
     reply = _opinion_messages.OpinionReply(
         heard_ago_s=-1.0,
-        acked_term=acks.position.term,
-        acked_index=acks.position.index,
+        least_acked=(acks.at_least.term, acks.at_least.index),
+        most_acked=(acks.at_most.term, acks.at_most.index),
         watched_s=clock.boot_now() - acks.since,
         acked_ago_s=acked_ago_s if math.isfinite(acked_ago_s) else -1.0,
     )
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -42,6 +42,8 @@
 # of the claims.
 MAX_RANK = 2
 FAILURE_BACKOFF_S = 0.4
+# Each attempt costs calls of the store, and may fail until a member returns.
+MAX_FAILURE_BACKOFF_S = 1.6
 MAX_PROMOTE_WAIT_S = 16.0  # About half of `_departures.MAX_RUNNING_S`.
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
@@ -92,6 +94,7 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
+        self._backoff_s = FAILURE_BACKOFF_S
         self._promote_wait_s = ctx.policy.promote_wait_s
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
@@ -149,6 +152,7 @@
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
+            self._backoff_s = FAILURE_BACKOFF_S
             return
         self._is_changing = True
         fut = decisions.start(self._change_primary(cause))
@@ -169,10 +173,13 @@
         self._is_changing = False
         exc = fut.exception()
         if exc is None:
+            self._backoff_s = FAILURE_BACKOFF_S
             return
         vetoed = isinstance(exc, _change_steps.VetoedError)
-        backoff_s = VETO_BACKOFF_S if vetoed else FAILURE_BACKOFF_S
+        backoff_s = VETO_BACKOFF_S if vetoed else self._backoff_s
         self._next_attempt_at = self._ctx.clock.now() + backoff_s
+        if not vetoed:
+            self._backoff_s = min(MAX_FAILURE_BACKOFF_S, 2 * self._backoff_s)
         self._log("abandoned", 0, "", repr(exc))
 
     # -- the change ------------------------------------------------------
--- a/packages/proxy/src/ferry_proxy/_requests.py
+++ b/packages/proxy/src/ferry_proxy/_requests.py
@@ -19,6 +19,8 @@
         attempts: How many times it was sent to a member.
         offered_at: When a member was first contacted for it; 0 for never.
         dispatched_at: When it was last sent to a member.
+        log_end: The end of that member's log as known before; None if it was
+            unknown.
         via: The serving node that it was forwarded to; empty for none.
     """
 
@@ -27,6 +29,7 @@
     attempts: int = 0
     offered_at: float = 0.0
     dispatched_at: float = 0.0
+    log_end: decisions.Position | None = None
     via: str = ""
 
     def note_offered(self, now: float) -> None:
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -1,7 +1,11 @@
 """Changes of primary after a member has left that had acknowledged commits."""
 
+import ferry_decisions as decisions
 import pytest
 
+from ferry_proxy import _acknowledgements
+from ferry_proxy import _configuration
+from ferry_proxy import _departures
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy.tests import fakes
@@ -172,3 +176,38 @@
         lab.run(0.15)
     assert lab.cluster.promotions == []
     assert lab.cluster.lost == []
+
+
+@pytest.mark.parametrize("sync_replicas", [0, 1])
+def test_known_acknowledged_commits_are_not_promoted_away(sync_replicas):
+    """A node that has just started knows of no departure, its peers do."""
+    lab = lab_with_a_lagging_replica()
+    lab.group.service = _configuration.Service("orders", 33, sync_replicas)
+    leave(lab, "b")
+    lab.group.departures = _departures.Departures()
+    lab.cluster.crash("a")
+    lab.run(3.0)
+    assert bool(lab.cluster.promotions) is not bool(sync_replicas)
+
+
+@pytest.mark.parametrize(
+    ("held", "departed_at", "since", "expected"),
+    [
+        (4, [], 0.0, True),
+        (5, [], 0.0, None),
+        (5, [10.0], 0.0, False),
+        (7, [10.0], 0.0, None),
+        (7, [10.0], 11.0, False),
+        (7, [10.0], float("inf"), False),
+        (4, [10.0], float("inf"), True),
+    ],
+)
+def test_commits_that_a_successor_may_lack(held, departed_at, since, expected):
+    def position(index):
+        return decisions.Position(1, index)
+
+    acks = _acknowledgements.Acknowledgements(position(5), position(7), since)
+    member = fakes.Lab().cluster.members["b"].entry()
+    departures = [_departures.Departure(member, at) for at in departed_at]
+    missing = _departures.missing_commits(position(held), departures, acks)
+    assert (missing.is_known if missing else None) is expected
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
@@ -157,7 +157,9 @@
     fence = _fences.Fence(lab.clock, lab.store, lab.catalogue, lab.group)
     lab.store.restore(lab.store.copy())
     acks = _acknowledgements.Acknowledgements(
-        _acknowledgements.NO_POSITION, since=0.0
+        _acknowledgements.NO_POSITION,
+        _acknowledgements.NO_POSITION,
+        since=0.0,
     )
     order = _fences.Order(_fencing.Cause.REFUSED, 1, acks)
     raised = decisions.start(fence.raise_fence(order))
