--- a/packages/proxy/src/ferry_proxy/_group_gauges.py
+++ b/packages/proxy/src/ferry_proxy/_group_gauges.py
@@ -29,6 +29,11 @@
         ),
         service=service,
     )
+    metrics.gauge(
+        "departures_open",
+        lambda: float(_count_departures(find())),
+        service=service,
+    )
     metrics.gauge(
         "commits_stalled",
         lambda: float(_is_stalled(find())),
@@ -40,6 +45,11 @@
     return [] if group is None else list(group.pools.values())
 
 
+def _count_departures(group: _groups.Group | None) -> int:
+    """Returns how many departed members' commits may lack a second copy."""
+    return 0 if group is None else len(group.departures.open())
+
+
 def _is_stalled(group: _groups.Group | None) -> bool:
     """Whether writes are refused since no replica receives commits."""
     leader = None if group is None else group.leader_pool
