Send no command under a claim that has grown old

Callers were told of commits that the next primary lacked: a node that was held up between its claim and its fence paused members, found its claim too old, and resumed them, while the order of the node that had claimed since was under way. The old primary then acknowledged commits through a resumed replica.

A control command that changes a member's state takes a guard, which is called once there is a link, right before the command is sent. A change passes the validity of its claim. Members are resumed only if they are still paused for the term that this fence set. Members that a node may not resume stay paused.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -74,6 +74,15 @@
         is_lost = held.revision.era != self._catalogue.revision.era
         return age_s < self._policy.claim_valid_s and not is_lost
 
+    def require_valid(self, held: _records.HeldClaim) -> None:
+        """Checks that this node may still act on a claim.
+
+        Raises:
+            ChangeAbandonedError: It may not; another node may act by now.
+        """
+        if not self.is_valid(held):
+            raise _fences.ChangeAbandonedError("the claim is too old to act on")
+
     def release(self, held: _records.HeldClaim) -> "decisions.Flow[None]":
         """Marks a claim as done, so that the next one need not wait."""
         done = attrs.evolve(held.claim, done=True)
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -4,7 +4,6 @@
 commit of its term can be acknowledged any more, even if it does not obey.
 """
 
-import typing
 
 import attrs
 import ferry_decisions as decisions
@@ -12,12 +11,14 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _change_events
 from ferry_proxy import _clocks
+from ferry_proxy import _control_commands
 from ferry_proxy import _events
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _pools
+from ferry_proxy import _resumption
 from ferry_proxy import _store
 
 
@@ -88,7 +89,13 @@
 
 
 class Fence:
-    """Pauses the members of one group, and resumes them."""
+    """Pauses the members of one group, and resumes them.
+
+    Attributes:
+        guard: Raises an error once this node may no longer send commands that
+            change a member's state: its claim is too old by then, and another
+            node may have raised a fence of its own.
+    """
 
     def __init__(
         self,
@@ -103,6 +110,7 @@
         self._group = group
         self._fence_started_at = clock.now()
         self._token = 0
+        self.guard: _control_commands.Guard = _control_commands.no_guard
 
     def raise_fence(
         self, cause: _fencing.Cause, token: int
@@ -141,7 +149,7 @@
             for p in other_members.values()
         ]
         settled = yield decisions.settle_all(futs, lambda _: False)
-        failed = _failures(other_members, settled)
+        failed = _control_commands.failures(other_members, settled)
         removed = yield from self._pause_removed(old_primary, term)
         unsure = sum(r.is_unsure for r in removed.values())
         needed = _fencing.fence_needed(
@@ -264,7 +272,7 @@
         pool = self._group.pools.get(old_primary)
         if pool is None:
             return
-        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
+        asked = decisions.start(self._command(pool, _links.StepDown(term)))
         yield decisions.settled(asked)
 
     def _refresh_members(self) -> "decisions.Flow[None]":
@@ -297,15 +305,14 @@
         term: int,
         reports: dict[str, _members.Report],
     ) -> "decisions.Flow[None]":
-        group = self._group
         try:
-            report = yield from group.ask(pool, _links.Pause(term))
+            report = yield from self._command(pool, _links.Pause(term))
         except decisions.RequestFailedError:
-            report = yield from group.ask(pool, _links.Pause(term))
+            report = yield from self._command(pool, _links.Pause(term))
         if report.role is _members.Role.PRIMARY and report.term < term:
             # This is the primary of an earlier term, cut off until now.
-            yield from group.ask(pool, _links.StepDown(term))
-            report = yield from group.ask(pool, _links.Pause(term))
+            yield from self._command(pool, _links.StepDown(term))
+            report = yield from self._command(pool, _links.Pause(term))
         is_paused = report.paused_term >= term
         if report.role is _members.Role.REPLICA and is_paused:
             reports[pool.member.id] = report
@@ -346,31 +353,17 @@
     ) -> "decisions.Flow[None]":
         """Lets paused members receive commits again.
 
-        Members that cannot be reached stay paused.
+        Members that cannot be reached stay paused, as do those that a later
+        fence has paused, and all once this node may no longer act.
 
         Args:
             reports: The reports of the paused members, by id.
         """
-        pools = {n: p for n, p in self._group.pools.items() if n in reports}
-        futs = [
-            decisions.start(self._group.ask(pool, _links.Resume()))
-            for pool in pools.values()
-        ]
-        settled = yield decisions.settle_all(futs, lambda _: False)
-        failed = _failures(pools, settled)
-        event = _change_events.MembersResumed(
-            self._group.service.name, self._token, sorted(pools), failed
+        yield from _resumption.resume(
+            self._group, reports, self._token, self.guard
         )
-        _events.emit(event)
-
 
-def _failures(
-    pools: "dict[str, _pools.Pool]",
-    settled: "list[decisions.Settled[typing.Any]]",
-) -> dict[str, str]:
-    """Returns why members could not be asked, by id."""
-    return {
-        name: repr(outcome.failure)
-        for name, outcome in zip(pools, settled, strict=True)
-        if outcome.failure is not None
-    }
+    def _command(
+        self, pool: _pools.Pool, command: _links.Command
+    ) -> "decisions.Flow[_members.Report]":
+        return self._group.ask(pool, command, self.guard)
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -43,9 +43,7 @@
         self._policy = policy
         self._features = features
         self._data_centre = data_centre
-        self._control_commands = _control_commands.ControlCommands(
-            clock, policy
-        )
+        self._commands = _control_commands.ControlCommands(clock, policy)
         self._proofs = _proofs.Proofs(clock, self)
         self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
@@ -243,14 +241,19 @@
         return self._proofs.prove()
 
     def ask(
-        self, pool: _pools.Pool, command: _links.Command
+        self,
+        pool: _pools.Pool,
+        command: _links.Command,
+        guard: _control_commands.Guard = _control_commands.no_guard,
     ) -> "decisions.Flow[_members.Report]":
         """Sends a control command to a member and returns its report.
 
+        The guard is called right before the command is sent.
+
         Raises:
             decisions.RequestFailedError: The member sent no report.
         """
-        report = yield from self._control_commands.ask(pool, command)
+        report = yield from self._commands.ask(pool, command, guard)
         self._last_report[pool.member.id] = report
         return report
 
@@ -372,9 +375,8 @@
         if leader is None or own is None or own.term < leader.term:
             return  # A late report from an earlier term.
         if own.role is _members.Role.REPLICA:
-            _events.emit(
-                _events.LeaderLost(self.service.name, leader.member, own.term)
-            )
+            name = self.service.name
+            _events.emit(_events.LeaderLost(name, leader.member, own.term))
             self._lose_leader()
 
     def note_leader(self, leader: _members.Leader) -> None:
@@ -390,9 +392,8 @@
         self.leader_found_at = self._clock.now()
         self.term = leader.term
         self.primary_change_until = float("-inf")
-        _events.emit(
-            _events.LeaderFound(self.service.name, leader.member, leader.term)
-        )
+        name = self.service.name
+        _events.emit(_events.LeaderFound(name, leader.member, leader.term))
         if previous is not None and previous is not self.leader_pool:
             previous.reject_callers()
         changed, self._changed = self._changed, decisions.Future()
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+import functools
 
 import attrs
 import ferry_decisions as decisions
@@ -214,6 +215,7 @@
     ) -> "decisions.Flow[None]":
         """Fences the old primary and begins the next term."""
         token = held.claim.token
+        self._fence.guard = functools.partial(self._claims.require_valid, held)
         reports = yield from self._fence.raise_fence(cause, token)
         successor = yield from self._promote(reports, held)
         yield from self._await_leader(successor, token)
@@ -315,9 +317,7 @@
         members = {n: p.member for n, p in group.pools.items()}
         successor = _fencing.choose_successor(reports, members)
         token = held.claim.token
-        if not self._claims.is_valid(held):
-            yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError("the claim is too old to act on")
+        self._claims.require_valid(held)
         if self._fence.is_broken(reports):
             yield from self._fence.resume(reports)
             raise _fences.ChangeAbandonedError("a paused member began again")
--- /dev/null
+++ b/packages/proxy/src/ferry_proxy/_resumption.py
@@ -0,0 +1,63 @@
+"""Lets members that a fence has paused receive commits again."""
+
+import ferry_decisions as decisions
+
+from ferry_proxy import _change_events
+from ferry_proxy import _control_commands
+from ferry_proxy import _events
+from ferry_proxy import _groups
+from ferry_proxy import _links
+from ferry_proxy import _members
+from ferry_proxy import _pools
+
+
+class PausedAgainError(Exception):
+    """A member is paused by another fence than the one that is undone."""
+
+
+def resume(
+    group: _groups.Group,
+    reports: dict[str, _members.Report],
+    token: int,
+    guard: _control_commands.Guard,
+) -> "decisions.Flow[None]":
+    """Resumes members that are still paused for the term that they reported.
+
+    Args:
+        group: The group.
+        reports: The reports of the paused members, by id.
+        token: The fencing token of the claim, for the log.
+        guard: Raises an error once this node may send no more commands.
+    """
+    pools = {n: p for n, p in group.pools.items() if n in reports}
+    futs = [
+        decisions.start(
+            _resume_member(group, pool, reports[name].paused_term, guard)
+        )
+        for name, pool in pools.items()
+    ]
+    settled = yield decisions.settle_all(futs, lambda _: False)
+    failed = _control_commands.failures(pools, settled)
+    event = _change_events.MembersResumed(
+        group.service.name, token, sorted(pools), failed
+    )
+    _events.emit(event)
+
+
+def _resume_member(
+    group: _groups.Group,
+    pool: _pools.Pool,
+    term: int,
+    guard: _control_commands.Guard,
+) -> "decisions.Flow[None]":
+    """Resumes a member that is still paused for `term`.
+
+    Raises:
+        PausedAgainError: It is paused for another term.
+        decisions.RequestFailedError: It did not answer.
+    """
+    report = yield from group.ask(pool, _links.Status())
+    if report.paused_term == term:
+        yield from group.ask(pool, _links.Resume(), guard)
+    elif report.paused_term:
+        raise PausedAgainError(f"for term {report.paused_term}")
