Tests that fail: orders without an answer that are executed late

A node that got no answer to an order to promote a member ordered another one 2.7 s later. That one led and acknowledged commits, then the first order took effect, and its member led without them: 37 commits that callers knew of were missing, whether the same node sent the second order or one that claimed after the first was killed, and after a restore of the store. 58 were missing when the first member was off the list by then. A refusal of the second order resumed the members although the first was outstanding. Orders were sent while the store could record nothing.

--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -4,7 +4,6 @@
 commit of its term can be acknowledged any more, even if it does not obey.
 """
 
-
 import attrs
 import ferry_decisions as decisions
 
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -26,15 +26,23 @@
 
     Attributes:
         list_gate: Listings are answered once it is done; None for at once.
+        writes_left: How many more writes reach the store.
     """
 
     def __init__(self, store):
         self._store = store
-        self.list_gate = None
+        self.list_gate: decisions.Future[None] | None = None
+        self.writes_left = float("inf")
 
     def __getattr__(self, name):
         return getattr(self._store, name)
 
+    def put_if(self, key, value, revision):
+        if self.writes_left <= 0:
+            return decisions.failed(_store.StoreUnavailableError("down"))
+        self.writes_left -= 1
+        return self._store.put_if(key, value, revision)
+
     def list(self, prefix):
         return decisions.start(self._list(prefix))
 
@@ -88,12 +96,18 @@
         )
 
     def promote(self, service, member, holder, token):
-        return self.lab.cluster.promote(service, member, holder, token)
+        return self.lab.order(member, token)
 
     def _sync(self):
-        if not self.lab.store.down:
-            items = tuple(self.lab.store.items.values())
+        store = self.lab.store
+        if store.down:
+            return
+        items = tuple(store.items.values())
+        if store.era == self.catalogue.revision.era:
             self.catalogue.take(items, "store")
+        else:
+            listed = _store.Changes(items, store.revision)
+            self.catalogue.merge_snapshot(listed, "store")
 
     def apply_entries(self):
         self.group.set_members(self.lab.cluster.entries(), self.lab.limit)
@@ -109,11 +123,19 @@
 
 
 class TwoNodes(fakes.Lab):
-    """A group whose primary two nodes may change."""
+    """A group whose primary two nodes may change.
+
+    Attributes:
+        late_orders: When the next orders are executed, in seconds; they get no
+            answer. Later ones are executed after `PROMOTE_S`.
+        refused_orders: How many of the orders after these are refused.
+    """
 
     def __init__(self, **policy):
         super().__init__(**policy)
-        self.futs = {}
+        self.futs: dict[str, decisions.Future[_links.Reply]] = {}
+        self.late_orders: list[float] = []
+        self.refused_orders = 0
         self.nodes = [Node(self, "n1"), Node(self, "n2")]
         self.first, self.second = sorted(
             self.nodes, key=lambda n: n.promoter._rank()
@@ -127,6 +149,29 @@
         for node in self.nodes:
             node.apply_entries()
 
+    def order(self, member, token):
+        """Accepts, refuses or delays an order to promote a member."""
+        self.cluster.promotions.append((member, token))
+        fake = self.cluster.members[member]
+        if self.late_orders:
+            delay = self.late_orders.pop(0)
+            self.clock.after(delay, lambda: self._execute(fake))
+            return decisions.failed(_store.StoreUnavailableError("no answer"))
+        if self.refused_orders:
+            self.refused_orders -= 1
+            return decisions.failed(_store.PromotionRefusedError("429"))
+        self.clock.after(fakes.PROMOTE_S, lambda: self._execute(fake))
+        return decisions.completed(None)
+
+    def _execute(self, fake):
+        if fake.role is not PRIMARY and not fake.crashed:
+            self.cluster._lead(fake)
+
+    @property
+    def ordered(self):
+        """The members that were to be promoted, in this order."""
+        return [member for member, _ in self.cluster.promotions]
+
     def wait_for(self, condition, limit_s=10.0):
         end = self.clock.now() + limit_s
         while not condition():
@@ -256,3 +301,91 @@
     lab.run(0.1)
     assert lab.cluster.members["b"].paused_term == 9
     assert lab.cluster.members["c"].paused_term == 0
+
+
+def lab_with_a_late_order(late_s=4.0):
+    """Returns nodes of which one has sent an order that is executed late.
+
+    The member that it names drains from then on, so another one would be
+    preferred, and it receives no more from the others.
+    """
+    lab = TwoNodes()
+    lab.late_orders = [late_s]
+    lab.drain_primary()
+    lab.wait_for(lambda: lab.cluster.promotions)
+    ordered = lab.cluster.members[lab.ordered[0]]
+    ordered.isolated = ordered.draining = True
+    lab.cluster.members["a"].is_control_busy = False
+    for node in lab.nodes:
+        node.apply_entries()
+    return lab, ordered
+
+
+def test_an_order_without_an_answer_is_followed_by_none_to_another_member():
+    """The first order takes effect after the second one did."""
+    lab, _ = lab_with_a_late_order()
+    lab.write_steadily(8.0)
+    assert lab.lost() == []
+    assert len(set(lab.ordered)) == 1
+
+
+def test_an_order_of_a_holder_that_was_killed_is_repeated():
+    lab, ordered = lab_with_a_late_order()
+    lab.first.kill()
+    lab.write_steadily(8.0)
+    assert lab.lost() == []
+    assert set(lab.ordered) == {ordered.id}
+    assert ordered.role is PRIMARY
+
+
+def test_an_order_is_repeated_after_the_store_was_restored():
+    """The backup lacks the claim under which the order was sent."""
+    lab, ordered = lab_with_a_late_order(late_s=7.0)
+    lab.store.restore(fakes.StoreBackup({}, 0))
+    lab.write_steadily(10.0)
+    assert lab.lost() == []
+    assert set(lab.ordered) == {ordered.id}
+
+
+def test_a_refused_repeat_of_an_order_resumes_nobody():
+    """The first order may still be executed."""
+    lab, _ = lab_with_a_late_order()
+    lab.cluster.members["a"].is_control_busy = True
+    lab.refused_orders = 9
+    lab.wait_for(lambda: len(lab.cluster.promotions) > 1)
+    lab.write_steadily(5.0)
+    assert lab.lost() == []
+
+
+def test_an_ordered_member_out_of_reach_is_waited_for():
+    lab, ordered = lab_with_a_late_order()
+    lab.cluster.members[ordered.id].dark = True
+    listed = lab.cluster.entries()
+    del listed[ordered.id]
+    for node in lab.nodes:
+        node.group.set_members(listed, lab.limit)
+    lab.write_steadily(8.0)
+    assert lab.lost() == []
+    assert set(lab.ordered) == {ordered.id}
+
+
+def test_an_order_that_is_not_executed_is_waited_for_only_so_long():
+    lab, ordered = lab_with_a_late_order(late_s=1e9)
+    listed = lab.cluster.entries()
+    del listed[ordered.id]
+    lab.cluster.crash(ordered.id)
+    for node in lab.nodes:
+        node.group.set_members(listed, lab.limit)
+    lab.run(22.0)
+    assert len(set(lab.ordered)) == 2
+
+
+def test_no_order_is_sent_without_a_record_of_it():
+    lab = TwoNodes()
+    for node in lab.nodes:
+        node.store.writes_left = 1
+    lab.drain_primary()
+    lab.run(5.0)
+    assert lab.cluster.promotions == []
+    paused = [m.paused_term for m in lab.cluster.members.values()]
+    assert paused == [0, 0, 0]
