Repeat or wait out an order that may be executed late

Callers lost acknowledged commits when an order to promote a member, whose answer was lost, was executed after another member had been promoted.

A claim records the order before it is sent, in one more conditional write; a claim without the field is one without an order. Later changes, also of other nodes and after a restore of the store, carry the order on, promote the same member again if it is paused and no other holds more, and else promote nobody until the order is 16 s old, as long as a promoter waits for a member to lead. An order is over once its member was seen to lead or the platform refused it. Of repeated orders only one can have had this effect, so they count for their whole time. While an order may be executed no paused member is resumed, and no change begins that could promote nobody. An order that cannot be recorded is not sent.

Choosing the successor, the order and the wait for it are in _succession, what a node knows of claims in _stored_claims. The log tells what a choice is based on, and its age.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -21,6 +21,7 @@
 from ferry_proxy import _policy
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _stored_claims
 from ferry_proxy import _team_placement
 from ferry_proxy import _teams
 
@@ -87,7 +88,7 @@
         active_configuration: The configuration that is in use, and its origin.
         grace: The period during which entries missing from the store are kept.
         nodes: The nodes by name.
-        claims: The claims of the store's current era, by group.
+        stored_claims: The claims in the store, and the orders recorded in them.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
         first_snapshot: The first snapshot that this node read in the store's
@@ -123,12 +124,17 @@
             clock
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
-        self.claims: dict[str, _records.HeldClaim] = {}
+        self.stored_claims = _stored_claims.StoredClaims()
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
+    @property
+    def claims(self) -> dict[str, _records.HeldClaim]:
+        """The claims of the store's current era, by group."""
+        return self.stored_claims.claims
+
     @property
     def member_prefix(self) -> str:
         """The prefix of the keys of members' entries."""
@@ -272,7 +278,7 @@
     def _begin_era(self, era: int, source: str) -> None:
         """Handles the first snapshot of an era of the store."""
         self.era_seen_at = self._clock.boot_now()
-        self.claims.clear()
+        self.stored_claims.begin_era()
         if self.is_read:
             _events.emit(_events.StoreRestored(era, source))
             self.grace.begin()
@@ -349,7 +355,8 @@
                     item.key.removeprefix(_records.NODE_PREFIX), item
                 )
             elif item.key.startswith(_records.CLAIM_PREFIX):
-                self._apply_claim(item)
+                now = self._clock.boot_now()
+                self.stored_claims.apply(item, self.revision.era, now)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
@@ -384,15 +391,3 @@
         if self._is_current(item):
             self.nodes.pop(name, None)
             self._note_change()
-
-    def _apply_claim(self, item: _store.Item) -> None:
-        found = _records.parse_claim_key(item.key)
-        if found.era != self.revision.era:
-            return
-        service = found.service
-        if item.value is None:
-            self.claims.pop(service, None)
-            return
-        claim = _records.Claim.decode(service, item.value)
-        now = self._clock.boot_now()
-        self.claims[service] = _records.HeldClaim(claim, item.revision, now)
--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -13,6 +13,7 @@
 from ferry_proxy import _events
 from ferry_proxy import _fences
 from ferry_proxy import _groups
+from ferry_proxy import _orders
 from ferry_proxy import _policy
 from ferry_proxy import _records
 from ferry_proxy import _store
@@ -36,6 +37,9 @@
         self._store = store
         self._catalogue = catalogue
         self._group = group
+        self._held: _records.HeldClaim | None = None
+        self._order: _records.Order | None = None
+        self._previous_order: _records.Order | None = None
 
     def take(self) -> "decisions.Flow[_records.HeldClaim]":
         """Writes a claim to the store.
@@ -52,7 +56,9 @@
         token = (
             previous.claim.token + 1 if previous else _records.first_token(era)
         )
-        claim = _records.Claim(self._node, token)
+        self._order = self._recorded_order()
+        self._require_promotable(self._order)
+        claim = _records.Claim(self._node, token, order=self._order)
         key = _records.claim_key(era, service)
         item = yield self._store.put_if(
             key, claim.encode(), self._catalogue.condition(key)
@@ -62,7 +68,78 @@
         self._catalogue.take((item,), "own claim")
         if previous is None:
             self._remove_outdated()
-        return _records.HeldClaim(claim, item.revision, now)
+        self._held = _records.HeldClaim(claim, item.revision, now)
+        return self._held
+
+    def _require_promotable(self, order: _records.Order | None) -> None:
+        """Checks that an earlier order does not prevent the change.
+
+        Raises:
+            ChangeAbandonedError: It does.
+        """
+        group = self._group
+        old_primary = group.leader.member if group.leader else group.last_leader
+        if _orders.prevents_change(order, old_primary, group.pools):
+            raise _fences.ChangeAbandonedError(f"{order} may still be executed")
+
+    def _recorded_order(self) -> _records.Order | None:
+        """Returns the order of an earlier change that may be executed."""
+        group = self._group
+        recorded = self._catalogue.stored_claims.orders.get(group.service.name)
+        now = self._clock.boot_now()
+        return _orders.pending(recorded, now, group.last_leader, group.term)
+
+    @property
+    def order(self) -> _records.Order | None:
+        """The order, of this or an earlier change, that may be executed."""
+        return self._order
+
+    def record_order(self, member: str) -> "decisions.Flow[None]":
+        """Records an order in the current claim, before it is sent.
+
+        Args:
+            member: The member to be promoted.
+
+        Raises:
+            ChangeAbandonedError: Another node has taken the claim over, or the
+                store did not answer.
+        """
+        held = self._current()
+        token = held.claim.token
+        order = _orders.next_order(member, token, self._group.term, self._order)
+        claim = attrs.evolve(held.claim, order=order)
+        try:
+            item = yield self._write(held, claim)
+        except _store.StoreUnavailableError as exc:
+            raise _fences.ChangeAbandonedError(
+                f"the order was not recorded: {exc}"
+            ) from exc
+        if item is None:
+            raise _fences.ChangeAbandonedError("the claim was taken over")
+        self._catalogue.take((item,), "own claim")
+        self._held = attrs.evolve(held, claim=claim, revision=item.revision)
+        self._previous_order, self._order = self._order, order
+
+    def note_refused(self) -> None:
+        """Records that the platform will not execute the recorded order."""
+        self._order = self._previous_order
+
+    def _current(self) -> _records.HeldClaim:
+        """Returns the claim that this node has taken last.
+
+        Raises:
+            ChangeAbandonedError: It has taken none.
+        """
+        if self._held is None:
+            raise _fences.ChangeAbandonedError("no claim is held")
+        return self._held
+
+    def _write(
+        self, held: _records.HeldClaim, claim: _records.Claim
+    ) -> "decisions.Future[_store.Item | None]":
+        """Replaces the value of a held claim unless it has changed."""
+        key = _records.claim_key(held.revision.era, self._group.service.name)
+        return self._store.put_if(key, claim.encode(), held.revision)
 
     def is_valid(self, held: _records.HeldClaim) -> bool:
         """Whether this node may still act on a claim.
@@ -83,13 +160,18 @@
         if not self.is_valid(held):
             raise _fences.ChangeAbandonedError("the claim is too old to act on")
 
-    def release(self, held: _records.HeldClaim) -> "decisions.Flow[None]":
-        """Marks a claim as done, so that the next one need not wait."""
-        done = attrs.evolve(held.claim, done=True)
-        service = self._group.service.name
-        key = _records.claim_key(held.revision.era, service)
+    def release(self) -> "decisions.Flow[None]":
+        """Marks the claim as done, so that the next one need not wait."""
+        held = self._current()
+        group = self._group
+        order = self._order
+        if order is not None and _orders.has_taken_effect(
+            order, group.last_leader, group.term
+        ):
+            order = None
+        done = attrs.evolve(held.claim, done=True, order=order)
         try:
-            item = yield self._store.put_if(key, done.encode(), held.revision)
+            item = yield self._write(held, done)
         except _store.StoreUnavailableError as exc:
             # The next claim has to wait until this one is too old to act on.
             token = held.claim.token
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -4,6 +4,8 @@
 commit of its term can be acknowledged any more, even if it does not obey.
 """
 
+from collections.abc import Callable
+
 import attrs
 import ferry_decisions as decisions
 
@@ -94,6 +96,8 @@
         guard: Raises an error once this node may no longer send commands that
             change a member's state: its claim is too old by then, and another
             node may have raised a fence of its own.
+        may_resume: Returns whether paused members may be resumed: no earlier
+            order to promote one of them may still be executed.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
         self._fence_started_at = clock.now()
         self._token = 0
         self.guard: _control_commands.Guard = _control_commands.no_guard
+        self.may_resume: Callable[[], bool] = lambda: True
 
     def raise_fence(
         self, cause: _fencing.Cause, token: int
@@ -358,6 +363,10 @@
         Args:
             reports: The reports of the paused members, by id.
         """
+        if not self.may_resume():
+            detail = "an earlier order may still be executed"
+            log_step(self._group, "kept paused", self._token, "", detail)
+            return
         yield from _resumption.resume(
             self._group, reports, self._token, self.guard
         )
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -30,6 +30,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _succession
 
 # Nodes claim one after the other, this far apart. A claim reaches the next
 # node in less time.
@@ -39,11 +40,9 @@
 MAX_RANK = 2
 OPINION_WAIT_S = 0.1  # A peer answers in a few ms, a slow one in 25 ms.
 FAILURE_BACKOFF_S = 0.4
-MAX_PROMOTE_WAIT_S = 16.0  # About half of `_fencing.MAX_REMOVED_MEMBER_S`.
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
-LEADER_POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
 @attrs.frozen(slots=True)
@@ -89,12 +88,14 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
-        self._promote_wait_s = ctx.policy.promote_wait_s
         self._stall = _fencing.StallDetector()
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
         )
         self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
+        self._succession = _succession.Succession(
+            ctx, group, self._claims, self._fence
+        )
         group.on_round.append(self._on_status_round)
 
     @property
@@ -207,7 +208,7 @@
         try:
             yield from self._replace(cause, held)
         finally:
-            decisions.start(self._claims.release(held))
+            decisions.start(self._claims.release())
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
     def _replace(
@@ -216,9 +217,9 @@
         """Fences the old primary and begins the next term."""
         token = held.claim.token
         self._fence.guard = functools.partial(self._claims.require_valid, held)
+        self._fence.may_resume = lambda: self._claims.order is None
         reports = yield from self._fence.raise_fence(cause, token)
-        successor = yield from self._promote(reports, held)
-        yield from self._await_leader(successor, token)
+        yield from self._succession.promote(reports, held)
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes claim."""
@@ -301,83 +302,6 @@
                 "a replica receives commits again"
             )
 
-    def _promote(
-        self,
-        reports: dict[str, _members.Report],
-        held: _records.HeldClaim,
-    ) -> "decisions.Flow[str]":
-        """Orders the promotion of a paused replica, and returns its id.
-
-        Raises:
-            ChangeAbandonedError: The claim is too old, a paused member has
-                restarted, or the platform refused the promotion.
-        """
-        ctx = self._ctx
-        group = self._group
-        members = {n: p.member for n, p in group.pools.items()}
-        successor = _fencing.choose_successor(reports, members)
-        token = held.claim.token
-        self._claims.require_valid(held)
-        if self._fence.is_broken(reports):
-            yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError("a paused member began again")
-        detail = f"received {reports[successor].received}"
-        self._log("promoting", token, successor, detail)
-        try:
-            yield ctx.promotions.promote(
-                group.service.name, successor, ctx.node, token
-            )
-        except _store.PromotionRefusedError as exc:
-            yield from self._fence.resume(reports)
-            raise _fences.ChangeAbandonedError(str(exc)) from exc
-        except _store.StoreUnavailableError as exc:
-            # The order may still be executed, even later, so only the member
-            # itself can tell. The replicas stay paused meanwhile, so that the
-            # old primary acknowledges nothing that the successor lacks.
-            _fences.log_step(
-                self._group, "unanswered", token, successor, str(exc)
-            )
-        return successor
-
-    def _await_leader(
-        self, successor: str, token: int
-    ) -> "decisions.Flow[None]":
-        """Waits until the promoted member leads, and announces it."""
-        ctx = self._ctx
-        group = self._group
-        started_at = ctx.clock.now()
-        while ctx.clock.now() - started_at < self._promote_wait_s:
-            group.expect_primary_change()
-            pool = group.pools.get(successor)
-            if pool is None:
-                break
-            try:
-                report = yield from group.ask(pool, _links.Status())
-            except decisions.RequestFailedError as exc:
-                _fences.log_step(
-                    self._group, "asked", token, successor, exc.reason.name
-                )
-            else:
-                if report.role is _members.Role.PRIMARY:
-                    self._announce(successor, report.term, token)
-                    return
-            yield decisions.sleep(ctx.clock, LEADER_POLL_S)
-        # Promotions may take longer on this platform. Another order would only
-        # restart the wait, so the next attempt waits longer.
-        self._promote_wait_s = min(MAX_PROMOTE_WAIT_S, 2 * self._promote_wait_s)
-        raise _fences.ChangeAbandonedError(f"{successor} does not lead")
-
-    def _announce(self, successor: str, term: int, token: int) -> None:
-        group = self._group
-        self._log("promoted", token, successor, f"term {term}")
-        group.note_leader(_members.Leader(successor, term))
-        notice = _peer_messages.LeaderNotice(
-            group.service.name, successor, term
-        )
-        for stream in self._ctx.mesh.streams:
-            stream.tell(notice)
-        group.refresh()
-
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
         _fences.log_step(self._group, step, token, member, detail)
 
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -142,6 +142,64 @@
     return float(value)
 
 
+@attrs.frozen(slots=True)
+class Order:
+    """An order to promote a member, recorded before it is sent.
+
+    Attributes:
+        member: The member's id.
+        token: The fencing token that it is sent under.
+        term: The newest term known then; the member leads in a later one.
+        attempts: How many orders to this member may be under way.
+    """
+
+    member: str
+    token: int
+    term: int
+    attempts: int = 1
+
+    @property
+    def era(self) -> int:
+        """The era of the store in which it was recorded."""
+        return self.token // TOKENS_PER_ERA
+
+    @classmethod
+    def decode(cls, raw: object, where: str) -> "Order":
+        """Decodes an order from a claim's value.
+
+        Args:
+            raw: The parsed JSON.
+            where: A description of the claim, for error messages.
+
+        Raises:
+            InvalidItemError: The order is malformed.
+        """
+        if not isinstance(raw, dict):
+            raise InvalidItemError(f"{where}: the order is no object")
+        member = raw.get("member")
+        numbers: list[typing.Any] = [
+            raw.get(field) for field in ("token", "term", "attempts")
+        ]
+        if not isinstance(member, str) or not member:
+            raise InvalidItemError(f"{where}: an order without a member")
+        if any(type(n) is not int or n < 0 for n in numbers):
+            raise InvalidItemError(f"{where}: an order without numbers")
+        return cls(member, *numbers)
+
+
+@attrs.frozen(slots=True)
+class RecordedOrder:
+    """An order, and when this node learned of it.
+
+    Attributes:
+        order: The order.
+        seen_at: When this node learned of it, in boot time.
+    """
+
+    order: Order
+    seen_at: float
+
+
 @attrs.frozen(slots=True)
 class Claim:
     """The exclusive right of one node to change a group's primary.
@@ -150,11 +208,14 @@
         holder: The name of the node.
         token: The fencing token; it grows with each claim.
         done: Whether the change has ended.
+        order: The newest order that may still be executed, of this or an
+            earlier change; None if there is none.
     """
 
     holder: str
     token: int
     done: bool = False
+    order: Order | None = None
 
     def encode(self) -> bytes:
         """Returns the claim's value in the store."""
@@ -174,7 +235,10 @@
             raise InvalidItemError(f"claim {service}: a field of another type")
         if type(token) is not int or token < 0:
             raise InvalidItemError(f"claim {service}: no token")
-        return cls(holder, token, done)
+        order = raw.get("order")
+        if order is not None:
+            order = Order.decode(order, f"claim {service}")
+        return cls(holder, token, done, order)
 
 
 @attrs.frozen(slots=True)
