Resume replicas that were left paused

A group acknowledged nothing for good, and its stall was not seen, when a node ended between pausing the replicas and promoting one, or when a member could not be reached while it was resumed: nothing resumed replicas that were left paused, and paused ones count for no stall.

When replicas were paused for a later term for longer than claim_takeover_s although the primary leads, a node takes the claim, in the same ranking as for a change, asks all members once more, and resumes them. It does not while another node may act on a claim, an order may be executed, or a member, listed or departed, that may lead a later term does not answer.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -56,7 +56,7 @@
         token = (
             previous.claim.token + 1 if previous else _records.first_token(era)
         )
-        self._order = self._recorded_order()
+        self._order = self.pending_order()
         self._require_promotable(self._order)
         claim = _records.Claim(self._node, token, order=self._order)
         key = _records.claim_key(era, service)
@@ -86,8 +86,8 @@
                 f"{order} may still be executed"
             )
 
-    def _recorded_order(self) -> _records.PromotionOrder | None:
-        """Returns the order of an earlier change that may be executed."""
+    def pending_order(self) -> _records.PromotionOrder | None:
+        """Returns an order of any change that may still be executed."""
         group = self._group
         recorded = self._catalogue.stored_claims.orders.get(group.service.name)
         now = self._clock.boot_now()
@@ -145,6 +145,12 @@
         key = _records.claim_key(held.revision.era, self._group.service.name)
         return self._store.put_if(key, claim.encode(), held.revision)
 
+    def is_free(self) -> bool:
+        """Whether no other node may be acting on a claim."""
+        previous = self._catalogue.claims.get(self._group.service.name)
+        now = self._clock.boot_now()
+        return previous is None or not self._is_held_by_another(previous, now)
+
     def is_valid(self, held: _records.HeldClaim) -> bool:
         """Whether this node may still act on a claim.
 
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -27,6 +27,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _opinions
+from ferry_proxy import _paused_members
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _pools
@@ -98,6 +99,9 @@
         self._succession = _succession.Succession(
             ctx, group, self._claims, self._fence
         )
+        self._repair = _paused_members.Repair(
+            ctx.clock, ctx.policy, group, self._claims
+        )
         group.on_round.append(self._on_status_round)
 
     @property
@@ -113,6 +117,7 @@
 
     def _on_status_round(self, reports: dict[str, _members.Report]) -> None:
         self._stalls.update(reports)
+        self._repair.observe()
         self.check()
 
     def evidence(self) -> _fencing.Evidence:
@@ -148,10 +153,14 @@
             return
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
-        if cause is None:
-            return
+        if cause is not None:
+            self._begin(self._change_primary(cause))
+        elif self._repair.is_due:
+            self._begin(self._repair.run(self._rank() * RANK_DELAY_S))
+
+    def _begin(self, flow: "decisions.Flow[None]") -> None:
         self._is_changing = True
-        fut = decisions.start(self._change_primary(cause))
+        fut = decisions.start(flow)
         fut.add_done_callback(self._on_change_ended)
 
     def _recheck_silent_primary(self) -> None:
