Let no later primary confirm a commit

A caller was told that its commit is durable although the primary lacked it: the commit was sent before a change of primary and answered after it, by an old primary that a replica still followed. The proof was then that of the new primary. It now has to be that of the member that the commit was sent to. test_a_commit_at_the_primary_before_is_not_confirmed_by_the_next_one failed before.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _groups
 from ferry_proxy import _jobs
 from ferry_proxy import _links
+from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
 from ferry_proxy import _pools
@@ -144,11 +145,15 @@
         ):
             return
         try:
-            yield group.prove()
+            leader: _members.Leader = yield group.prove()
         except decisions.RequestFailedError as exc:
             raise decisions.RequestFailedError(
                 decisions.NOT_CONFIRMED, exc.detail
             ) from exc
+        if leader.member != job.progress.member:
+            raise decisions.RequestFailedError(
+                decisions.NOT_CONFIRMED, f"{leader.member} leads by now"
+            )
 
     def primary(self, job: _jobs.Job) -> "decisions.Flow[_pools.Pool]":
         """Waits until there is a primary that can be reached.
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -15,6 +15,7 @@
 
 POLICY = _policy.Policy()
 PRIMARY = _members.Role.PRIMARY
+REPLICA = _members.Role.REPLICA
 
 
 def lab_with_a_late_claimant(monkeypatch, promote_s=1.5):
@@ -206,3 +207,20 @@
     assert lab.cluster.promotions == []
     paused = [m.paused_term for m in lab.cluster.members.values()]
     assert paused == [0, 0, 0]
+
+
+def test_a_commit_at_the_primary_before_is_not_confirmed_by_the_next_one():
+    """The commit was sent before the change, and answered after it."""
+    lab = fakes.Lab()
+    lab.cluster.work_s = lambda _: 0.5
+    fut = lab.session().run(fakes.statement("WRITE x 1", "late"))
+    lab.run(0.4)
+    old = lab.cluster.members["a"]
+    lab.cluster.members["d"] = fakes.FakeMember("d", lab.cluster, REPLICA)
+    old.isolated = lab.cluster.members["d"].isolated = True
+    lab.cluster._lead(lab.cluster.members["b"])
+    old.isolated = lab.cluster.members["d"].isolated = False
+    lab.group.note_leader(_members.Leader("b", 2))
+    lab.run(2.0)
+    assert lab.cluster.acknowledged == ["late"]
+    assert fut.exception() is not None or fut.result().reason is not None
