Confirm no commit while a change of primary is claimed

Callers were told of 30 commits that the next primary lacked: a replica that had been paused restarted while the order to promote another one was under way. It is not paused any more, so it let the old primary, which had not obeyed, acknowledge commits, and it proved that this one still led. The entry that tells of its restart comes later.

The group knows from the store whether a change is claimed, or an order may be executed. A commit that is acknowledged meanwhile waits until that is over, as a rule some ms, and is then proved; at its deadline it is told as unknown. test_a_paused_replica_that_restarts_confirms_no_commit failed before.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -26,6 +26,10 @@
 # The shortest time between status rounds that are started for want of a floor.
 FLOOR_REFRESH_INTERVAL_S = 0.2
 
+# How often a commit looks whether a claimed change is over. Giving up a change
+# takes a few ms.
+CLAIM_POLL_S = 0.01
+
 # The pause before a read without a floor looks for one again.
 NO_FLOOR_PAUSE_S = 0.05
 
@@ -124,7 +128,8 @@
         would let it acknowledge commits that its successor lacks. A commit
         that took long, or that ends while there is no fresh floor or while
         members come and go, is therefore confirmed by a proof that the primary
-        still leads.
+        still leads. A replica that was paused and has restarted would prove it
+        as well, so a commit is not confirmed before a claimed change is over.
 
         Args:
             job: The statement that committed.
@@ -138,8 +143,10 @@
         group.acks.note(reply.position)
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
+        was_claimed = yield from self._await_claimed_change(job)
         if (
             fresh
+            and not was_claimed
             and not group.is_membership_changing
             and took_s < self._policy.doubt_s
         ):
@@ -155,6 +162,25 @@
                 decisions.NOT_CONFIRMED, f"{leader.member} leads by now"
             )
 
+    def _await_claimed_change(self, job: _jobs.Job) -> "decisions.Flow[bool]":
+        """Waits until a claimed change is over; returns whether there was one.
+
+        Raises:
+            decisions.RequestFailedError: It is not over at the deadline.
+        """
+        group = job.group
+        was_claimed = False
+        while group.claimed_change.is_under_way(
+            group.leader, self._clock.boot_now()
+        ):
+            was_claimed = True
+            if self._clock.now() >= job.deadline:
+                raise decisions.RequestFailedError(
+                    decisions.NOT_CONFIRMED, "the primary may be replaced"
+                )
+            yield decisions.sleep(self._clock, CLAIM_POLL_S)
+        return was_claimed
+
     def primary(self, job: _jobs.Job) -> "decisions.Flow[_pools.Pool]":
         """Waits until there is a primary that can be reached.
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -5,6 +5,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _acknowledgements
+from ferry_proxy import _claimed_changes
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
@@ -60,6 +61,7 @@
         self.membership = _membership_changes.MembershipChanges(clock)
         self.departures = _departures.Departures()
         self.acks = _acknowledgements.AckWatch(clock)
+        self.claimed_change = _claimed_changes.NONE
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -6,6 +6,7 @@
 import attrs
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _claimed_changes
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _execution
@@ -311,11 +312,15 @@
 
     def _expect_claimed_changes(self) -> None:
         ctx = self._ctx
-        for service, held in ctx.catalogue.claims.items():
-            served = self._served.get(service)
-            age = ctx.clock.boot_now() - held.seen_at
-            fresh = age < ctx.policy.claim_valid_s
-            if served is not None and not held.claim.done and fresh:
+        stored = ctx.catalogue.stored_claims
+        for service, served in self._served.items():
+            held = stored.claims.get(service)
+            served.group.claimed_change = _claimed_changes.claimed_change(
+                held, stored.orders.get(service), ctx.policy
+            )
+            if held is None or held.claim.done:
+                continue
+            if ctx.clock.boot_now() - held.seen_at < ctx.policy.claim_valid_s:
                 served.group.expect_primary_change()
 
     def _note_promoted(self, cause: str, elapsed_s: float) -> None:
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -209,6 +209,33 @@
     assert paused == [0, 0, 0]
 
 
+def lab_with_an_order_under_way(monkeypatch):
+    """Returns nodes whose order takes long; the old primary leads on."""
+    monkeypatch.setattr(fakes, "PROMOTE_S", 1.5)
+    lab = two_nodes.TwoNodes()
+    lab.drain_primary()
+    lab.wait_for(lambda: lab.cluster.promotions)
+    return lab
+
+
+def test_a_paused_replica_that_restarts_confirms_no_commit(monkeypatch):
+    """It is not paused any more, and the ordered member lacks the commit."""
+    lab = lab_with_an_order_under_way(monkeypatch)
+    lab.cluster.restart("b")
+    lab.write_steadily(2.0)
+    assert lab.ordered == ["c"]
+    assert lab.lost == []
+
+
+def test_a_replica_that_joins_after_the_fence_confirms_no_commit(monkeypatch):
+    lab = lab_with_an_order_under_way(monkeypatch)
+    joined = fakes.FakeMember("d", lab.cluster, REPLICA)
+    lab.cluster.members["d"] = joined
+    lab.write_steadily(2.0)
+    assert lab.ordered == ["c"]
+    assert lab.lost == []
+
+
 def test_a_commit_at_the_primary_before_is_not_confirmed_by_the_next_one():
     """The commit was sent before the change, and answered after it."""
     lab = fakes.Lab()
--- a/packages/proxy/src/ferry_proxy/tests/two_nodes.py
+++ b/packages/proxy/src/ferry_proxy/tests/two_nodes.py
@@ -3,6 +3,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
+from ferry_proxy import _claimed_changes
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
@@ -101,6 +102,14 @@
         return self.lab.order(member, token)
 
     def _sync(self):
+        self._copy_store()
+        stored = self.catalogue.stored_claims
+        for group in (self.group, self.lab.group):
+            group.claimed_change = _claimed_changes.claimed_change(
+                stored.claims.get("orders"), stored.orders.get("orders"), POLICY
+            )
+
+    def _copy_store(self):
         store = self.lab.store
         if store.down:
             return
