--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -5,6 +5,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _acknowledgements
+from ferry_proxy import _claimed_changes
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
@@ -43,9 +44,7 @@
         self._policy = policy
         self._features = features
         self._data_centre = data_centre
-        self._control_commands = _control_commands.ControlCommands(
-            clock, policy
-        )
+        self._commands = _control_commands.ControlCommands(clock, policy)
         self._proofs = _proofs.Proofs(clock, self)
         self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
@@ -62,6 +61,7 @@
         self.membership = _membership_changes.MembershipChanges(clock)
         self.departures = _departures.Departures()
         self.acks = _acknowledgements.AckWatch(clock)
+        self.claimed_change = _claimed_changes.NONE
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
@@ -233,14 +233,19 @@
         return self._proofs.prove()
 
     def ask(
-        self, pool: _pools.Pool, command: _links.Command
+        self,
+        pool: _pools.Pool,
+        command: _links.Command,
+        guard: _control_commands.Guard = _control_commands.no_guard,
     ) -> "decisions.Flow[_members.Report]":
         """Sends a control command to a member and returns its report.
 
+        The guard is called right before the command is sent.
+
         Raises:
             decisions.RequestFailedError: The member sent no report.
         """
-        report = yield from self._control_commands.ask(pool, command)
+        report = yield from self._commands.ask(pool, command, guard)
         self._last_report[pool.member.id] = report
         return report
 
@@ -364,9 +369,8 @@
         if leader is None or own is None or own.term < leader.term:
             return  # A late report from an earlier term.
         if own.role is _members.Role.REPLICA:
-            _events.emit(
-                _events.LeaderLost(self.service.name, leader.member, own.term)
-            )
+            name = self.service.name
+            _events.emit(_events.LeaderLost(name, leader.member, own.term))
             self._lose_leader()
 
     def note_leader(self, leader: _members.Leader) -> None:
@@ -382,9 +386,8 @@
         self.leader_found_at = self._clock.now()
         self.term = leader.term
         self.primary_change_until = float("-inf")
-        _events.emit(
-            _events.LeaderFound(self.service.name, leader.member, leader.term)
-        )
+        name = self.service.name
+        _events.emit(_events.LeaderFound(name, leader.member, leader.term))
         if previous is not None and previous is not self.leader_pool:
             previous.reject_callers()
         changed, self._changed = self._changed, decisions.Future()
