Let only claims in vain lengthen the pause between attempts

A change that was given up before its claim costs no call of the store, and waited up to 1.6 s all the same: where several nodes waited for a restored store, the one that knew of a sent order came last.

--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -43,8 +43,9 @@
 # of the claims.
 MAX_RANK = 2
 FAILURE_BACKOFF_S = 0.4
-# Each attempt costs calls of the store, and may fail until a member returns.
-MAX_FAILURE_BACKOFF_S = 1.6
+# The backoff doubles with each claim in vain, up to this often. A claim costs
+# calls of the store, and may be in vain until a member returns.
+MAX_DOUBLINGS = 2
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
@@ -93,7 +94,7 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
-        self._backoff_s = FAILURE_BACKOFF_S
+        self._claims_in_vain = 0
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
@@ -159,7 +160,7 @@
         if cause is not None:
             self._begin(self._change_primary(cause))
             return
-        self._backoff_s = FAILURE_BACKOFF_S
+        self._claims_in_vain = 0
         if self._repair.is_due:
             self._begin(self._repair.run(self._rank() * RANK_DELAY_S))
 
@@ -183,15 +184,18 @@
         self._is_changing = False
         exc = fut.exception()
         if exc is None:
-            self._backoff_s = FAILURE_BACKOFF_S
+            self._claims_in_vain = 0
             return
         vetoed = isinstance(exc, _change_steps.VetoedError)
-        backoff_s = VETO_BACKOFF_S if vetoed else self._backoff_s
+        backoff_s = VETO_BACKOFF_S if vetoed else self._failure_backoff_s
         self._next_attempt_at = self._ctx.clock.now() + backoff_s
-        if not vetoed:
-            self._backoff_s = min(MAX_FAILURE_BACKOFF_S, 2 * self._backoff_s)
         self._log("abandoned", 0, "", repr(exc))
 
+    @property
+    def _failure_backoff_s(self) -> float:
+        doublings = min(MAX_DOUBLINGS, max(0, self._claims_in_vain - 1))
+        return FAILURE_BACKOFF_S * (1 << doublings)
+
     # -- the change ------------------------------------------------------
 
     def _change_primary(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
@@ -209,6 +213,7 @@
         if cause is _fencing.Cause.STALLED:
             yield from self._stalls.confirm(self._acknowledgements(opinions))
         held = yield from self._claims.take()
+        self._claims_in_vain += 1
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
         try:
