--- a/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_served_groups.py
@@ -284,3 +284,14 @@
     lab, _ = _shared_lab(ENABLED)
     assert lab.groups.told_load("orders") == []
     assert lab.groups.told_load("unknown") is None
+
+
+@pytest.mark.parametrize(("done", "expected"), [(False, True), (True, False)])
+def test_a_served_group_knows_of_a_claimed_change(done, expected):
+    lab = Lab()
+    lab.clock.advance(1.0)
+    claim = _records.Claim("n9", 1, done=done)
+    lab.put(_records.claim_key(0, "orders"), claim.encode())
+    group = lab.groups.groups["orders"]
+    now = lab.clock.boot_now()
+    assert group.claimed_change.is_under_way(group.leader, now) is expected
