--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -157,18 +157,28 @@
             return
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
-        if cause is not None:
-            self._begin(self._change_primary(cause))
+        if cause is None:
+            self._claims_in_vain = 0
+            self._repair_pauses()
             return
-        self._claims_in_vain = 0
-        if self._repair.is_due:
-            self._begin(self._repair.run(self._rank() * RANK_DELAY_S))
-
-    def _begin(self, flow: "decisions.Flow[None]") -> None:
         self._is_changing = True
-        fut = decisions.start(flow)
+        fut = decisions.start(self._change_primary(cause))
         fut.add_done_callback(self._on_change_ended)
 
+    def _repair_pauses(self) -> None:
+        """Begins to resume members that were left paused, if there are any."""
+        if self._repair.is_due:
+            self._is_changing = True
+            delay_s = self._rank() * RANK_DELAY_S
+            fut = decisions.start(self._repair.run(delay_s))
+            fut.add_done_callback(self._on_repair_ended)
+
+    def _on_repair_ended(self, fut: "decisions.Future[None]") -> None:
+        self._is_changing = False
+        exc = fut.exception()
+        if exc is not None:
+            self._log("still paused", 0, "", repr(exc))
+
     def _recheck_silent_primary(self) -> None:
         """Asks a primary that does not answer again, over other links.
 
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -155,8 +155,9 @@
 
 
 def test_an_order_is_repeated_after_the_store_was_restored():
-    """The backup lacks the claim under which the order was sent."""
+    """The backup lacks the claim; both nodes have read it before."""
     lab, ordered = lab_with_a_late_order(late_s=7.0)
+    lab.run(2 * two_nodes.SYNC_S)
     lab.store.restore(fakes.StoreBackup({}, 0))
     lab.run(5.0)
     lab.write_steadily(5.0)
