Count no member that has lost its log in a majority

Callers lost acknowledged writes: a replica that had confirmed one restarted without its log, the primary failed, and that replica and another, which was behind, were a majority. Its fence passed at position 0, or at a complete position of the term while it was still being refilled.

A member that has lost its log now reports term 0 until it holds everything that its primary held when it began to follow, and a promotion counts no member of term 0 once the database has had a primary. A database whose first primary fails before any other member followed it now waits for that primary.

--- a/packages/decisions/src/ferry_decisions/_databases.py
+++ b/packages/decisions/src/ferry_decisions/_databases.py
@@ -178,6 +178,8 @@
             A member that follows a new primary reports the new term only once
             it holds everything up to the start of that term; otherwise its
             shorter log would outrank one that holds acknowledged entries.
+            A member that has lost its log reports term 0 until it holds
+            everything that its primary held when it began to follow.
         applied: The position up to which its reads show the log, in the same
             term.
         term: The term that it leads or follows.
--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -48,6 +48,10 @@
         self.record = record
 
 
+class LogIncompleteError(Exception):
+    """A member has lost its log and does not hold all of it again."""
+
+
 class NoMajorityError(ExceptionGroup[Exception]):
     """Fewer members than a majority could be fenced."""
 
@@ -117,7 +121,7 @@
             EndpointUnreachableError: The new primary became unreachable.
         """
         claim, revision = yield from self._claim(known)
-        fenced = yield from self._fence(claim.term)
+        fenced = yield from self._fence(claim)
         successor = self._choose(fenced)
         start = successor.received.index
         starts = claim.history.with_term(claim.term, start).starts
@@ -216,13 +220,15 @@
             raise ClaimLostError(found)
         raise _ports.StoreUnavailableError(str(failure))
 
-    def _fence(self, term: int) -> "_flows.Flow[list[_databases.MemberStatus]]":
+    def _fence(
+        self, claim: _databases.Record
+    ) -> "_flows.Flow[list[_databases.MemberStatus]]":
         needed = self._database.majority
         futs = [
             _flows.with_timeout(
                 self._timers,
                 FENCE_TIMEOUT_S,
-                self._driver.fence(member, term, self._claim_id),
+                _flows.start(self._fence_member(member, claim)),
             )
             for member in self._database.members
         ]
@@ -242,6 +248,21 @@
             )
         return done
 
+    def _fence_member(
+        self, member: _databases.Member, claim: _databases.Record
+    ) -> "_flows.Flow[_databases.MemberStatus]":
+        """Fences one member and returns its status.
+
+        Raises:
+            LogIncompleteError: The member lacks entries that it may have
+                confirmed, so it counts in no majority.
+        """
+        status = yield self._driver.fence(member, claim.term, self._claim_id)
+        had_primary = bool(claim.starts)
+        if had_primary and status.received.term == 0:
+            raise LogIncompleteError(member.name)
+        return typing.cast(_databases.MemberStatus, status)
+
     def _choose(
         self, fenced: list[_databases.MemberStatus]
     ) -> _databases.MemberStatus:
--- /dev/null
+++ b/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
@@ -0,0 +1,80 @@
+"""Promotions after a member has restarted without its log and its promises."""
+
+import ferry_standins as standins
+import pytest
+
+import ferry_decisions as decisions
+
+REPLICATION_STOPPED_S = 60.0
+
+
+class GroupOfThree:
+    """A lab whose replica `behind` lacks a write that the other two hold."""
+
+    def __init__(self) -> None:
+        self.lab = standins.Lab(standins.LabPlan(), 1)
+        self.lab.timers.advance(1.5)
+        self.primary = self.lab.primary().name
+        self.holder, self.behind = (
+            n for n in self.lab.members if n != self.primary
+        )
+        self.cut = frozenset((self.primary, self.behind))
+        self.lab.link_faults.cut.add(self.cut)
+        assert self.write() is decisions.Outcome.RAN
+
+    def write(self) -> decisions.Outcome:
+        session = standins.LabSession(
+            self.lab, f"s{len(self.lab.operations)}", timeout_s=3.0
+        )
+        fut = session.write(self.lab.node_in(self.lab.plan.centres[0]))
+        self.lab.timers.advance(4.0)
+        return fut.result().outcome
+
+
+@pytest.fixture
+def group():
+    return GroupOfThree()
+
+
+def test_a_member_without_its_log_counts_in_no_majority(group):
+    lab = group.lab
+    lab.crash(group.primary)
+    lab.crash(group.holder)
+    lab.restart(group.holder, keeps_log=False)
+    lab.timers.advance(4.0)
+    assert lab.primary().name == group.primary
+    lab.restart(group.primary)
+    lab.link_faults.cut.clear()
+    lab.timers.advance(4.0)
+    assert group.write() is decisions.Outcome.RAN
+    assert lab.verdict().total == 0
+
+
+def test_a_member_that_is_still_refilled_counts_in_no_majority(group):
+    lab = group.lab
+    lab.crash(group.holder)
+    lab.link_faults.delay_s = REPLICATION_STOPPED_S
+    lab.restart(group.holder, keeps_log=False)
+    lab.timers.advance(1.0)
+    assert lab.members[group.holder].replica.term == 1
+    lab.crash(group.primary)
+    lab.timers.advance(4.0)
+    assert lab.primary().name == group.primary
+    lab.restart(group.primary)
+    lab.link_faults.cut.clear()
+    lab.link_faults.delay_s = lab.plan.replication_s
+    lab.timers.advance(4.0)
+    assert group.write() is decisions.Outcome.RAN
+    assert lab.verdict().total == 0
+
+
+def test_a_refilled_member_counts_again(group):
+    lab = group.lab
+    lab.crash(group.holder)
+    lab.restart(group.holder, keeps_log=False)
+    lab.timers.advance(1.0)
+    lab.crash(group.primary)
+    lab.timers.advance(4.0)
+    assert lab.primary().name == group.holder
+    assert group.write() is decisions.Outcome.RAN
+    assert lab.verdict().total == 0
--- a/packages/standins/src/ferry_standins/_control.py
+++ b/packages/standins/src/ferry_standins/_control.py
@@ -58,7 +58,10 @@
         raise _log.RefusedError(f"promised {replica.promised}")
     common = member.group.common_prefix(member.name, order.primary)
     start = dict(order.starts)[order.term]
-    was_truncated = replica.follow(order.term, order.primary, common, start)
+    end = member.group.log_end(order.primary)
+    was_truncated = replica.follow(
+        order.term, order.primary, common, start, end
+    )
     member.drop_callers()
     if was_truncated:
         member.rebuild()
--- a/packages/standins/src/ferry_standins/_lab.py
+++ b/packages/standins/src/ferry_standins/_lab.py
@@ -142,9 +142,17 @@
         self.group.set_down(member, True)
         found.drop_conns()
 
-    def restart(self, member: str) -> None:
-        """Restarts a crashed member, which has kept its log."""
-        self.members[member].crashed = False
+    def restart(self, member: str, keeps_log: bool = True) -> None:
+        """Restarts a crashed member.
+
+        Args:
+            member: The member.
+            keeps_log: Whether it still has its log and its promises.
+        """
+        found = self.members[member]
+        if not keeps_log:
+            found.lose_log()
+        found.crashed = False
         self.group.set_down(member, False)
 
     def cut_centre(self, centre: str) -> None:
--- a/packages/standins/src/ferry_standins/_log.py
+++ b/packages/standins/src/ferry_standins/_log.py
@@ -52,7 +52,7 @@
         promised: The highest term that it was fenced at.
         promised_claim_id: The claim that it promised this term to.
         term: The term that it follows or leads.
-        start: The index at which that term began.
+        start: The index that its log has to reach to be complete in that term.
         complete_term: The last term whose start its log has reached. Its log
             counts only in that term when a new primary is chosen.
         primary: The member that it follows; its own name if it leads.
@@ -110,6 +110,14 @@
             upstream_silence_s=0.0 if self.leads else now - self.last_heard_at,
         )
 
+    def clear(self) -> None:
+        """Discards the log and the promises."""
+        self.log.clear()
+        self.truncated.clear()
+        self.applied = self.promised = self.term = 0
+        self.start = self.complete_term = 0
+        self.promised_claim_id = self.primary = ""
+
     def fence(self, term: int, claim_id: str) -> None:
         """Promises a term to a claim.
 
@@ -139,7 +147,9 @@
         self.primary = self.name
         self.applied = len(self.log)
 
-    def follow(self, term: int, primary: str, common: int, start: int) -> bool:
+    def follow(
+        self, term: int, primary: str, common: int, start: int, end: int = 0
+    ) -> bool:
         """Becomes a replica of a primary.
 
         Args:
@@ -147,6 +157,8 @@
             primary: The primary's name.
             common: How many entries it has in common with the primary.
             start: The index at which the term began.
+            end: The end of the primary's log. A member that has lost its own
+                may have confirmed any entry up to here.
 
         Returns:
             Whether entries that were already applied were removed.
@@ -158,9 +170,10 @@
             raise RefusedError(f"promised {self.promised}")
         if self.term == term and self.primary == primary:
             return False
+        has_state = self.term > 0
         self.promised = term
         self.term = term
-        self.start = start
+        self.start = start if has_state else max(start, end)
         self.primary = primary
         self.truncated = self.log[common:]
         del self.log[common:]
@@ -282,6 +295,10 @@
             count += 1
         return count
 
+    def log_end(self, name: str) -> int:
+        """Returns the number of entries in a member's log."""
+        return len(self._members[name].log)
+
     def send_committed(self, name: str) -> None:
         """Sends the committed entries of a primary to the other members."""
         self._send_from(self._members[name])
--- a/packages/standins/src/ferry_standins/_virtual.py
+++ b/packages/standins/src/ferry_standins/_virtual.py
@@ -176,10 +176,12 @@
         """Becomes a replica and drops entries that the primary lacks."""
         if order.term < self.replica.promised:
             raise _log.RefusedError(str(self.replica.promised))
-        common = self.group.common_prefix(self.name, order.primary.name)
+        primary = order.primary.name
+        common = self.group.common_prefix(self.name, primary)
         start = dict(order.starts)[order.term]
+        end = self.group.log_end(primary)
         was_truncated = self.replica.follow(
-            order.term, order.primary.name, common, start
+            order.term, primary, common, start, end
         )
         self.drop_conns()
         if was_truncated:
@@ -187,6 +189,11 @@
             count, self.replica.applied = self.replica.applied, 0
             self.apply_to(count)
 
+    def lose_log(self) -> None:
+        """Loses all durable state, as a member on a new disk does."""
+        self.replica.clear()
+        self.values = {}
+
     def drop_conns(self) -> None:
         """Closes the connections of callers, as a change of role does."""
         for conn in list(self.conns):
