Replace a primary that has lost its log

Callers got no write through, for good, after a primary had restarted without its log: it answered, so no node suspected it, and the repair of members leaves out the primary.

A primary that reports a promise below its own term is now replaced without a vote, as a leaving one is, since the report is its own. Only reports that were asked for after the record was known count.

test_a_primary_without_its_log_is_replaced failed before (writes "not run" 4 s later) and passes now.

--- a/packages/decisions/src/ferry_decisions/_watch.py
+++ b/packages/decisions/src/ferry_decisions/_watch.py
@@ -107,6 +107,7 @@
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
         self._is_failing_over = False
+        self._has_lost_log = False
         self._record_at = ctx.timers.now()
         self._closed = False
         if record is not None:
@@ -129,6 +130,7 @@
             return
         self.record = record
         self._record_at = self._timers.now()
+        self._has_lost_log = False
         self._probed_at.clear()
         self.tracker.note_history(record.history)
         if self.confirmations is not None:
@@ -244,9 +246,24 @@
             self.tracker.note_primary(status.received, asked_at)
         else:
             self._detector.note_upstream(member.name, status.upstream_silence_s)
+        self._note_promise(status, asked_at)
         if self.confirmations is not None:
             self.confirmations.note_status(status, asked_at)
 
+    def _note_promise(
+        self, status: _databases.MemberStatus, asked_at: float
+    ) -> None:
+        """Notes whether the primary has lost its log, and its promise with it.
+
+        Only its status since the record became known counts; before, it may
+        not have been the primary.
+        """
+        record = self.record
+        if record is None or status.name != record.primary:
+            return
+        if asked_at >= self._record_at:
+            self._has_lost_log = status.promised < record.term
+
     def _repair(
         self, member: _databases.Member, status: _databases.MemberStatus
     ) -> "_flows.Flow[None]":
@@ -279,9 +296,12 @@
             return True
         if not record.primary:
             return self._timers.now() - self._record_at > OPEN_CLAIM_TIMEOUT_S
-        return self._detector.suspects(record.primary) or self._is_leaving(
-            record.primary
-        )
+        is_suspected = self._detector.suspects(record.primary)
+        return is_suspected or self._is_given_up(record.primary)
+
+    def _is_given_up(self, primary: str) -> bool:
+        """Whether a primary is replaced without a vote."""
+        return self._has_lost_log or self._is_leaving(primary)
 
     def _is_leaving(self, name: str) -> bool:
         return self.database.member(name).address in self._ctx.leaving()
@@ -299,7 +319,7 @@
         if self._closed or not self._needs_failover():
             return
         known = self.record or _databases.Record(self.database.name, 0)
-        if known.primary and not self._is_leaving(known.primary):
+        if known.primary and not self._is_given_up(known.primary):
             votes = self.opinion(known.primary, known.term)
             if not self._detector.is_majority(votes):
                 own = frozenset(votes)
--- a/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
@@ -78,3 +78,15 @@
     assert lab.primary().name == group.holder
     assert group.write() is decisions.Outcome.RAN
     assert lab.verdict().total == 0
+
+
+def test_a_primary_without_its_log_is_replaced(group):
+    lab = group.lab
+    lab.link_faults.cut.clear()
+    lab.timers.advance(0.5)
+    lab.crash(group.primary)
+    lab.restart(group.primary, keeps_log=False)
+    lab.timers.advance(4.0)
+    assert group.write() is decisions.Outcome.RAN
+    assert lab.primary().name != group.primary
+    assert lab.verdict().total == 0
