Reject reads of a replica that shows less than it had applied

Callers read an empty database, within a staleness of 5 s, from a replica that had restarted without its log: the tracker never lowers a member's position, so the replica counted as recent enough, and its answer was checked against the session's floor alone, which may be zero.

The answer's position is now compared with the one for which the member was found recent enough. If it is lower, the read goes elsewhere and the known position is discarded.

test_a_member_without_its_log_serves_no_read failed before (0 instead of the written 1) and passes now.

--- a/packages/decisions/src/ferry_decisions/_replicas.py
+++ b/packages/decisions/src/ferry_decisions/_replicas.py
@@ -59,6 +59,10 @@
         if applied >= known:
             self._applied[member] = applied
 
+    def forget(self, member: str) -> None:
+        """Discards the position of a member that has lost its log."""
+        self._applied.pop(member, None)
+
     def note_primary(self, position: _positions.Position, at: float) -> None:
         """Records the primary's position.
 
--- a/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
@@ -90,3 +90,20 @@
     assert group.write() is decisions.Outcome.RAN
     assert lab.primary().name != group.primary
     assert lab.verdict().total == 0
+
+
+def test_a_member_without_its_log_serves_no_read(group):
+    """Its earlier position would still have counted as recent enough."""
+    lab = group.lab
+    lab.link_faults.cut.clear()
+    lab.timers.advance(lab.plan.staleness_s)
+    written = lab.operations[-1]
+    lab.link_faults.delay_s = REPLICATION_STOPPED_S
+    lab.crash(group.holder)
+    lab.restart(group.holder, keeps_log=False)
+    lab.timers.advance(0.5)
+    centre = lab.members[group.holder].described.data_centre
+    reader = standins.LabSession(lab, "reader", timeout_s=3.0)
+    fut = reader.read(lab.node_in(centre), written.key)
+    lab.timers.advance(4.0)
+    assert fut.result().value == written.value
--- a/packages/node/src/ferry_node/_execution.py
+++ b/packages/node/src/ferry_node/_execution.py
@@ -254,7 +254,11 @@
         answer: _endpoint.Answer,
         in_transaction: bool,
     ) -> None:
-        """Rejects an answer of a replaced term or below the request's floor."""
+        """Rejects an answer of a replaced term or below the request's floor.
+
+        So is the answer of a member that shows less than it had applied: it
+        has restarted without its log.
+        """
         if answer.sqlstate == STALE_TERM_SQLSTATE:
             state.was_sent = False
             conn.close()
@@ -264,8 +268,15 @@
         is_rejected_write = answer.sqlstate == READ_ONLY_SQLSTATE
         floor = _request_checks.required_floor(state.req)
         answer_position = answer.position or decisions.ZERO_POSITION
-        if is_rejected_write or not decisions.satisfies(
-            answer_position, floor, self._watch.tracker.history
+        has_lost_log = answer_position < state.applied
+        if has_lost_log:
+            self._watch.tracker.forget(self._member.name)
+        if (
+            is_rejected_write
+            or has_lost_log
+            or not decisions.satisfies(
+                answer_position, floor, self._watch.tracker.history
+            )
         ):
             self._pool.release(conn, clean=answer.status == "I")
             raise decisions.RequestFailedError(
--- a/packages/node/src/ferry_node/_request_checks.py
+++ b/packages/node/src/ferry_node/_request_checks.py
@@ -27,6 +27,7 @@
         asked_at: When it arrived at this node.
         was_sent: Whether the endpoint may have received it.
         streamed: Whether a part of the answer was already passed on.
+        applied: The position for which the member was found recent enough.
     """
 
     req: _messages.ExecuteRequest
@@ -36,6 +37,7 @@
     asked_at: float
     was_sent: bool = False
     streamed: bool = False
+    applied: decisions.Position = decisions.ZERO_POSITION
 
 
 class RequestChecks:
@@ -78,6 +80,7 @@
         end = min(state.deadline, self._timers.now() + self._cfg.catch_up_s)
         asked = False
         while True:
+            state.applied = tracker.applied(name)
             eligibility = tracker.eligibility(
                 name, floor, state.req.staleness_s
             )
