Prove commits after a member has dropped off the list

Callers were told that a commit is durable although a fence had been raised before: a replica that is no longer listed may run on and acknowledge commits, and a node that does not know it fences the listed replicas alone. A commit was proved only while members join or drain, not after one was removed, so that for up to 0.8 s, the age at which a floor is not fresh any more, the primary and the removed replica acknowledged commits that the successor lacks.

A removal now counts as a change of the members, too. The times of changes have a module of their own.

--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _freshness
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _membership_changes
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
@@ -21,9 +22,6 @@
 # A status round is evaluated after this long. Members without load answer in
 # 5 ms, and waiting reads need the floor that the round yields.
 STATUS_ROUND_S = 0.12
-# Members are replaced one after another, seconds apart. For this long after
-# one joins, more may have joined than are listed.
-MEMBERSHIP_CHANGE_S = 10.0
 
 
 class Group:
@@ -60,11 +58,11 @@
         self.last_round_at = float("-inf")
         self.leaderless_since = self.changed_at = clock.now()
         self.removed_members: dict[str, _members.RemovedMember] = {}
-        self.restarted_at: dict[str, float] = {}
+        self._membership = _membership_changes.MembershipChanges(clock)
+        self.restarted_at = self._membership.restarted_at
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
-        self.member_joined_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_step: list[Callable[[str], object]] = []
 
@@ -87,7 +85,7 @@
         if self.pools.keys() != members.keys():
             self.changed_at = now
         if self.pools and members.keys() - self.pools.keys():
-            self.member_joined_at = now
+            self._membership.note_listed()
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -129,6 +127,7 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
+        self._membership.note_listed()
         self.removed_members[name] = _members.RemovedMember(
             pool.member, self._clock.now()
         )
@@ -140,8 +139,7 @@
         replica for a while, as one does that joins under a new name.
         """
         self._close(pool)
-        self.member_joined_at = self._clock.now()
-        self.restarted_at[pool.member.id] = self.member_joined_at
+        self._membership.note_restarted(pool.member.id)
 
     def _close(self, pool: _pools.Pool) -> None:
         pool.close()
@@ -165,22 +163,22 @@
 
     @property
     def recently_restarted(self) -> int:
-        """How many members restarted within `MEMBERSHIP_CHANGE_S`."""
-        cutoff = self._clock.now() - MEMBERSHIP_CHANGE_S
-        return sum(at > cutoff for at in self.restarted_at.values())
+        """How many members restarted recently."""
+        return self._membership.recently_restarted
 
     @property
     def proof_size(self) -> int:
         """How many replicas must confirm that the primary still leads."""
-        replicas = self.replicas + self.recently_restarted
-        return _freshness.proof_size(replicas, self.service.sync_replicas)
+        return _freshness.proof_size(
+            self.replicas + self.recently_restarted,
+            self.service.sync_replicas,
+        )
 
     @property
     def is_membership_changing(self) -> bool:
-        """Whether members join or leave; some may not be listed yet."""
-        if any(p.member.draining for p in self.pools.values()):
-            return True
-        return self._clock.now() - self.member_joined_at < MEMBERSHIP_CHANGE_S
+        """Whether members come and go; the list may lack running ones."""
+        is_draining = any(p.member.draining for p in self.pools.values())
+        return is_draining or self._membership.is_recent
 
     @property
     def is_primary_changing(self) -> bool:
