Let no new replica prove a primary in a group that has shrunk

Callers were told that a commit is durable, and were served reads of all consistencies, on the word of one replica that had joined a moment before. In a group of three, all replicas but one prove that the primary leads, and the fence pauses them all. In a group that has shrunk to two members, the fence pauses the only replica, the next one joins unpaused, and "all but one" of two replicas is that one: the old primary and the new replica acknowledged what the successor lacks, with a proof.

A proof now takes more replicas than a fence may leave unpaused, those that joined within the last 10 s included, and at most all. A group of two whose other replica fails within 10 s of the join has no floor for the rest of them.

--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -18,17 +18,20 @@
 from ferry_proxy import _members
 
 
-def proof_size(replicas: int, sync_replicas: int) -> int:
+def proof_size(replicas: int, sync_replicas: int, joined: int = 0) -> int:
     """Returns how many unpaused replicas prove that a term is current.
 
-    All but one are needed. A replica that joined an isolated primary after the
-    fence was established is not paused, and must not suffice by itself.
+    All but one are needed, and more of them than may be unpaused despite a
+    fence: those that it may leave out, and those that joined an isolated
+    primary after it was established. In a small group this takes all replicas.
 
     Args:
         replicas: The number of replicas in the group.
         sync_replicas: How many replicas must receive a commit.
+        joined: How many of them joined recently.
     """
-    return max(1, sync_replicas, replicas - 1)
+    outside_fence = max(1, sync_replicas) - 1 + joined
+    return max(1, sync_replicas, replicas - 1, min(replicas, outside_fence + 1))
 
 
 def fence_size(replicas: int, sync_replicas: int) -> int:
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -84,8 +84,8 @@
         now = self._clock.now()
         if self.pools.keys() != members.keys():
             self.changed_at = now
-        if self.pools and members.keys() - self.pools.keys():
-            self._membership.note_listed()
+        if self.pools:
+            self._membership.note_joined(members.keys() - self.pools.keys())
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -127,7 +127,7 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
-        self._membership.note_listed()
+        self._membership.note_removed()
         self.removed_members[name] = _members.RemovedMember(
             pool.member, self._clock.now()
         )
@@ -172,6 +172,7 @@
         return _freshness.proof_size(
             self.replicas + self.recently_restarted,
             self.service.sync_replicas,
+            self._membership.recently_joined,
         )
 
     @property
--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -5,13 +5,15 @@
 still be running, and another node may know a list without it.
 """
 
+from collections.abc import Iterable
+
 from ferry_proxy import _clocks
 
 MEMBERSHIP_CHANGE_S = 10.0
 
 
 class MembershipChanges:
-    """When the members of one group changed.
+    """When the members of one group joined, restarted and were removed.
 
     Attributes:
         restarted_at: When each member last restarted, in the clock's seconds.
@@ -19,11 +21,17 @@
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
+        self._joined_at: dict[str, float] = {}
         self._changed_at = float("-inf")
         self.restarted_at: dict[str, float] = {}
 
-    def note_listed(self) -> None:
-        """Records that a member joined, or that one is no longer listed."""
+    def note_joined(self, members: Iterable[str]) -> None:
+        """Records members that are newly listed, or listed again."""
+        for name in members:
+            self._changed_at = self._joined_at[name] = self._clock.now()
+
+    def note_removed(self) -> None:
+        """Records that a member is no longer listed."""
         self._changed_at = self._clock.now()
 
     def note_restarted(self, member: str) -> None:
@@ -35,6 +43,11 @@
         """Whether any change is recent."""
         return self._changed_at > self._cutoff
 
+    @property
+    def recently_joined(self) -> int:
+        """How many members joined recently."""
+        return sum(at > self._cutoff for at in self._joined_at.values())
+
     @property
     def recently_restarted(self) -> int:
         """How many members restarted recently."""
