--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -4,9 +4,11 @@
 
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
+from ferry_proxy import _departures
 from ferry_proxy import _events
 from ferry_proxy import _features
 from ferry_proxy import _freshness
@@ -56,10 +58,10 @@
         self.floors = _freshness.Floors()
         self.last_leader = ""
         self.last_round_at = float("-inf")
-        self.leaderless_since = self.changed_at = clock.now()
-        self.removed_members: dict[str, _members.RemovedMember] = {}
-        self._membership = _membership_changes.MembershipChanges(clock)
-        self.restarted_at = self._membership.restarted_at
+        self.leaderless_since = clock.now()
+        self.membership = _membership_changes.MembershipChanges(clock)
+        self.departures = _departures.Departures()
+        self.acks = _acknowledgements.AckWatch(clock)
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
@@ -81,11 +83,10 @@
             limit: How many links to each this node may open.
             nodes: How many nodes send statements to the members.
         """
-        now = self._clock.now()
         if self.pools.keys() != members.keys():
-            self.changed_at = now
+            self.membership.note_changed()
         if self.pools:
-            self._membership.note_joined(members.keys() - self.pools.keys())
+            self.membership.note_joined(members.keys() - self.pools.keys())
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -96,7 +97,7 @@
             elif pool is not None and member.has_moved_from(pool.member):
                 pool.close()
                 pool = None
-            self.removed_members.pop(name, None)
+            self.departures.note_listed(member, self._clock.boot_now())
             if pool is None:
                 pool = self.pools[name] = self.open_pool(member, limit)
             else:
@@ -127,19 +128,17 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
-        self._membership.note_removed()
-        self.removed_members[name] = _members.RemovedMember(
-            pool.member, self._clock.now()
-        )
+        self.membership.note_removed()
+        self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
         """Discards all state of a member whose process has restarted.
 
-        The new process is not paused and may be empty. It counts as a further
-        replica for a while, as one does that joins under a new name.
+        The new process is not paused and may be empty.
         """
         self._close(pool)
-        self._membership.note_restarted(pool.member.id)
+        self.departures.note_restarted(pool.member, self._clock.boot_now())
+        self.membership.note_restarted(pool.member.id)
 
     def _close(self, pool: _pools.Pool) -> None:
         pool.close()
@@ -161,25 +160,20 @@
         """The number of listed members other than the primary."""
         return max(0, len(self.pools) - 1)
 
-    @property
-    def recently_restarted(self) -> int:
-        """How many members restarted recently."""
-        return self._membership.recently_restarted
-
     @property
     def proof_size(self) -> int:
         """How many replicas must confirm that the primary still leads."""
         return _freshness.proof_size(
-            self.replicas + self.recently_restarted,
+            self.replicas + self.membership.recently_restarted,
             self.service.sync_replicas,
-            self._membership.recently_joined,
+            self.membership.recently_joined,
         )
 
     @property
     def is_membership_changing(self) -> bool:
         """Whether members come and go; the list may lack running ones."""
         is_draining = any(p.member.draining for p in self.pools.values())
-        return is_draining or self._membership.is_recent
+        return is_draining or self.membership.may_be_incomplete
 
     @property
     def is_primary_changing(self) -> bool:
@@ -324,6 +318,8 @@
 
     def _apply_reports(self, reports: dict[str, _members.Report]) -> None:
         self._update_leader(reports)
+        if self.leader is not None:
+            self.departures.observe(self.leader, reports)
         sample = self._sample(reports)
         if sample is not None and self.leader is not None:
             self.floors.add(sample, self.leader.term)
--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -1,58 +1,68 @@
-"""Recent changes of a group's members, after which a list may be outdated.
-
-Members are replaced one after another, seconds apart. For a while after one
-joins, more may have joined than are listed. One that is no longer listed may
-still be running, and another node may know a list without it.
-"""
+"""Changes of the list of a group's members, as one node has seen them."""
 
 from collections.abc import Iterable
 
 from ferry_proxy import _clocks
 
+# Members are replaced one after another, seconds apart. For this long after
+# one joins, more may have joined than are listed. One that was removed may
+# still be running, and other nodes may know a list without it.
 MEMBERSHIP_CHANGE_S = 10.0
 
 
 class MembershipChanges:
-    """When the members of one group joined, restarted and were removed.
+    """When members of a group joined, left and restarted.
+
+    All times are in the clock's seconds.
 
     Attributes:
-        restarted_at: When each member last restarted, in the clock's seconds.
+        changed_at: When a member was last added or removed.
+        restarted_at: When members last restarted, by id.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
         self._joined_at: dict[str, float] = {}
-        self._changed_at = float("-inf")
+        self._removed_at = float("-inf")
+        self.changed_at = clock.now()
         self.restarted_at: dict[str, float] = {}
 
+    def note_changed(self) -> None:
+        """Records that members were added or removed."""
+        self.changed_at = self._clock.now()
+
     def note_joined(self, members: Iterable[str]) -> None:
-        """Records members that are newly listed, or listed again."""
+        """Records members that joined a group that had others."""
         for name in members:
-            self._changed_at = self._joined_at[name] = self._clock.now()
+            self._joined_at[name] = self._clock.now()
 
     def note_removed(self) -> None:
         """Records that a member is no longer listed."""
-        self._changed_at = self._clock.now()
+        self._removed_at = self._clock.now()
 
     def note_restarted(self, member: str) -> None:
-        """Records that a member has restarted under its id."""
-        self._changed_at = self.restarted_at[member] = self._clock.now()
+        """Records that a member restarted.
 
-    @property
-    def is_recent(self) -> bool:
-        """Whether any change is recent."""
-        return self._changed_at > self._cutoff
+        Its new process counts as a further replica for a while, as a member
+        does that joins under a new name.
+        """
+        self.restarted_at[member] = self._clock.now()
 
     @property
     def recently_joined(self) -> int:
-        """How many members joined recently."""
-        return sum(at > self._cutoff for at in self._joined_at.values())
+        """How many members joined within `MEMBERSHIP_CHANGE_S`."""
+        return sum(map(self._is_recent, self._joined_at.values()))
 
     @property
     def recently_restarted(self) -> int:
-        """How many members restarted recently."""
-        return sum(at > self._cutoff for at in self.restarted_at.values())
+        """How many members restarted within `MEMBERSHIP_CHANGE_S`."""
+        return sum(map(self._is_recent, self.restarted_at.values()))
 
     @property
-    def _cutoff(self) -> float:
-        return self._clock.now() - MEMBERSHIP_CHANGE_S
+    def may_be_incomplete(self) -> bool:
+        """Whether the list may lack members that are running."""
+        has_more = self.recently_joined > 0 or self.recently_restarted > 0
+        return has_more or self._is_recent(self._removed_at)
+
+    def _is_recent(self, at: float) -> bool:
+        return self._clock.now() - at < MEMBERSHIP_CHANGE_S
