--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -85,8 +85,8 @@
         """
         if self.pools.keys() != members.keys():
             self.membership.note_changed()
-        if self.pools and members.keys() - self.pools.keys():
-            self.membership.note_joined()
+        if self.pools:
+            self.membership.note_joined(members.keys() - self.pools.keys())
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -128,6 +128,7 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
+        self.membership.note_removed()
         self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
@@ -162,15 +163,17 @@
     @property
     def proof_size(self) -> int:
         """How many replicas must confirm that the primary still leads."""
-        replicas = self.replicas + self.membership.recently_restarted
-        return _freshness.proof_size(replicas, self.service.sync_replicas)
+        return _freshness.proof_size(
+            self.replicas + self.membership.recently_restarted,
+            self.service.sync_replicas,
+            self.membership.recently_joined,
+        )
 
     @property
     def is_membership_changing(self) -> bool:
-        """Whether members join or leave; some may not be listed yet."""
-        if any(p.member.draining for p in self.pools.values()):
-            return True
-        return self.membership.has_joined_recently
+        """Whether members come and go; the list may lack running ones."""
+        is_draining = any(p.member.draining for p in self.pools.values())
+        return is_draining or self.membership.may_be_incomplete
 
     @property
     def is_primary_changing(self) -> bool:
