Look for a successor before a change is claimed again

The first attempt is as before; each later one asks the members first, and is given up without a claim or a pause. The pause between attempts grows to 1.6 s.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -52,7 +52,7 @@
         era = self._catalogue.revision.era
         previous = self._catalogue.claims.get(service)
         now = self._clock.boot_now()
-        self._require_unclaimed(previous, now)
+        self.require_free()
         token = (
             previous.claim.token + 1 if previous else _records.first_token(era)
         )
@@ -194,14 +194,14 @@
         if item is not None:
             self._catalogue.take((item,), "own claim")
 
-    def _require_unclaimed(
-        self, previous: _records.HeldClaim | None, now: float
-    ) -> None:
+    def require_free(self) -> None:
         """Checks that no other node may be acting on a claim.
 
         Raises:
             ChangeAbandonedError: Another node may be.
         """
+        previous = self._catalogue.claims.get(self._group.service.name)
+        now = self._clock.boot_now()
         if previous is not None and self._is_held_by_another(previous, now):
             self._group.expect_primary_change()
             raise _change_steps.ChangeAbandonedError(
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -77,6 +77,24 @@
         self.guard: _control_commands.Guard = _control_commands.no_guard
         self.may_resume: Callable[[], bool] = lambda: True
 
+    def require_successor(self, order: Order) -> "decisions.Flow[None]":
+        """Checks, without a change to any member, that one may be promoted.
+
+        Args:
+            order: The change that a fence would be raised for.
+
+        Raises:
+            ChangeAbandonedError: None may at present.
+        """
+        view = yield from self._survey(order)
+        reports = self._views.last_reports(view.pools)
+        received = max((r.received for r in reports.values()), default=None)
+        if received is None:
+            return
+        refusal = self._missing(order, view, received)
+        if refusal:
+            raise _change_steps.ChangeAbandonedError(refusal)
+
     def raise_fence(
         self, order: Order
     ) -> "decisions.Flow[dict[str, _members.Report]]":
@@ -95,9 +113,7 @@
         self._token = order.token
         yield from self._views.refresh_members()
         self._fence_started_at = self._clock.now()
-        view = yield from self._views.survey()
-        if self._needs_level_replica(order.cause, view):
-            yield from self._views.require_caught_up(view)
+        view = yield from self._survey(order)
         term = self._views.next_term(view)
         if order.cause is _fencing.Cause.LEAVING:
             yield from self._demote(view.old_primary, term)
@@ -115,6 +131,12 @@
             decisions.start(self._demote(view.old_primary, term))
         return reports
 
+    def _survey(self, order: Order) -> "decisions.Flow[_fence_views.View]":
+        view = yield from self._views.survey()
+        if self._needs_level_replica(order.cause, view):
+            yield from self._views.require_caught_up(view)
+        return view
+
     def _needs_level_replica(
         self, cause: _fencing.Cause, view: _fence_views.View
     ) -> bool:
@@ -224,6 +246,15 @@
         for name, outcome in view.departed.items():
             if outcome.report and outcome.report.received > received:
                 return f"{name} is not listed and holds more"
+        return self._missing(order, view, received)
+
+    def _missing(
+        self,
+        order: Order,
+        view: _fence_views.View,
+        received: decisions.Position,
+    ) -> str:
+        """Returns which commits a successor may lack; empty if it may lead."""
         missing = _departures.missing_commits(
             received, self._views.open_departures(view.old_primary), order.acks
         )
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -43,8 +43,8 @@
 # of the claims.
 MAX_RANK = 2
 FAILURE_BACKOFF_S = 0.4
-# The backoff doubles with each claim in vain, up to this often. A claim costs
-# calls of the store, and may be in vain until a member returns.
+# The backoff doubles with each attempt in vain, up to this often. All attempts
+# may be in vain until a member returns.
 MAX_DOUBLINGS = 2
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
@@ -94,7 +94,7 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
-        self._claims_in_vain = 0
+        self._attempts_in_vain = 0
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
@@ -158,7 +158,7 @@
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
-            self._claims_in_vain = 0
+            self._attempts_in_vain = 0
             self._repair_pauses()
             return
         self._is_changing = True
@@ -194,7 +194,7 @@
         self._is_changing = False
         exc = fut.exception()
         if exc is None:
-            self._claims_in_vain = 0
+            self._attempts_in_vain = 0
             return
         vetoed = isinstance(exc, _change_steps.VetoedError)
         backoff_s = VETO_BACKOFF_S if vetoed else self._failure_backoff_s
@@ -203,7 +203,7 @@
 
     @property
     def _failure_backoff_s(self) -> float:
-        doublings = min(MAX_DOUBLINGS, max(0, self._claims_in_vain - 1))
+        doublings = min(MAX_DOUBLINGS, max(0, self._attempts_in_vain - 1))
         return FAILURE_BACKOFF_S * (1 << doublings)
 
     # -- the change ------------------------------------------------------
@@ -222,8 +222,8 @@
         self._check_veto(cause, list(opinions.replies.values()))
         if cause is _fencing.Cause.STALLED:
             yield from self._stalls.confirm(self._acknowledgements(opinions))
+        yield from self._require_successor(cause, opinions)
         held = yield from self._claims.take()
-        self._claims_in_vain += 1
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
         try:
@@ -233,6 +233,23 @@
             decisions.start(self._claims.release())
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
+    def _require_successor(
+        self, cause: _fencing.Cause, opinions: _opinions.Opinions
+    ) -> "decisions.Flow[None]":
+        """Checks that a change may succeed, once an attempt was in vain.
+
+        A claim costs calls of the store, and a fence holds up the replicas.
+
+        Raises:
+            ChangeAbandonedError: It would not at present.
+        """
+        self._claims.require_free()
+        self._attempts_in_vain += 1
+        if self._attempts_in_vain > 1:
+            acks = self._acknowledgements(opinions)
+            order = _fences.Order(cause, 0, acks)
+            yield from self._fence.require_successor(order)
+
     def _acknowledgements(
         self, opinions: _opinions.Opinions
     ) -> _acknowledgements.Acknowledgements:
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -211,3 +211,13 @@
     departures = [_departures.Departure(member, at) for at in departed_at]
     missing = _departures.missing_commits(position(held), departures, acks)
     assert (missing.is_known if missing else None) is expected
+
+
+def test_a_change_that_cannot_succeed_claims_and_pauses_only_once():
+    lab = lab_with_a_lagging_replica()
+    leave(lab, "b")
+    lab.cluster.crash("a")
+    lab.run(10.0)
+    assert lab.catalogue.claims["orders"].claim.token == 1
+    commands = [type(c) for c in lab.cluster.members["c"].commands]
+    assert commands.count(_links.Pause) == 1
