--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -6,6 +6,7 @@
 that have left since among them: see `_departures`.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import attrs
@@ -16,6 +17,7 @@
 from ferry_proxy import _change_events
 from ferry_proxy import _change_steps
 from ferry_proxy import _clocks
+from ferry_proxy import _control_commands
 from ferry_proxy import _departed_members
 from ferry_proxy import _departures
 from ferry_proxy import _events
@@ -25,6 +27,7 @@
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _pools
+from ferry_proxy import _resumption
 from ferry_proxy import _store
 
 # A primary that was lost for longer is replaced although not all
@@ -48,7 +51,15 @@
 
 
 class Fence:
-    """Pauses the members of one group, and resumes them."""
+    """Pauses the members of one group, and resumes them.
+
+    Attributes:
+        guard: Raises an error once this node may no longer send commands that
+            change a member's state: its claim is too old by then, and another
+            node may have raised a fence of its own.
+        may_resume: Returns whether paused members may be resumed: no earlier
+            order to promote one of them may still be executed.
+    """
 
     def __init__(
         self,
@@ -63,6 +74,8 @@
         self._views = _fence_views.FenceViews(clock, store, catalogue, group)
         self._fence_started_at = clock.now()
         self._token = 0
+        self.guard: _control_commands.Guard = _control_commands.no_guard
+        self.may_resume: Callable[[], bool] = lambda: True
 
     def raise_fence(
         self, order: Order
@@ -94,8 +107,7 @@
         self._log_fence(order, view, reports, failed)
         refusal = self._refusal(order, view, reports)
         if refusal:
-            yield from self.resume(reports)
-            yield from self._resume_departed(departed.values())
+            yield from self.resume(reports, departed.values())
             raise _change_steps.ChangeAbandonedError(refusal)
         if order.cause is _fencing.Cause.STALLED:
             yield from self._demote(view.old_primary, term)
@@ -127,7 +139,7 @@
         pool = self._group.pools.get(old_primary)
         if pool is None:
             return
-        asked = decisions.start(self._group.ask(pool, _links.StepDown(term)))
+        asked = decisions.start(self._command(pool, _links.StepDown(term)))
         yield decisions.settled(asked)
 
     def _pause_listed(
@@ -158,15 +170,14 @@
         Raises:
             decisions.RequestFailedError: It is not paused.
         """
-        group = self._group
         try:
-            report = yield from group.ask(pool, _links.Pause(term))
+            report = yield from self._command(pool, _links.Pause(term))
         except decisions.RequestFailedError:
-            report = yield from group.ask(pool, _links.Pause(term))
+            report = yield from self._command(pool, _links.Pause(term))
         if report.role is _members.Role.PRIMARY and report.term < term:
             # This is the primary of an earlier term, cut off until now.
-            yield from group.ask(pool, _links.StepDown(term))
-            report = yield from group.ask(pool, _links.Pause(term))
+            yield from self._command(pool, _links.StepDown(term))
+            report = yield from self._command(pool, _links.Pause(term))
         is_replica = report.role is _members.Role.REPLICA
         if not is_replica or report.paused_term < term:
             detail = f"{report.role.value}, paused for {report.paused_term}"
@@ -188,6 +199,11 @@
         )
         return {**view.departed, **paused}
 
+    def _command(
+        self, pool: _pools.Pool, command: _links.Command
+    ) -> "decisions.Flow[_members.Report]":
+        return self._group.ask(pool, command, self.guard)
+
     # -- the decision ----------------------------------------------------
 
     def _refusal(
@@ -211,7 +227,7 @@
         missing = _departures.missing_commits(
             received, self._views.open_departures(view.old_primary), order.acks
         )
-        if missing is None:
+        if missing is None or not view.sync_replicas:
             return ""
         is_overdue = self._lost_for_s() > MAX_LOST_PRIMARY_S
         if is_overdue and not missing.is_known:
@@ -245,7 +261,7 @@
             cause=order.cause.value,
             old_primary=view.old_primary,
             old_end=str(last.received) if last else "",
-            acknowledged=str(order.acks.position),
+            acknowledged=str(order.acks.at_least),
             list_revision=f"{revision.era}:{revision.number}",
             listed=[
                 f"{n} leaving" if p.member.draining else n
@@ -276,37 +292,40 @@
     # -- giving up -------------------------------------------------------
 
     def resume(
-        self, reports: dict[str, _members.Report]
+        self,
+        reports: dict[str, _members.Report],
+        departed: Iterable[_departed_members.Outcome] = (),
     ) -> "decisions.Flow[None]":
         """Lets paused members receive commits again.
 
-        Members that cannot be reached stay paused.
+        Members that cannot be reached stay paused, as do those that a later
+        fence has paused, and all once this node may no longer act.
 
         Args:
             reports: The reports of the paused members, by id.
+            departed: Members that are not listed, the paused ones among them.
         """
-        futs = {
-            name: decisions.start(self._group.ask(pool, _links.Resume()))
-            for name, pool in self._group.pools.items()
-            if name in reports
-        }
-        yield decisions.settle_all(list(futs.values()), lambda _: False)
-        event = _change_events.MembersResumed(
-            self._group.service.name,
-            self._token,
-            sorted(futs),
-            _fence_views.failures(futs),
+        if not self.may_resume():
+            detail = "an earlier order may still be executed"
+            _change_steps.log_step(
+                self._group, "kept paused", self._token, "", detail
+            )
+            return
+        yield from _resumption.resume(
+            self._group, reports, self._token, self.guard
         )
-        _events.emit(event)
+        yield from self._resume_departed(departed)
 
     def _resume_departed(
         self, outcomes: Iterable[_departed_members.Outcome]
     ) -> "decisions.Flow[None]":
-        group = self._group
-        paused = [o.departure for o in outcomes if o.report is not None]
+        paused = {o.departure: o.report for o in outcomes if o.report}
+        terms = {d.member.id: r.paused_term for d, r in paused.items()}
         yield from _departed_members.reach_all(
             self._clock,
-            group,
-            paused,
-            lambda pool: group.ask(pool, _links.Resume()),
+            self._group,
+            list(paused),
+            lambda pool: _resumption.resume_member(
+                self._group, pool, terms[pool.member.id], self.guard
+            ),
         )
