Give the records of groups and the served group modules of their own

The catalogue decodes claims in _group_records, and keys with the era of the store are no longer particular to claims. A served group surveys its members and excludes pauses itself. No change of behaviour; all tests of packages/proxy and platform pass.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _configuration
 from ferry_proxy import _events
 from ferry_proxy import _grace
+from ferry_proxy import _group_records
 from ferry_proxy import _member_entries
 from ferry_proxy import _members
 from ferry_proxy import _policy
@@ -87,7 +88,7 @@
         active_configuration: The configuration that is in use, and its origin.
         grace: The period during which entries missing from the store are kept.
         nodes: The nodes by name.
-        claims: The claims of the store's current era, by group.
+        group_records: The proxy's records of groups.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
         first_snapshot: The first snapshot that this node read in the store's
@@ -123,7 +124,7 @@
             clock
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
-        self.claims: dict[str, _records.HeldClaim] = {}
+        self.group_records = _group_records.GroupRecords(clock)
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
@@ -149,6 +150,11 @@
         """The members by id."""
         return self._entries.members
 
+    @property
+    def claims(self) -> dict[str, _records.HeldClaim]:
+        """The claims of the store's current era, by group."""
+        return self.group_records.claims
+
     @property
     def is_read(self) -> bool:
         """Whether the store's items have been read."""
@@ -272,21 +278,26 @@
     def _begin_era(self, era: int, source: str) -> None:
         """Handles the first snapshot of an era of the store."""
         self.era_seen_at = self._clock.boot_now()
-        self.claims.clear()
+        self.group_records.begin_era()
         if self.is_read:
             _events.emit(_events.StoreRestored(era, source))
             self.grace.begin()
 
-    def outdated_claims(self, service: str) -> list[_store.Item]:
-        """Returns the claims of a group that belong to earlier eras."""
-        current = _records.claim_key(self.revision.era, service)
+    def outdated_records(self, prefix: str, service: str) -> list[_store.Item]:
+        """Returns the records of a group that belong to earlier eras.
+
+        Args:
+            prefix: The prefix of the records' keys.
+            service: The group.
+        """
+        current = _records.group_key(prefix, self.revision.era, service)
         return [
             item
             for key, item in self._items.items()
-            if key.startswith(_records.CLAIM_PREFIX)
+            if key.startswith(prefix)
             and key != current
             and item.value is not None
-            and _records.parse_claim_key(key).service == service
+            and _records.parse_group_key(prefix, key).service == service
         ]
 
     def _advance(self, changes: _store.Changes) -> None:
@@ -348,8 +359,8 @@
                 self._apply_node(
                     item.key.removeprefix(_records.NODE_PREFIX), item
                 )
-            elif item.key.startswith(_records.CLAIM_PREFIX):
-                self._apply_claim(item)
+            else:
+                self.group_records.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
@@ -384,15 +395,3 @@
         if self._is_current(item):
             self.nodes.pop(name, None)
             self._note_change()
-
-    def _apply_claim(self, item: _store.Item) -> None:
-        found = _records.parse_claim_key(item.key)
-        if found.era != self.revision.era:
-            return
-        service = found.service
-        if item.value is None:
-            self.claims.pop(service, None)
-            return
-        claim = _records.Claim.decode(service, item.value)
-        now = self._clock.boot_now()
-        self.claims[service] = _records.HeldClaim(claim, item.revision, now)
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -19,22 +19,31 @@
 
 
 def claim_key(era: int, service: str) -> str:
-    """Returns the store's key of a group's claim.
+    """Returns the store's key of a group's claim."""
+    return group_key(CLAIM_PREFIX, era, service)
 
-    Each era of the store has its own key. If claims kept the same key, a
+
+def group_key(prefix: str, era: int, service: str) -> str:
+    """Returns the store's key of a record of a group.
+
+    Each era of the store has its own key. If records kept the same key, a
     delayed conditional write of an earlier era could find its revision number
-    in use again and overwrite a later claim.
+    in use again and overwrite a later record.
+
+    Args:
+        prefix: The prefix of the keys of such records.
+        era: The era of the store.
+        service: The group.
     """
-    prefix = f"{CLAIM_PREFIX}{era}/" if era else CLAIM_PREFIX
-    return prefix + service
+    return f"{prefix}{era}/{service}" if era else prefix + service
 
 
 @attrs.frozen(slots=True)
-class ClaimKey:
-    """The parts of a claim's key.
+class GroupKey:
+    """The parts of the key of a group's record.
 
     Attributes:
-        era: The era of the store that the claim belongs to.
+        era: The era of the store that the record belongs to.
         service: The group.
     """
 
@@ -42,13 +51,13 @@
     service: str
 
 
-def parse_claim_key(key: str) -> ClaimKey:
-    """Parses a claim's key; a key without an era belongs to era 0."""
-    rest = key.removeprefix(CLAIM_PREFIX)
+def parse_group_key(prefix: str, key: str) -> GroupKey:
+    """Parses the key of a record; a key without an era belongs to era 0."""
+    rest = key.removeprefix(prefix)
     era, _, service = rest.partition("/")
     if service and era.isascii() and era.isdigit():
-        return ClaimKey(int(era), service)
-    return ClaimKey(0, rest)
+        return GroupKey(int(era), service)
+    return GroupKey(0, rest)
 
 
 def first_token(era: int) -> int:
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -22,6 +22,7 @@
 from ferry_proxy import _rate_limiter
 from ferry_proxy import _records
 from ferry_proxy import _runners
+from ferry_proxy import _served_group
 from ferry_proxy import _serving_peers
 from ferry_proxy import _serving_plan
 from ferry_proxy import _store
@@ -72,26 +73,6 @@
     is_stopping: Callable[[], bool]
 
 
-@attrs.define(slots=True, eq=False)
-class ServedGroup:
-    """A group that this node serves, with the objects that work on it.
-
-    Attributes:
-        group: The group's members and links.
-        promoter: Replaces the primary when necessary.
-        surveys: Keeps the floor up to date.
-        runner: Runs the group's statements.
-        retires_at: When this node drops the group, as it is no longer one of
-            its serving nodes; None while it is one.
-    """
-
-    group: _groups.Group
-    promoter: _promotions.Promoter
-    surveys: _surveys.Surveys
-    runner: _runners.LocalRunner
-    retires_at: float | None = None
-
-
 _PlanInputs = tuple[dict[str, _records.NodeEntry], dict[str, int]]
 
 
@@ -108,7 +89,7 @@
         self._executor = _execution.Executor(
             ctx.clock, ctx.policy, ctx.features
         )
-        self._served: dict[str, ServedGroup] = {}
+        self._served: dict[str, _served_group.ServedGroup] = {}
         self._plans: dict[str, _serving_plan.ServingPlan] = {}
         self._plan_inputs: _PlanInputs | None = None
         self._planner: _serving_plan.Planner | None = None
@@ -140,7 +121,7 @@
         """Whether this node is changing the primary of a group."""
         return any(s.promoter.is_busy for s in self._served.values())
 
-    def find(self, service: str) -> ServedGroup | None:
+    def find(self, service: str) -> _served_group.ServedGroup | None:
         """Returns a group, or None if this node does not serve it."""
         return self._served.get(service)
 
@@ -151,7 +132,7 @@
             return False
         if served.retires_at is not None:
             return False
-        return has_confirmed_leader(served.group, self._ctx.policy.isolated_s)
+        return served.has_confirmed_leader(self._ctx.policy.isolated_s)
 
     def told_load(self, service: str) -> list[int] | None:
         """Returns a group's load for entry nodes; None if it is not told."""
@@ -249,7 +230,9 @@
             group.refresh()
         served.promoter.check()
 
-    def _add(self, service: _configuration.Service) -> ServedGroup:
+    def _add(
+        self, service: _configuration.Service
+    ) -> _served_group.ServedGroup:
         ctx = self._ctx
         name = service.name
         group = _groups.Group(
@@ -264,7 +247,7 @@
         promoter = _promotions.Promoter(
             self._promoter_context(name, mesh), group
         )
-        served = ServedGroup(
+        served = _served_group.ServedGroup(
             group,
             promoter,
             _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
@@ -326,9 +309,7 @@
     def survey(self) -> None:
         """Updates the floors of all groups, and closes surplus links."""
         for served in self._served.values():
-            served.surveys.survey(served.group)
-            for pool in served.group.pools.values():
-                pool.trim()
+            served.survey()
 
     def check(self) -> None:
         """Checks all primaries, and drops the groups whose time is over."""
@@ -368,26 +349,9 @@
             return
         recent = self._ctx.clock.now() - policy.probe_s
         for served in self._served.values():
-            group = served.group
-            group.leaderless_since = max(group.leaderless_since, recent)
-            for pool in group.pools.values():
-                pool.exclude_pause(late_s)
+            served.exclude_pause(late_s, recent)
 
     def close(self) -> None:
         """Removes all members, which closes their links."""
         for served in self._served.values():
             served.group.set_members({}, 0)
-
-
-def has_confirmed_leader(group: _groups.Group, limit_s: float) -> bool:
-    """Whether a group's primary is reachable and confirmed to lead.
-
-    Args:
-        group: The group.
-        limit_s: For how long the links to it may have failed, and how old the
-            floor may be, in seconds.
-    """
-    pool = group.leader_pool
-    if pool is None or pool.contact.link_failing_s > limit_s:
-        return False
-    return group.floor_age_s < limit_s
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
@@ -165,7 +165,8 @@
 @pytest.mark.parametrize("era", [0, 1, 12])
 def test_keys_of_claims(era, service):
     key = _records.claim_key(era, service)
-    assert _records.parse_claim_key(key) == _records.ClaimKey(era, service)
+    parsed = _records.parse_group_key(_records.CLAIM_PREFIX, key)
+    assert parsed == _records.GroupKey(era, service)
 
 
 def test_claims_of_eras_that_are_over_are_removed():
