Record open departures in the store

Callers saw acknowledged commits missing after a promotion. Which members left was remembered by each process alone, so a node that restarted, or began to serve the group since, counted the listed replica only and promoted it.

The first of a group's connected serving nodes now writes departures that stay open for more than a second to a record in the store, by compare-and-swap on its revision. Serving nodes adopt its entries, also those of an earlier era of the store, and take one that disappears within an era for covered. An adopted departure is of an unknown time, so a change of primary relies on no acknowledgements known for it. A promoter reads the record again beside the list of members: one call more for each attempt, and no time. A node asks the surveyor about the departures that are open there; the reply names those that are covered, and nothing is sent while none is open. A member that is listed again is no longer reported as covered, as it may leave again under its key.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -283,14 +283,10 @@
             _events.emit(_events.StoreRestored(era, source))
             self.grace.begin()
 
-    def outdated_records(self, prefix: str, service: str) -> list[_store.Item]:
-        """Returns the records of a group that belong to earlier eras.
-
-        Args:
-            prefix: The prefix of the records' keys.
-            service: The group.
-        """
-        current = _records.group_key(prefix, self.revision.era, service)
+    def outdated_claims(self, service: str) -> list[_store.Item]:
+        """Returns the claims of a group that belong to earlier eras."""
+        prefix = _records.CLAIM_PREFIX
+        current = _records.claim_key(self.revision.era, service)
         return [
             item
             for key, item in self._items.items()
--- a/packages/proxy/src/ferry_proxy/_change_events.py
+++ b/packages/proxy/src/ferry_proxy/_change_events.py
@@ -74,3 +74,46 @@
     token: int
     members: list[str]
     failed: dict[str, str]
+
+
+@attrs.frozen(slots=True, repr=False, eq=False)
+class DeparturesRecorded:
+    """The record of a group's open departures was written or removed.
+
+    Attributes:
+        service: The group.
+        departures: The keys of the departures that it now holds.
+        closed: The keys of those that it no longer holds.
+    """
+
+    service: str
+    departures: list[str]
+    closed: list[str]
+
+
+@attrs.frozen(slots=True, repr=False, eq=False)
+class DeparturesAdopted:
+    """A node learned of departures that other nodes have observed.
+
+    Attributes:
+        service: The group.
+        departures: The keys of the departures.
+    """
+
+    service: str
+    departures: list[str]
+
+
+@attrs.frozen(slots=True, repr=False, eq=False)
+class DeparturesCovered:
+    """A node learned that departures are covered.
+
+    Attributes:
+        service: The group.
+        departures: The keys of the departures.
+        source: The record, or the surveyor.
+    """
+
+    service: str
+    departures: list[str]
+    source: str
--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -114,9 +114,7 @@
 
     def _remove_outdated(self) -> None:
         """Removes the claims of earlier eras in the background."""
-        service = self._group.service.name
-        prefix = _records.CLAIM_PREFIX
-        for item in self._catalogue.outdated_records(prefix, service):
+        for item in self._catalogue.outdated_claims(self._group.service.name):
             fut = self._store.remove_if(item.key, item.revision)
             fut.add_done_callback(self._on_removed)
 
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -24,6 +24,11 @@
 MAX_DEPARTURES = 32
 
 
+def key_of(member: _members.Member) -> str:
+    """Returns a name that differs between the processes of a member."""
+    return f"{member.id}@{member.born}"
+
+
 @attrs.frozen(slots=True)
 class Departure:
     """A process of a member that is no longer listed, or has ended.
@@ -33,16 +38,19 @@
         removed_at: When this node learned of its departure, in boot time.
         ended_at: By when the process had ended, in boot time; infinite if it
             may still be running.
+        is_adopted: Whether another node observed it, at an unknown time before
+            `removed_at`.
     """
 
     member: _members.Member
     removed_at: float
     ended_at: float = float("inf")
+    is_adopted: bool = False
 
     @property
     def key(self) -> str:
         """A name that differs between the processes of a member."""
-        return f"{self.member.id}@{self.member.born}"
+        return key_of(self.member)
 
     @property
     def latest_end(self) -> float:
@@ -115,6 +123,7 @@
             member: Its entry.
             now: The current boot time, in seconds.
         """
+        self._covered.pop(key_of(member), None)
         for key, departure in list(self._open.items()):
             if departure.member.id != member.id:
                 continue
@@ -243,7 +252,7 @@
     if received < acks.position:
         detail = f"{names} left, {acks.position} acknowledged, {received} held"
         return MissingCommits(True, detail)
-    if any(d.removed_at < acks.since for d in departures):
+    if any(d.is_adopted or d.removed_at < acks.since for d in departures):
         detail = f"{names} left, not all acknowledgements known"
         return MissingCommits(False, detail)
     return None
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -9,12 +9,14 @@
 from ferry_proxy import _change_steps
 from ferry_proxy import _clocks
 from ferry_proxy import _departed_members
+from ferry_proxy import _departure_sync
 from ferry_proxy import _departures
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _pools
+from ferry_proxy import _records
 from ferry_proxy import _store
 
 Reports = dict[str, _members.Report]
@@ -76,18 +78,23 @@
         """Reads the members from the store again.
 
         A replica that this node does not know could still acknowledge commits.
+        One that left before this node began to serve the group may have done
+        so, and the record of departures names it.
 
         Raises:
             ChangeAbandonedError: The store was restored from a copy, which may
                 lack a replica.
         """
-        prefix = self._catalogue.member_prefix
-        listed = yield self._store.list(prefix)
+        recorded = self._store.list(_records.DEPARTURE_PREFIX)
+        listed = yield self._store.list(self._catalogue.member_prefix)
         if listed.revision.era != self._catalogue.revision.era:
             raise _change_steps.ChangeAbandonedError(
                 "the store has come back from a copy"
             )
         self._catalogue.take(listed.items, "store")
+        items = (yield recorded).items
+        now = self._clock.boot_now()
+        _departure_sync.adopt_items(self._group, items, now)
 
     def survey(self) -> "decisions.Flow[View]":
         """Asks the members that may hold or receive commits for their status.
--- a/packages/proxy/src/ferry_proxy/_peer_handler.py
+++ b/packages/proxy/src/ferry_proxy/_peer_handler.py
@@ -110,7 +110,7 @@
     served = node.groups.find(body.service)
     if served is None:
         return _peer_messages.NO_SURVEY
-    return served.surveys.answer(served.group)
+    return served.surveys.answer(served.group, body.departures)
 
 
 @_handles(_opinion_messages.OpinionRequest)
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -1,6 +1,7 @@
 """Messages between nodes, encoded as msgpack arrays over a stream."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import functools
 import typing
 import zlib
@@ -274,9 +275,11 @@
 
     Attributes:
         service: The group.
+        departures: The keys of the departures that are open at the sender.
     """
 
     service: str
+    departures: Sequence[str] = ()
 
 
 @message("survey")
@@ -292,6 +295,7 @@
         age_s: Seconds, at the time of sending, since the floor covered all
             acknowledged commits; negative if there is no floor.
         heard_ago_s: Seconds since the primary last answered the sender.
+        covered: The keys of the requested departures that are covered.
     """
 
     member: str
@@ -300,6 +304,7 @@
     floor_index: int
     age_s: float
     heard_ago_s: float
+    covered: Sequence[str] = ()
 
 
 NO_SURVEY = SurveyReply("", 0, 0, 0, -1.0, 0.0)
--- a/packages/proxy/src/ferry_proxy/_served_group.py
+++ b/packages/proxy/src/ferry_proxy/_served_group.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ferry_proxy import _departure_sync
 from ferry_proxy import _groups
 from ferry_proxy import _promotions
 from ferry_proxy import _runners
@@ -16,6 +17,7 @@
         group: The group's members and links.
         promoter: Replaces the primary when necessary.
         surveys: Keeps the floor up to date.
+        departures: Shares the open departures with other nodes.
         runner: Runs the group's statements.
         retires_at: When this node drops the group, as it is no longer one of
             its serving nodes; None while it is one.
@@ -24,6 +26,7 @@
     group: _groups.Group
     promoter: _promotions.Promoter
     surveys: _surveys.Surveys
+    departures: _departure_sync.DepartureSync
     runner: _runners.LocalRunner
     retires_at: float | None = None
 
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -8,6 +8,7 @@
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
+from ferry_proxy import _departure_sync
 from ferry_proxy import _execution
 from ferry_proxy import _features
 from ferry_proxy import _gates
@@ -228,6 +229,7 @@
         leaders = {n for n, m in members.items() if m.leads}
         if members_before != members.keys() or leaders != leaders_before:
             group.refresh()
+        served.departures.read()
         served.promoter.check()
 
     def _add(
@@ -251,6 +253,9 @@
             group,
             promoter,
             _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
+            _departure_sync.DepartureSync(
+                ctx.clock, ctx.own.name, ctx.store, ctx.catalogue, group, mesh
+            ),
             _runners.LocalRunner(
                 ctx.clock,
                 ctx.policy,
@@ -319,6 +324,8 @@
                 self._drop(name)
                 continue
             served.group.share_among(1 + len(self._sharing_peers(name)))
+            if served.retires_at is None and not self._ctx.is_stopping():
+                served.departures.update()
             served.promoter.check()
         self.demands.update()
 
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -11,15 +11,19 @@
 floor younger than 0.7 s, so a quarter of all pairs of nodes would flap.
 """
 
+from collections.abc import Collection
+
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
 from ferry_proxy import _departed_members
+from ferry_proxy import _departure_sync
 from ferry_proxy import _freshness
 from ferry_proxy import _groups
 from ferry_proxy import _members
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
+from ferry_proxy import _serving_peers
 
 # A peer answers in a few milliseconds.
 SURVEY_TIMEOUT_S = 0.2
@@ -79,7 +83,8 @@
 
     def _ask(self, group: _groups.Group, stream: _peers.Peer) -> None:
         asked_at = self._clock.boot_now()
-        question = _peer_messages.SurveyRequest(group.service.name)
+        departures = tuple(d.key for d in group.departures.open())
+        question = _peer_messages.SurveyRequest(group.service.name, departures)
         fut = decisions.with_timeout(
             self._clock, SURVEY_TIMEOUT_S, stream.call(question)
         )
@@ -106,8 +111,15 @@
         if stream is not None:
             self._ask(group, stream)
 
-    def answer(self, group: _groups.Group) -> _peer_messages.SurveyReply:
-        """Returns the reply to a peer's request about a group."""
+    def answer(
+        self, group: _groups.Group, departures: Collection[str] = ()
+    ) -> _peer_messages.SurveyReply:
+        """Returns the reply to a peer's request about a group.
+
+        Args:
+            group: The group.
+            departures: The keys of the departures that are open at the peer.
+        """
         leader = group.leader
         pool = group.leader_pool
         sample = group.floors.newest
@@ -120,16 +132,14 @@
             sample.floor.index,
             self._clock.boot_now() - sample.at,
             pool.contact.silence_s,
+            tuple(k for k in group.departures.covered_keys if k in departures),
         )
 
     def _surveyor(self, group: _groups.Group) -> _peers.Peer | None:
         """Returns the stream to the surveyor; None if that is this node."""
-        streams = {s.peer: s for s in self._mesh.streams}
-        surveyor = min(
-            [self._node, *streams],
-            key=lambda n: decisions.rendezvous_score(group.service.name, n),
+        return _serving_peers.first_connected(
+            group.service.name, self._node, self._mesh
         )
-        return streams.get(surveyor)
 
     def _apply_reply(
         self,
@@ -143,6 +153,7 @@
             # The surveyor has no floor to offer, so the members are asked.
             group.refresh()
             return
+        _departure_sync.cover(group, reply.covered, "surveyor")
         leader = _members.Leader(reply.member, reply.term)
         # The reply was sent after the request, so the floor is no older than
         # its age at sending, counted from the time of the request.
--- a/packages/proxy/src/ferry_proxy/tests/departure_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/departure_lab.py
@@ -7,11 +7,15 @@
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _configuration
+from ferry_proxy import _departure_records
 from ferry_proxy import _features
 from ferry_proxy import _followers
 from ferry_proxy import _gates
 from ferry_proxy import _groups
+from ferry_proxy import _members
 from ferry_proxy import _metrics
+from ferry_proxy import _opinion_messages
+from ferry_proxy import _opinions
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _policy
@@ -27,7 +31,7 @@
 
 @attrs.define
 class NodeStream:
-    """A stream to another node of the fleet, which answers surveys only."""
+    """A stream to another node of the fleet."""
 
     peer: str
     node: "Node"
@@ -38,15 +42,24 @@
         self, body: _peer_messages.Message
     ) -> "decisions.Future[_peer_messages.Message]":
         served = self.node.groups.find(SERVICE)
-        if served is None or not isinstance(body, _peer_messages.SurveyRequest):
-            return decisions.Future()
-        encoded = _peer_messages.encode(1, served.surveys.answer(served.group))
+        reply: _peer_messages.Message = _peer_messages.NO_SURVEY
+        match body:
+            case _peer_messages.SurveyRequest() if served:
+                reply = served.surveys.answer(served.group, body.departures)
+            case _opinion_messages.OpinionRequest() if served:
+                reply = _opinions.opinion_of(
+                    self.node.clock, served.group, body
+                )
+        encoded = _peer_messages.encode(1, reply)
         return decisions.completed(
             _peer_messages.Decoder().feed(encoded)[0].body
         )
 
     def tell(self, body: _peer_messages.Message) -> None:
-        pass
+        served = self.node.groups.find(SERVICE)
+        if served and isinstance(body, _peer_messages.LeaderNotice):
+            leader = _members.Leader(body.member, body.term)
+            served.group.note_leader(leader)
 
 
 class Mesh:
@@ -81,6 +94,7 @@
 
     def __init__(self, fleet: "Fleet", name: str) -> None:
         self.name = name
+        self.clock = fleet.clock
         clock, policy = fleet.clock, _policy.Policy()
         layout = _catalogue.Layout(
             "config",
@@ -182,13 +196,45 @@
         self.clock.advance(seconds)
 
     def commit(self, name: str) -> None:
-        """Commits at the primary; fails unless it is acknowledged."""
-        cluster = self.cluster
-        primary = next(
+        """Commits through the first node; fails unless it is acknowledged."""
+        primary = self.primary
+        primary.log.append((primary.term, name))
+        assert self.cluster.replicate(primary)
+        self.cluster.acknowledged.append(name)
+        node = next(iter(self.nodes.values()))
+        node.group.acks.note(primary.end)
+
+    @property
+    def primary(self) -> fakes.FakeMember:
+        """The primary, if its process runs."""
+        return next(
             m
-            for m in cluster.members.values()
-            if m.role.value == "primary" and not m.crashed
+            for m in self.cluster.members.values()
+            if m.role is _members.Role.PRIMARY and not m.crashed
         )
-        primary.log.append((primary.term, name))
-        assert cluster.replicate(primary)
-        cluster.acknowledged.append(name)
+
+    def catch_up(self) -> None:
+        """Lets all replicas receive what the primary holds."""
+        for member in self.cluster.members.values():
+            member.isolated = False
+        assert self.cluster.replicate(self.primary)
+
+    def recorded(self, era: int = 0) -> list[str] | None:
+        """Returns the keys of the recorded departures; None without a record.
+
+        Args:
+            era: The era in which they were recorded.
+        """
+        prefix = _records.DEPARTURE_PREFIX
+        item = self.store.items.get(_records.group_key(prefix, era, SERVICE))
+        if item is None or item.value is None:
+            return None
+        entries = _departure_records.decode(SERVICE, item.value)
+        return [e.key for e in entries]
+
+    def open_departures(self) -> dict[str, list[str]]:
+        """Returns the keys of the departures open at each node."""
+        return {
+            name: [d.key for d in node.group.departures.open()]
+            for name, node in self.nodes.items()
+        }
--- a/packages/proxy/src/ferry_proxy/tests/test_surveys.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_surveys.py
@@ -7,6 +7,7 @@
 import ferry_decisions as decisions
 import pytest
 
+from ferry_proxy import _departures
 from ferry_proxy import _freshness
 from ferry_proxy import _members
 from ferry_proxy import _peer_messages
@@ -49,6 +50,9 @@
     floor_covered_at: float = float("-inf")
     rounds: int = 0
     has_failed_contact: bool = False
+    departures: _departures.Departures = attrs.field(
+        factory=_departures.Departures
+    )
     service: typing.Any = attrs.field(
         factory=lambda: types.SimpleNamespace(name="orders")
     )
