Record no departure of a group whose commits wait for no replica

Such a group promises nothing that a departed member could have held, so the writes and the watches that they end are saved. The new test failed before.

--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -177,7 +177,7 @@
         recorded = record.entries if record is not None else ()
         entries = _departure_records.next_entries(
             recorded,
-            self._group.departures.open(),
+            self._relevant_departures,
             self._is_closed,
             self._clock.boot_now(),
         )
@@ -190,6 +190,13 @@
         self._start(key, entries, condition)
         return True
 
+    @property
+    def _relevant_departures(self) -> list[_departures.Departure]:
+        """The departures to record, if commits wait for replicas at all."""
+        if not self._group.service.sync_replicas:
+            return []
+        return self._group.departures.open()
+
     def _is_closed(self, entry: _departure_records.Entry) -> bool:
         """Whether a recorded departure is covered, or its member is back.
 
@@ -214,7 +221,7 @@
         records = self._records
         current = records.pop(self._catalogue.revision.era, None)
         recorded = current.keys if current is not None else frozenset()
-        pending = {d.key for d in self._group.departures.open()} - recorded
+        pending = {d.key for d in self._relevant_departures} - recorded
         for era, record in records.items():
             if not record.keys & pending and record.revision != self._removed:
                 self._start(self._key(era), (), record.revision)
--- a/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
@@ -2,8 +2,10 @@
 
 import json
 
+import attrs
 import pytest
 
+from ferry_proxy import _configuration
 from ferry_proxy import _departure_records
 from ferry_proxy import _departures
 from ferry_proxy import _members
@@ -149,6 +151,16 @@
     assert revisions == {True}
 
 
+def test_no_departure_is_recorded_where_commits_wait_for_no_replica():
+    fleet = departure_lab.Fleet(*NODES)
+    service = _configuration.Service(departure_lab.SERVICE, 100, 0)
+    services = {departure_lab.SERVICE: service}
+    fleet.cfg = attrs.evolve(fleet.cfg, services=services)
+    remove_b(fleet)
+    fleet.run(5.0)
+    assert fleet.recorded() is None
+
+
 def test_a_record_is_written_once_while_nothing_changes(monkeypatch):
     fleet = departure_lab.Fleet(*NODES)
     writes = count_writes(fleet, monkeypatch)
