--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -16,12 +16,13 @@
 from ferry_proxy import _configuration
 from ferry_proxy import _events
 from ferry_proxy import _grace
-from ferry_proxy import _group_records
 from ferry_proxy import _member_entries
 from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _stored_claims
+from ferry_proxy import _stored_departures
 from ferry_proxy import _team_placement
 from ferry_proxy import _teams
 
@@ -88,7 +89,8 @@
         active_configuration: The configuration that is in use, and its origin.
         grace: The period during which entries missing from the store are kept.
         nodes: The nodes by name.
-        group_records: The proxy's records of groups.
+        stored_claims: The claims in the store, and the orders recorded in them.
+        stored_departures: The records of open departures in the store.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
         first_snapshot: The first snapshot that this node read in the store's
@@ -124,12 +126,18 @@
             clock
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
-        self.group_records = _group_records.GroupRecords(clock)
+        self.stored_claims = _stored_claims.StoredClaims()
+        self.stored_departures = _stored_departures.StoredDepartures()
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
+    @property
+    def claims(self) -> dict[str, _records.HeldClaim]:
+        """The claims of the store's current era, by group."""
+        return self.stored_claims.claims
+
     @property
     def member_prefix(self) -> str:
         """The prefix of the keys of members' entries."""
@@ -150,11 +158,6 @@
         """The members by id."""
         return self._entries.members
 
-    @property
-    def claims(self) -> dict[str, _records.HeldClaim]:
-        """The claims of the store's current era, by group."""
-        return self.group_records.claims
-
     @property
     def is_read(self) -> bool:
         """Whether the store's items have been read."""
@@ -278,7 +281,7 @@
     def _begin_era(self, era: int, source: str) -> None:
         """Handles the first snapshot of an era of the store."""
         self.era_seen_at = self._clock.boot_now()
-        self.group_records.begin_era()
+        self.stored_claims.begin_era()
         if self.is_read:
             _events.emit(_events.StoreRestored(era, source))
             self.grace.begin()
@@ -355,8 +358,11 @@
                 self._apply_node(
                     item.key.removeprefix(_records.NODE_PREFIX), item
                 )
-            else:
-                self.group_records.apply(item)
+            elif item.key.startswith(_records.CLAIM_PREFIX):
+                now = self._clock.boot_now()
+                self.stored_claims.apply(item, self.revision.era, now)
+            elif item.key.startswith(_records.DEPARTURE_PREFIX):
+                self.stored_departures.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -150,7 +150,7 @@
         """The records of the group, by the era in which they were written."""
         return {
             key.era: record
-            for key, record in self._catalogue.group_records.departures.items()
+            for key, record in self._catalogue.stored_departures.records.items()
             if key.service == self._group.service.name
         }
 
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -5,6 +5,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _acknowledgements
+from ferry_proxy import _claimed_changes
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _control_commands
@@ -43,9 +44,7 @@
         self._policy = policy
         self._features = features
         self._data_centre = data_centre
-        self._control_commands = _control_commands.ControlCommands(
-            clock, policy
-        )
+        self._commands = _control_commands.ControlCommands(clock, policy)
         self._proofs = _proofs.Proofs(clock, self)
         self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
@@ -62,6 +61,7 @@
         self.membership = _membership_changes.MembershipChanges(clock)
         self.departures = _departures.Departures()
         self.acks = _acknowledgements.AckWatch(clock)
+        self.claimed_change = _claimed_changes.NONE
         self._asking: set[str] = set()
         self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
@@ -85,8 +85,8 @@
         """
         if self.pools.keys() != members.keys():
             self.membership.note_changed()
-        if self.pools and members.keys() - self.pools.keys():
-            self.membership.note_joined()
+        if self.pools:
+            self.membership.note_joined(members.keys() - self.pools.keys())
         for name in self.pools.keys() - members.keys():
             self._remove(name)
         for name, member in members.items():
@@ -128,6 +128,7 @@
     def _remove(self, name: str) -> None:
         pool = self.pools.pop(name)
         self._close(pool)
+        self.membership.note_removed()
         self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
@@ -162,15 +163,17 @@
     @property
     def proof_size(self) -> int:
         """How many replicas must confirm that the primary still leads."""
-        replicas = self.replicas + self.membership.recently_restarted
-        return _freshness.proof_size(replicas, self.service.sync_replicas)
+        return _freshness.proof_size(
+            self.replicas + self.membership.recently_restarted,
+            self.service.sync_replicas,
+            self.membership.recently_joined,
+        )
 
     @property
     def is_membership_changing(self) -> bool:
-        """Whether members join or leave; some may not be listed yet."""
-        if any(p.member.draining for p in self.pools.values()):
-            return True
-        return self.membership.has_joined_recently
+        """Whether members come and go; the list may lack running ones."""
+        is_draining = any(p.member.draining for p in self.pools.values())
+        return is_draining or self.membership.may_be_incomplete
 
     @property
     def is_primary_changing(self) -> bool:
@@ -233,14 +236,19 @@
         return self._proofs.prove()
 
     def ask(
-        self, pool: _pools.Pool, command: _links.Command
+        self,
+        pool: _pools.Pool,
+        command: _links.Command,
+        guard: _control_commands.Guard = _control_commands.no_guard,
     ) -> "decisions.Flow[_members.Report]":
         """Sends a control command to a member and returns its report.
 
+        The guard is called right before the command is sent.
+
         Raises:
             decisions.RequestFailedError: The member sent no report.
         """
-        report = yield from self._control_commands.ask(pool, command)
+        report = yield from self._commands.ask(pool, command, guard)
         self._last_report[pool.member.id] = report
         return report
 
@@ -364,9 +372,8 @@
         if leader is None or own is None or own.term < leader.term:
             return  # A late report from an earlier term.
         if own.role is _members.Role.REPLICA:
-            _events.emit(
-                _events.LeaderLost(self.service.name, leader.member, own.term)
-            )
+            name = self.service.name
+            _events.emit(_events.LeaderLost(name, leader.member, own.term))
             self._lose_leader()
 
     def note_leader(self, leader: _members.Leader) -> None:
@@ -382,9 +389,8 @@
         self.leader_found_at = self._clock.now()
         self.term = leader.term
         self.primary_change_until = float("-inf")
-        _events.emit(
-            _events.LeaderFound(self.service.name, leader.member, leader.term)
-        )
+        name = self.service.name
+        _events.emit(_events.LeaderFound(name, leader.member, leader.term))
         if previous is not None and previous is not self.leader_pool:
             previous.reject_callers()
         changed, self._changed = self._changed, decisions.Future()
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -1,6 +1,7 @@
 """What the serving nodes of a group know of its primary and its commits."""
 
 from collections.abc import Collection
+import math
 
 import attrs
 import ferry_decisions as decisions
@@ -35,17 +36,22 @@
             own: The commits that this node passed on.
             peers: The names of the group's other serving nodes.
         """
-        position, since = own.position, own.since
+        at_least, at_most = own.at_least, own.at_most
+        since, newest_at = own.since, own.newest_at
         for reply in self.replies.values():
-            told = decisions.Position(reply.acked_term, reply.acked_index)
-            position = max(position, told)
+            at_least = max(at_least, decisions.Position(*reply.least_acked))
+            at_most = max(at_most, decisions.Position(*reply.most_acked))
+            if reply.acked_ago_s >= 0:
+                newest_at = max(newest_at, self.at - reply.acked_ago_s)
         for name in peers:
             found = self.replies.get(name)
             if found is None or found.watched_s < 0:
                 since = float("inf")
             else:
                 since = max(since, self.at - found.watched_s)
-        return _acknowledgements.Acknowledgements(position, since)
+        return _acknowledgements.Acknowledgements(
+            at_least, at_most, since, newest_at
+        )
 
 
 def opinion_of(
@@ -55,12 +61,13 @@
 ) -> _opinion_messages.OpinionReply:
     """Returns this node's reply to a peer's request."""
     acks = group.acks
+    acked_ago_s = clock.boot_now() - acks.newest_at
     reply = _opinion_messages.OpinionReply(
-        -1.0,
-        0.0,
-        acks.position.term,
-        acks.position.index,
-        clock.boot_now() - acks.since,
+        heard_ago_s=-1.0,
+        least_acked=(acks.at_least.term, acks.at_least.index),
+        most_acked=(acks.at_most.term, acks.at_most.index),
+        watched_s=clock.boot_now() - acks.since,
+        acked_ago_s=acked_ago_s if math.isfinite(acked_ago_s) else -1.0,
     )
     pool = group.pools.get(question.member)
     if pool is None or pool.member.born != question.born:
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -9,10 +9,12 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+import functools
 
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _acknowledgements
 from ferry_proxy import _catalogue
 from ferry_proxy import _change_events
 from ferry_proxy import _change_steps
@@ -22,16 +24,17 @@
 from ferry_proxy import _fences
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
-from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _opinions
-from ferry_proxy import _peer_messages
+from ferry_proxy import _paused_members
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _records
+from ferry_proxy import _stalls
 from ferry_proxy import _store
+from ferry_proxy import _succession
 
 # Nodes claim one after the other, this far apart. A claim reaches the next
 # node in less time.
@@ -40,11 +43,12 @@
 # of the claims.
 MAX_RANK = 2
 FAILURE_BACKOFF_S = 0.4
-MAX_PROMOTE_WAIT_S = 16.0  # About half of `_departures.MAX_RUNNING_S`.
+# The backoff doubles with each claim in vain, up to this often. A claim costs
+# calls of the store, and may be in vain until a member returns.
+MAX_DOUBLINGS = 2
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
-LEADER_POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
 @attrs.frozen(slots=True)
@@ -90,12 +94,18 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
-        self._promote_wait_s = ctx.policy.promote_wait_s
-        self._stall = _fencing.StallDetector()
+        self._claims_in_vain = 0
+        self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
         )
         self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
+        self._succession = _succession.Succession(
+            ctx, group, self._claims, self._fence
+        )
+        self._repair = _paused_members.Repair(
+            ctx.clock, ctx.policy, group, self._claims
+        )
         group.on_round.append(self._on_status_round)
 
     @property
@@ -110,22 +120,10 @@
     # -- evidence --------------------------------------------------------
 
     def _on_status_round(self, reports: dict[str, _members.Report]) -> None:
-        self._update_stall(reports)
+        self._stalls.update(reports)
+        self._repair.observe()
         self.check()
 
-    def _update_stall(self, reports: dict[str, _members.Report]) -> None:
-        """Passes a round's reports of the current term to the detector."""
-        leader = self._group.leader
-        primary = reports.get(leader.member) if leader else None
-        replicas = [
-            r
-            for n, r in reports.items()
-            if leader is not None
-            and n != leader.member
-            and r.follows(leader.term)
-        ]
-        self._stall.observe(primary, replicas, self._ctx.clock.boot_now())
-
     def evidence(self) -> _fencing.Evidence:
         """Returns what this node has observed of the primary."""
         group = self._group
@@ -141,18 +139,13 @@
             silence_s=pool.contact.silence_s if pool else 0.0,
             unanswered_s=_unanswered_s(pool),
             refused_s=now - pool.contact.refused_since if pool else 0.0,
-            stalled_s=self._stalled_s(),
+            stalled_s=self._stalls.stalled_s,
             leaderless_s=now
             - max(group.leaderless_since, group.membership.changed_at),
             is_draining=pool is not None and pool.member.draining,
             successors=len(successors),
         )
 
-    def _stalled_s(self) -> float:
-        if not self._group.service.sync_replicas:
-            return 0.0
-        return self._stall.stalled_s
-
     def _is_staying(self, pool: _pools.Pool) -> bool:
         return not pool.member.draining
 
@@ -165,11 +158,27 @@
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
+            self._claims_in_vain = 0
+            self._repair_pauses()
             return
         self._is_changing = True
         fut = decisions.start(self._change_primary(cause))
         fut.add_done_callback(self._on_change_ended)
 
+    def _repair_pauses(self) -> None:
+        """Begins to resume members that were left paused, if there are any."""
+        if self._repair.is_due:
+            self._is_changing = True
+            delay_s = self._rank() * RANK_DELAY_S
+            fut = decisions.start(self._repair.run(delay_s))
+            fut.add_done_callback(self._on_repair_ended)
+
+    def _on_repair_ended(self, fut: "decisions.Future[None]") -> None:
+        self._is_changing = False
+        exc = fut.exception()
+        if exc is not None:
+            self._log("still paused", 0, "", repr(exc))
+
     def _recheck_silent_primary(self) -> None:
         """Asks a primary that does not answer again, over other links.
 
@@ -185,12 +194,18 @@
         self._is_changing = False
         exc = fut.exception()
         if exc is None:
+            self._claims_in_vain = 0
             return
         vetoed = isinstance(exc, _change_steps.VetoedError)
-        backoff_s = VETO_BACKOFF_S if vetoed else FAILURE_BACKOFF_S
+        backoff_s = VETO_BACKOFF_S if vetoed else self._failure_backoff_s
         self._next_attempt_at = self._ctx.clock.now() + backoff_s
         self._log("abandoned", 0, "", repr(exc))
 
+    @property
+    def _failure_backoff_s(self) -> float:
+        doublings = min(MAX_DOUBLINGS, max(0, self._claims_in_vain - 1))
+        return FAILURE_BACKOFF_S * (1 << doublings)
+
     # -- the change ------------------------------------------------------
 
     def _change_primary(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
@@ -206,17 +221,24 @@
         opinions = yield asked
         self._check_veto(cause, list(opinions.replies.values()))
         if cause is _fencing.Cause.STALLED:
-            yield from self._confirm_stall()
+            yield from self._stalls.confirm(self._acknowledgements(opinions))
         held = yield from self._claims.take()
+        self._claims_in_vain += 1
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
         try:
             self._require_unchanged(leader)
             yield from self._replace(cause, held, opinions)
         finally:
-            decisions.start(self._claims.release(held))
+            decisions.start(self._claims.release())
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
+    def _acknowledgements(
+        self, opinions: _opinions.Opinions
+    ) -> _acknowledgements.Acknowledgements:
+        peers = {*self._ctx.nodes()} - {self._ctx.node}
+        return opinions.acknowledgements(self._group.acks, peers)
+
     def _require_unchanged(self, leader: _members.Leader | None) -> None:
         """Checks that the cause of the change is not of an earlier primary.
 
@@ -234,12 +256,11 @@
     ) -> "decisions.Flow[None]":
         """Fences the old primary and begins the next term."""
         token = held.claim.token
-        peers = {*self._ctx.nodes()} - {self._ctx.node}
-        acks = opinions.acknowledgements(self._group.acks, peers)
-        order = _fences.Order(cause, token, acks)
+        self._fence.guard = functools.partial(self._claims.require_valid, held)
+        self._fence.may_resume = lambda: self._claims.order is None
+        order = _fences.Order(cause, token, self._acknowledgements(opinions))
         reports = yield from self._fence.raise_fence(order)
-        successor = yield from self._promote(reports, held)
-        yield from self._await_leader(successor, token)
+        yield from self._succession.promote(reports, held)
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes claim."""
@@ -276,107 +297,6 @@
         if vetoed:
             raise _change_steps.VetoedError("a peer hears the primary")
 
-    def _confirm_stall(self) -> "decisions.Flow[None]":
-        """Asks all members again before a primary that answers is replaced."""
-        futs = [
-            decisions.start(self._group.ask(pool, _links.Status()))
-            for pool in self._group.pools.values()
-        ]
-        yield decisions.settle_all(futs, lambda _: False)
-        reports = {
-            name: report
-            for name in self._group.pools
-            if (report := self._group.last_report(name)) is not None
-        }
-        self._update_stall(reports)
-        if self._stall.stalled_s < self._ctx.policy.stall_s:
-            raise _change_steps.ChangeAbandonedError(
-                "a replica receives commits again"
-            )
-
-    def _promote(
-        self,
-        reports: dict[str, _members.Report],
-        held: _records.HeldClaim,
-    ) -> "decisions.Flow[str]":
-        """Orders the promotion of a paused replica, and returns its id.
-
-        Raises:
-            ChangeAbandonedError: The claim is too old, a paused member has
-                restarted, or the platform refused the promotion.
-        """
-        ctx = self._ctx
-        group = self._group
-        members = {n: p.member for n, p in group.pools.items()}
-        successor = _fencing.choose_successor(reports, members)
-        token = held.claim.token
-        if not self._claims.is_valid(held):
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(
-                "the claim is too old to act on"
-            )
-        if self._fence.is_broken(reports):
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(
-                "a paused member began again"
-            )
-        detail = f"received {reports[successor].received}"
-        self._log("promoting", token, successor, detail)
-        try:
-            yield ctx.promotions.promote(
-                group.service.name, successor, ctx.node, token
-            )
-        except _store.PromotionRefusedError as exc:
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(str(exc)) from exc
-        except _store.StoreUnavailableError as exc:
-            # The order may still be executed, even later, so only the member
-            # itself can tell. The replicas stay paused meanwhile, so that the
-            # old primary acknowledges nothing that the successor lacks.
-            _change_steps.log_step(
-                self._group, "unanswered", token, successor, str(exc)
-            )
-        return successor
-
-    def _await_leader(
-        self, successor: str, token: int
-    ) -> "decisions.Flow[None]":
-        """Waits until the promoted member leads, and announces it."""
-        ctx = self._ctx
-        group = self._group
-        started_at = ctx.clock.now()
-        while ctx.clock.now() - started_at < self._promote_wait_s:
-            group.expect_primary_change()
-            pool = group.pools.get(successor)
-            if pool is None:
-                break
-            try:
-                report = yield from group.ask(pool, _links.Status())
-            except decisions.RequestFailedError as exc:
-                _change_steps.log_step(
-                    self._group, "asked", token, successor, exc.reason.name
-                )
-            else:
-                if report.role is _members.Role.PRIMARY:
-                    self._announce(successor, report.term, token)
-                    return
-            yield decisions.sleep(ctx.clock, LEADER_POLL_S)
-        # Promotions may take longer on this platform. Another order would only
-        # restart the wait, so the next attempt waits longer.
-        self._promote_wait_s = min(MAX_PROMOTE_WAIT_S, 2 * self._promote_wait_s)
-        raise _change_steps.ChangeAbandonedError(f"{successor} does not lead")
-
-    def _announce(self, successor: str, term: int, token: int) -> None:
-        group = self._group
-        self._log("promoted", token, successor, f"term {term}")
-        group.note_leader(_members.Leader(successor, term))
-        notice = _peer_messages.LeaderNotice(
-            group.service.name, successor, term
-        )
-        for stream in self._ctx.mesh.streams:
-            stream.tell(notice)
-        group.refresh()
-
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
         _change_steps.log_step(self._group, step, token, member, detail)
 
--- a/packages/proxy/src/ferry_proxy/tests/departure_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/departure_lab.py
@@ -198,11 +198,12 @@
     def commit(self, name: str) -> None:
         """Commits through the first node; fails unless it is acknowledged."""
         primary = self.primary
+        end_before = primary.end
         primary.log.append((primary.term, name))
         assert self.cluster.replicate(primary)
         self.cluster.acknowledged.append(name)
         node = next(iter(self.nodes.values()))
-        node.group.acks.note(primary.end)
+        node.group.acks.note(end_before, primary.end)
 
     @property
     def primary(self) -> fakes.FakeMember:
--- a/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
@@ -307,8 +307,8 @@
     was_covered,
 ):
     fleet = fleet_without_b(*NODES)
+    fleet.catch_up()
     if was_covered:
-        fleet.catch_up()
         fleet.run(CLOSED_S)
     fleet.cluster.members["b"].dark = False
     fleet.enlist("b")
