--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -9,6 +9,7 @@
 from ferry_proxy import _claimed_changes
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
+from ferry_proxy import _departure_sync
 from ferry_proxy import _execution
 from ferry_proxy import _features
 from ferry_proxy import _gates
@@ -23,6 +24,7 @@
 from ferry_proxy import _rate_limiter
 from ferry_proxy import _records
 from ferry_proxy import _runners
+from ferry_proxy import _served_group
 from ferry_proxy import _serving_peers
 from ferry_proxy import _serving_plan
 from ferry_proxy import _store
@@ -73,26 +75,6 @@
     is_stopping: Callable[[], bool]
 
 
-@attrs.define(slots=True, eq=False)
-class ServedGroup:
-    """A group that this node serves, with the objects that work on it.
-
-    Attributes:
-        group: The group's members and links.
-        promoter: Replaces the primary when necessary.
-        surveys: Keeps the floor up to date.
-        runner: Runs the group's statements.
-        retires_at: When this node drops the group, as it is no longer one of
-            its serving nodes; None while it is one.
-    """
-
-    group: _groups.Group
-    promoter: _promotions.Promoter
-    surveys: _surveys.Surveys
-    runner: _runners.LocalRunner
-    retires_at: float | None = None
-
-
 _PlanInputs = tuple[dict[str, _records.NodeEntry], dict[str, int]]
 
 
@@ -109,7 +91,7 @@
         self._executor = _execution.Executor(
             ctx.clock, ctx.policy, ctx.features
         )
-        self._served: dict[str, ServedGroup] = {}
+        self._served: dict[str, _served_group.ServedGroup] = {}
         self._plans: dict[str, _serving_plan.ServingPlan] = {}
         self._plan_inputs: _PlanInputs | None = None
         self._planner: _serving_plan.Planner | None = None
@@ -141,7 +123,7 @@
         """Whether this node is changing the primary of a group."""
         return any(s.promoter.is_busy for s in self._served.values())
 
-    def find(self, service: str) -> ServedGroup | None:
+    def find(self, service: str) -> _served_group.ServedGroup | None:
         """Returns a group, or None if this node does not serve it."""
         return self._served.get(service)
 
@@ -152,7 +134,7 @@
             return False
         if served.retires_at is not None:
             return False
-        return has_confirmed_leader(served.group, self._ctx.policy.isolated_s)
+        return served.has_confirmed_leader(self._ctx.policy.isolated_s)
 
     def told_load(self, service: str) -> list[int] | None:
         """Returns a group's load for entry nodes; None if it is not told."""
@@ -248,9 +230,12 @@
         leaders = {n for n, m in members.items() if m.leads}
         if members_before != members.keys() or leaders != leaders_before:
             group.refresh()
+        served.departures.read()
         served.promoter.check()
 
-    def _add(self, service: _configuration.Service) -> ServedGroup:
+    def _add(
+        self, service: _configuration.Service
+    ) -> _served_group.ServedGroup:
         ctx = self._ctx
         name = service.name
         group = _groups.Group(
@@ -265,10 +250,13 @@
         promoter = _promotions.Promoter(
             self._promoter_context(name, mesh), group
         )
-        served = ServedGroup(
+        served = _served_group.ServedGroup(
             group,
             promoter,
             _surveys.Surveys(ctx.clock, ctx.own.name, mesh, ctx.policy.probe_s),
+            _departure_sync.DepartureSync(
+                ctx.clock, ctx.own.name, ctx.store, ctx.catalogue, group, mesh
+            ),
             _runners.LocalRunner(
                 ctx.clock,
                 ctx.policy,
@@ -331,9 +319,7 @@
     def survey(self) -> None:
         """Updates the floors of all groups, and closes surplus links."""
         for served in self._served.values():
-            served.surveys.survey(served.group)
-            for pool in served.group.pools.values():
-                pool.trim()
+            served.survey()
 
     def check(self) -> None:
         """Checks all primaries, and drops the groups whose time is over."""
@@ -343,6 +329,8 @@
                 self._drop(name)
                 continue
             served.group.share_among(1 + len(self._sharing_peers(name)))
+            if served.retires_at is None and not self._ctx.is_stopping():
+                served.departures.update()
             served.promoter.check()
         self.demands.update()
 
@@ -373,26 +361,9 @@
             return
         recent = self._ctx.clock.now() - policy.probe_s
         for served in self._served.values():
-            group = served.group
-            group.leaderless_since = max(group.leaderless_since, recent)
-            for pool in group.pools.values():
-                pool.exclude_pause(late_s)
+            served.exclude_pause(late_s, recent)
 
     def close(self) -> None:
         """Removes all members, which closes their links."""
         for served in self._served.values():
             served.group.set_members({}, 0)
-
-
-def has_confirmed_leader(group: _groups.Group, limit_s: float) -> bool:
-    """Whether a group's primary is reachable and confirmed to lead.
-
-    Args:
-        group: The group.
-        limit_s: For how long the links to it may have failed, and how old the
-            floor may be, in seconds.
-    """
-    pool = group.leader_pool
-    if pool is None or pool.contact.link_failing_s > limit_s:
-        return False
-    return group.floor_age_s < limit_s
