Follow no primary of an earlier term than a member reports

A leader was given up only on its own report. It is now given up as soon as any member reports a later term, since one has begun then. The test failed before: the leader of term 1 stayed beside a replica of term 2.

--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -132,10 +132,7 @@
         self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
-        """Discards all state of a member whose process has restarted.
-
-        The new process is not paused and may be empty.
-        """
+        """Discards all state of a member's process, which has restarted."""
         self._close(pool)
         self.departures.note_restarted(pool.member, self._clock.boot_now())
         self.membership.note_restarted(pool.member.id)
@@ -368,14 +365,22 @@
             if report.role is _members.Role.PRIMARY:
                 self.note_leader(_members.Leader(name, report.term))
         leader = self.leader
-        own = reports.get(leader.member) if leader else None
-        if leader is None or own is None or own.term < leader.term:
-            return  # A late report from an earlier term.
-        if own.role is _members.Role.REPLICA:
+        if leader is not None and self._is_replaced(leader, reports):
             name = self.service.name
-            _events.emit(_events.LeaderLost(name, leader.member, own.term))
+            _events.emit(_events.LeaderLost(name, leader.member, self.term))
             self._lose_leader()
 
+    def _is_replaced(
+        self, leader: _members.Leader, reports: dict[str, _members.Report]
+    ) -> bool:
+        """Whether a later term began, or the primary has stepped down."""
+        if leader.term < self.term:
+            return True
+        own = reports.get(leader.member)
+        if own is None or own.term < leader.term:
+            return False  # A late report from an earlier term.
+        return own.role is _members.Role.REPLICA
+
     def note_leader(self, leader: _members.Leader) -> None:
         """Sets the leader unless one of the same or a later term is known."""
         known = self.leader
@@ -384,8 +389,7 @@
         if leader.term < self.term or not is_newer or not is_listed:
             return
         previous = self.pools.get(self.last_leader)
-        self.leader = leader
-        self.last_leader = leader.member
+        self.leader, self.last_leader = leader, leader.member
         self.leader_found_at = self._clock.now()
         self.term = leader.term
         self.primary_change_until = float("-inf")
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _members
 from ferry_proxy.tests import fakes
 
 
@@ -62,3 +63,14 @@
     list_members(lab, "a", "b", "c")
     assert write(lab).reason is None
     assert lab.do(lab.session(), fakes.statement("READ x")).reason is None
+
+
+def test_a_primary_that_returns_into_a_later_term_is_not_followed():
+    """Its successor has ended, and a replica of the later term is left."""
+    lab = fakes.Lab()
+    replica = lab.cluster.members["b"]
+    replica.term = 2
+    lab.cluster.members["c"].crashed = True
+    lab.group.note_leader(_members.Leader("a", 1))
+    lab.run(1.0)
+    assert lab.group.leader is None
