--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -238,9 +238,7 @@
         command: _links.Command,
         guard: _control_commands.Guard = _control_commands.no_guard,
     ) -> "decisions.Flow[_members.Report]":
-        """Sends a control command to a member and returns its report.
-
-        The guard is called right before the command is sent.
+        """Sends a control command to a member, if the guard does not fail.
 
         Raises:
             decisions.RequestFailedError: The member sent no report.
