Let a floor cover the departures that ended before it

A data centre was cut off 0.7 s after a member had left as planned, with the primary and one serving node inside. A floor is the end of the primary's log at a proved moment, and all nodes have it: a departure whose process had ended by then is covered for a replica that has received it. All serving nodes now ask a removed member at once whether it still runs; its address refuses connections only for a moment if its machine goes as well.

test_a_crash_is_followed_by_a_change_if_peers_are_gone failed before.

--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -13,6 +13,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _acknowledgements
+from ferry_proxy import _freshness
 from ferry_proxy import _members
 
 # A member that is no longer listed may still be running, cut off by a
@@ -65,6 +66,17 @@
         """
         return now < self.latest_end
 
+    def is_covered_by(
+        self, floor: _freshness.Sample, received: decisions.Position
+    ) -> bool:
+        """Whether a replica holds all that was acknowledged with the process.
+
+        Args:
+            floor: A floor of the group.
+            received: The end of the replica's log.
+        """
+        return self.latest_end <= floor.at and received >= floor.floor
+
 
 @attrs.frozen(slots=True)
 class PrimaryEnd:
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -200,6 +200,22 @@
             if d.member.id != old_primary
         ]
 
+    def uncovered_departures(
+        self, old_primary: str, reports: Reports
+    ) -> list[_departures.Departure]:
+        """Returns those whose commits no replica is known to hold.
+
+        Args:
+            old_primary: The id of the old primary.
+            reports: The reports of the replicas, by id.
+        """
+        departures = self.open_departures(old_primary)
+        floor = self._group.floors.newest
+        if floor is None or not reports:
+            return departures
+        received = max(r.received for r in reports.values())
+        return [d for d in departures if not d.is_covered_by(floor, received)]
+
     def _ask_departed(
         self, old_primary: str
     ) -> "decisions.Flow[dict[str, _departed_members.Outcome]]":
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -88,10 +88,7 @@
         """
         view = yield from self._survey(order)
         reports = self._views.last_reports(view.pools)
-        received = max((r.received for r in reports.values()), default=None)
-        if received is None:
-            return
-        refusal = self._missing(order, view, received)
+        refusal = self._missing(order, view, reports) if reports else ""
         if refusal:
             raise _change_steps.ChangeAbandonedError(refusal)
 
@@ -148,7 +145,10 @@
         if not self._group.service.sync_replicas:
             return False
         if cause is _fencing.Cause.STALLED:
-            return bool(self._views.open_departures(view.old_primary))
+            reports = self._views.last_reports(view.pools)
+            return bool(
+                self._views.uncovered_departures(view.old_primary, reports)
+            )
         return cause is _fencing.Cause.LEAVING
 
     # -- the fence -------------------------------------------------------
@@ -246,17 +246,19 @@
         for name, outcome in view.departed.items():
             if outcome.report and outcome.report.received > received:
                 return f"{name} is not listed and holds more"
-        return self._missing(order, view, received)
+        return self._missing(order, view, reports)
 
     def _missing(
         self,
         order: Order,
         view: _fence_views.View,
-        received: decisions.Position,
+        reports: dict[str, _members.Report],
     ) -> str:
         """Returns which commits a successor may lack; empty if it may lead."""
         missing = _departures.missing_commits(
-            received, self._views.open_departures(view.old_primary), order.acks
+            max(r.received for r in reports.values()),
+            self._views.uncovered_departures(view.old_primary, reports),
+            order.acks,
         )
         if missing is None or not view.sync_replicas:
             return ""
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -229,7 +229,7 @@
         group.set_members(members, plan.links, nodes)
         leaders = {n for n, m in members.items() if m.leads}
         if members_before != members.keys() or leaders != leaders_before:
-            group.refresh()
+            served.surveys.note_members_changed(group)
         served.departures.read()
         served.promoter.check()
 
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -74,6 +74,15 @@
         elif not self._is_request_planned:
             self._ask(group, stream)
 
+    def note_members_changed(self, group: _groups.Group) -> None:
+        """Begins a status round, and asks members that were just removed.
+
+        A process that has ended is noticed by its address, which refuses
+        connections only for a moment if its machine goes as well.
+        """
+        self._probes.probe(group)
+        group.refresh()
+
     @property
     def _is_request_planned(self) -> bool:
         return (
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -6,8 +6,10 @@
 from ferry_proxy import _acknowledgements
 from ferry_proxy import _configuration
 from ferry_proxy import _departures
+from ferry_proxy import _freshness
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _records
 from ferry_proxy.tests import fakes
 
 PRIMARY = _members.Role.PRIMARY
@@ -221,3 +223,34 @@
     assert lab.catalogue.claims["orders"].claim.token == 1
     commands = [type(c) for c in lab.cluster.members["c"].commands]
     assert commands.count(_links.Pause) == 1
+
+
+@pytest.mark.parametrize("floor_after_end_s", [-0.1, 0.1])
+def test_a_floor_after_the_end_of_a_departed_member_covers_it(
+    floor_after_end_s,
+):
+    member = fakes.Lab().cluster.members["b"].entry()
+    departure = _departures.Departure(member, removed_at=9.0, ended_at=10.0)
+    held = decisions.Position(1, 7)
+    floor = _freshness.Sample(10.0 + floor_after_end_s, held)
+    is_covered = floor_after_end_s > 0
+    assert departure.is_covered_by(floor, held) is is_covered
+    less = decisions.Position(1, 6)
+    assert not departure.is_covered_by(floor, less)
+
+
+def test_a_crash_is_followed_by_a_change_if_peers_are_gone():
+    """Acknowledgements of a peer are unknown, the floor covers them."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.catalogue.nodes["n2"] = _records.NodeEntry("n2", "h-n2", 1)
+    assert write(lab, "w").reason is None
+    leave(lab, "b")
+    lab.run(1.0)
+    lab.group.departures = _departures.Departures()
+    lab.group.departures.adopt(
+        _departures.Departure(lab.cluster.members["b"].entry(), 0.1, 0.9)
+    )
+    lab.cluster.crash("a")
+    lab.run(3.0)
+    assert [member for member, _ in lab.cluster.promotions] == ["c"]
