Ask peers for open departures before a change of primary

A node that restarted within a second of a departure, before it was recorded, promoted the listed replica and lost the commits of the departed member, though its peers remembered the departure. Their opinions on a change, which a promoter asks for anyway, now name the departures that are open there. No further call; nothing is sent while none is open. The new test failed before, for a member that runs on and for one that has ended.

--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -63,18 +63,42 @@
         items: Records of departures, also of other groups and earlier eras.
         now: The current boot time, in seconds.
     """
-    service = group.service.name
     for item in items:
         key = _records.parse_group_key(PREFIX, item.key)
-        if key.service != service or item.value is None:
-            continue
-        try:
-            entries = _departure_records.decode(service, item.value)
-        except _records.InvalidItemError as exc:
-            number = item.revision.number
-            _events.emit(_events.DocumentRefused(item.key, number, str(exc)))
-        else:
-            adopt(group, entries, now)
+        if key.service == group.service.name and item.value is not None:
+            adopt_encoded(group, item.value, item.key, now)
+
+
+def adopt_encoded(
+    group: _groups.Group, value: bytes, source: str, now: float
+) -> None:
+    """Adds departures from an encoded record; a malformed one is ignored.
+
+    Args:
+        group: The group.
+        value: The record's value.
+        source: The key or the peer that it is from, for the log.
+        now: The current boot time, in seconds.
+    """
+    try:
+        entries = _departure_records.decode(group.service.name, value)
+    except _records.InvalidItemError as exc:
+        _events.emit(_events.DocumentRefused(source, 0, str(exc)))
+    else:
+        adopt(group, entries, now)
+
+
+def describe(group: _groups.Group, now: float) -> bytes:
+    """Returns the open departures as an encoded record; empty for none.
+
+    Args:
+        group: The group.
+        now: The current boot time, in seconds.
+    """
+    entries = [
+        _departure_records.Entry.of(d, now) for d in group.departures.open()
+    ]
+    return _departure_records.encode(entries) if entries else b""
 
 
 def cover(group: _groups.Group, keys: Collection[str], source: str) -> None:
--- a/packages/proxy/src/ferry_proxy/_opinion_messages.py
+++ b/packages/proxy/src/ferry_proxy/_opinion_messages.py
@@ -39,6 +39,8 @@
             it passes on; negative if it does not.
         acked_ago_s: Seconds since it passed on the newest one; negative for
             never.
+        departures: The departures that are open at the sender, encoded as in
+            the record of departures; empty if there are none.
     """
 
     heard_ago_s: float
@@ -47,3 +49,4 @@
     most_acked: tuple[int, int] = (0, 0)
     watched_s: float = -1.0
     acked_ago_s: float = -1.0
+    departures: bytes = b""
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -8,6 +8,7 @@
 
 from ferry_proxy import _acknowledgements
 from ferry_proxy import _clocks
+from ferry_proxy import _departure_sync
 from ferry_proxy import _groups
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _peers
@@ -68,6 +69,7 @@
         most_acked=(acks.at_most.term, acks.at_most.index),
         watched_s=clock.boot_now() - acks.since,
         acked_ago_s=acked_ago_s if math.isfinite(acked_ago_s) else -1.0,
+        departures=_departure_sync.describe(group, clock.boot_now()),
     )
     pool = group.pools.get(question.member)
     if pool is None or pool.member.born != question.born:
@@ -82,7 +84,11 @@
 def ask(
     clock: _clocks.Clock, mesh: _peers.Peers, group: _groups.Group
 ) -> "decisions.Flow[Opinions]":
-    """Asks the peers for their contact with the primary, and for commits."""
+    """Asks the peers for their contact with the primary, and for commits.
+
+    This node adopts the departures that they know. It may have restarted
+    before one was recorded.
+    """
     leader, pool = group.leader, group.leader_pool
     question = _opinion_messages.OpinionRequest(
         group.service.name,
@@ -100,11 +106,14 @@
         for stream, fut in zip(streams, futs, strict=True)
         if fut.exception() is None
     }
-    return Opinions(
-        {
-            peer: reply
-            for peer, reply in replies.items()
-            if isinstance(reply, _opinion_messages.OpinionReply)
-        },
-        clock.boot_now(),
-    )
+    opinions = {
+        peer: reply
+        for peer, reply in replies.items()
+        if isinstance(reply, _opinion_messages.OpinionReply)
+    }
+    for peer, opinion in opinions.items():
+        if opinion.departures:
+            _departure_sync.adopt_encoded(
+                group, opinion.departures, peer, clock.boot_now()
+            )
+    return Opinions(opinions, clock.boot_now())
--- a/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departure_records.py
@@ -3,10 +3,12 @@
 import json
 
 import attrs
+import ferry_decisions as decisions
 import pytest
 
 from ferry_proxy import _configuration
 from ferry_proxy import _departure_records
+from ferry_proxy import _departure_sync
 from ferry_proxy import _departures
 from ferry_proxy import _members
 from ferry_proxy import _records
@@ -123,6 +125,27 @@
     assert fleet.cluster.lost == []
 
 
+@pytest.mark.parametrize("is_running", [True, False])
+def test_a_node_that_restarts_before_the_record_is_written_asks_its_peers(
+    is_running,
+):
+    """It passed on the acknowledgement itself, and is the first to claim."""
+    first, other = sorted(
+        ["n1", "n2"],
+        key=lambda n: decisions.rendezvous_score(departure_lab.SERVICE, n),
+    )
+    fleet = departure_lab.Fleet(first, other)
+    remove_b(fleet, is_running)
+    fleet.run(0.2)
+    fleet.restart(first)
+    fleet.run(0.1)
+    fleet.cluster.crash("a")
+    fleet.run(0.6)
+    assert fleet.recorded() is None
+    fleet.run(5.0)
+    assert fleet.cluster.promotions == []
+
+
 def test_departures_that_disappear_from_the_record_are_covered():
     fleet = fleet_without_b(*NODES)
     fleet.store.delete(KEY)
@@ -359,6 +382,13 @@
     assert fleet.open_departures() == {n: ["b@1000"] for n in NODES}
 
 
+def test_a_peer_that_sends_a_malformed_record_is_ignored():
+    fleet = departure_lab.Fleet("n1")
+    group = fleet.nodes["n1"].group
+    _departure_sync.adopt_encoded(group, b"x", "n2", fleet.clock.boot_now())
+    assert group.departures.open() == []
+
+
 def departure(name: str, removed_at: float) -> _departures.Departure:
     member = _members.Member(name, "orders", "10.0.0.1", 1, "x", 5, born=7)
     return _departures.Departure(member, removed_at)
