--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -117,7 +117,10 @@
 
 
 class DepartureSync:
-    """Keeps one group's departures at this node and the record in step."""
+    """Keeps one group's departures at this node and the record in step.
+
+    The mesh has the streams to the other nodes that serve the group.
+    """
 
     def __init__(
         self,
@@ -128,16 +131,6 @@
         group: _groups.Group,
         mesh: _peers.Peers,
     ) -> None:
-        """Creates the synchronization of one group.
-
-        Args:
-            clock: The clock.
-            node: This node's name.
-            store: The store.
-            catalogue: The local copy of the store.
-            group: The group.
-            mesh: The streams to the other nodes that serve the group.
-        """
         self._clock = clock
         self._node = node
         self._store = store
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -84,17 +84,8 @@
 def ask(
     clock: _clocks.Clock, mesh: _peers.Peers, group: _groups.Group
 ) -> "decisions.Flow[Opinions]":
-    """Asks the peers for their contact with the primary, and for commits.
-
-    This node adopts the departures that they know. It may have restarted
-    before one was recorded.
-    """
-    leader, pool = group.leader, group.leader_pool
-    question = _opinion_messages.OpinionRequest(
-        group.service.name,
-        leader.member if leader else "",
-        pool.member.born if pool else 0,
-    )
+    """Asks the peers for their contact with the primary, and for commits."""
+    question = _question(group)
     streams = list(mesh.streams)
     futs = [
         decisions.with_timeout(clock, OPINION_WAIT_S, s.call(question))
@@ -111,9 +102,34 @@
         for peer, reply in replies.items()
         if isinstance(reply, _opinion_messages.OpinionReply)
     }
+    now = clock.boot_now()
+    _adopt_departures(group, opinions, now)
+    return Opinions(opinions, now)
+
+
+def _question(group: _groups.Group) -> _opinion_messages.OpinionRequest:
+    leader, pool = group.leader, group.leader_pool
+    return _opinion_messages.OpinionRequest(
+        group.service.name,
+        leader.member if leader else "",
+        pool.member.born if pool else 0,
+    )
+
+
+def _adopt_departures(
+    group: _groups.Group,
+    opinions: dict[str, _opinion_messages.OpinionReply],
+    now: float,
+) -> None:
+    """Adds the departures that peers know.
+
+    This node may have restarted before one was recorded.
+
+    Args:
+        group: The group.
+        opinions: The replies, by node.
+        now: The current boot time, in seconds.
+    """
     for peer, opinion in opinions.items():
         if opinion.departures:
-            _departure_sync.adopt_encoded(
-                group, opinion.departures, peer, clock.boot_now()
-            )
-    return Opinions(opinions, clock.boot_now())
+            _departure_sync.adopt_encoded(group, opinion.departures, peer, now)
