Stagger repeated writes of departure records

Groups that lose members at the same time, as with a data centre, wrote their records again at the same moments while the store accepted none. Their pauses now differ by up to a half. A store that is away still gets 6 writes of a record in its first minute (worked out from the pauses, for any group).

--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -23,9 +23,11 @@
 from ferry_proxy import _serving_peers
 from ferry_proxy import _store
 
-# The pause after a write; it doubles while writes are not accepted.
+# The shortest pause after a write; it doubles while writes are not accepted.
 MIN_WRITE_PAUSE_S = 1.0
 MAX_WRITE_PAUSE_S = 30.0
+# The part of a pause by which groups differ, as many may lose members at once.
+STAGGERED_SHARE = 0.5
 PREFIX = _records.DEPARTURE_PREFIX
 
 
@@ -295,6 +297,12 @@
             _events.emit(
                 _change_events.DeparturesRecorded(service, keys, closed)
             )
-        self._next_write_at = self._clock.now() + self._pause_s
+        self._next_write_at = self._clock.now() + self._staggered_pause_s
         if not is_done:
             self._pause_s = min(MAX_WRITE_PAUSE_S, 2 * self._pause_s)
+
+    @property
+    def _staggered_pause_s(self) -> float:
+        fraction = decisions.stagger_fraction(PREFIX, self._group.service.name)
+        pause_s = self._pause_s * (1.0 + STAGGERED_SHARE * fraction)
+        return min(MAX_WRITE_PAUSE_S, pause_s)
