--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -23,9 +23,11 @@
 from ferry_proxy import _serving_peers
 from ferry_proxy import _store
 
-# The pause after a write; it doubles while writes are not accepted.
+# The shortest pause after a write; it doubles while writes are not accepted.
 MIN_WRITE_PAUSE_S = 1.0
 MAX_WRITE_PAUSE_S = 30.0
+# The part of a pause by which groups differ, as many may lose members at once.
+STAGGERED_SHARE = 0.5
 PREFIX = _records.DEPARTURE_PREFIX
 
 
@@ -63,18 +65,42 @@
         items: Records of departures, also of other groups and earlier eras.
         now: The current boot time, in seconds.
     """
-    service = group.service.name
     for item in items:
         key = _records.parse_group_key(PREFIX, item.key)
-        if key.service != service or item.value is None:
-            continue
-        try:
-            entries = _departure_records.decode(service, item.value)
-        except _records.InvalidItemError as exc:
-            number = item.revision.number
-            _events.emit(_events.DocumentRefused(item.key, number, str(exc)))
-        else:
-            adopt(group, entries, now)
+        if key.service == group.service.name and item.value is not None:
+            adopt_encoded(group, item.value, item.key, now)
+
+
+def adopt_encoded(
+    group: _groups.Group, value: bytes, source: str, now: float
+) -> None:
+    """Adds departures from an encoded record; a malformed one is ignored.
+
+    Args:
+        group: The group.
+        value: The record's value.
+        source: The key or the peer that it is from, for the log.
+        now: The current boot time, in seconds.
+    """
+    try:
+        entries = _departure_records.decode(group.service.name, value)
+    except _records.InvalidItemError as exc:
+        _events.emit(_events.DocumentRefused(source, 0, str(exc)))
+    else:
+        adopt(group, entries, now)
+
+
+def describe(group: _groups.Group, now: float) -> bytes:
+    """Returns the open departures as an encoded record; empty for none.
+
+    Args:
+        group: The group.
+        now: The current boot time, in seconds.
+    """
+    entries = [
+        _departure_records.Entry.of(d, now) for d in group.departures.open()
+    ]
+    return _departure_records.encode(entries) if entries else b""
 
 
 def cover(group: _groups.Group, keys: Collection[str], source: str) -> None:
@@ -93,7 +119,10 @@
 
 
 class DepartureSync:
-    """Keeps one group's departures at this node and the record in step."""
+    """Keeps one group's departures at this node and the record in step.
+
+    The mesh has the streams to the other nodes that serve the group.
+    """
 
     def __init__(
         self,
@@ -104,16 +133,6 @@
         group: _groups.Group,
         mesh: _peers.Peers,
     ) -> None:
-        """Creates the synchronization of one group.
-
-        Args:
-            clock: The clock.
-            node: This node's name.
-            store: The store.
-            catalogue: The local copy of the store.
-            group: The group.
-            mesh: The streams to the other nodes that serve the group.
-        """
         self._clock = clock
         self._node = node
         self._store = store
@@ -278,6 +297,12 @@
             _events.emit(
                 _change_events.DeparturesRecorded(service, keys, closed)
             )
-        self._next_write_at = self._clock.now() + self._pause_s
+        self._next_write_at = self._clock.now() + self._staggered_pause_s
         if not is_done:
             self._pause_s = min(MAX_WRITE_PAUSE_S, 2 * self._pause_s)
+
+    @property
+    def _staggered_pause_s(self) -> float:
+        fraction = decisions.stagger_fraction(PREFIX, self._group.service.name)
+        pause_s = self._pause_s * (1.0 + STAGGERED_SHARE * fraction)
+        return min(MAX_WRITE_PAUSE_S, pause_s)
