Refill a member that lost its promises only by the store's record

Callers lost acknowledged writes: a member that had been fenced for a new term restarted without its log and its promises, and a node that had not learned of the term made it follow the primary before, which got its commits confirmed by it. Found in a test with a data centre that was cut off during the promotion.

A node reads the record from the store before it makes a member of no term follow, and gives up if the store holds a later one or does not answer. Such a member waits for the store.

test_a_member_without_its_promises_confirms_nothing_of_an_old_term failed before (one acknowledged write lost) and passes now; tests of packages/decisions, node and standins pass.

--- a/packages/decisions/src/ferry_decisions/_promotion.py
+++ b/packages/decisions/src/ferry_decisions/_promotion.py
@@ -76,6 +76,21 @@
     return _databases.record_from_json(json.loads(value))
 
 
+def read_record(
+    timers: _timers.TimerService, store: _ports.Store, database: str
+) -> "_flows.Flow[_databases.Record | None]":
+    """Reads a database's record from the store.
+
+    Raises:
+        StoreUnavailableError: The store did not answer.
+        TimeoutExpiredError: It did not answer in time.
+    """
+    entry = yield _flows.with_timeout(
+        timers, READ_TIMEOUT_S, store.get(record_key(database))
+    )
+    return None if entry is None else decode_record(entry.value)
+
+
 class Promotion:
     """One attempt to change the primary of one database."""
 
--- a/packages/decisions/src/ferry_decisions/_watch.py
+++ b/packages/decisions/src/ferry_decisions/_watch.py
@@ -278,10 +278,13 @@
             record.term, self.database.member(record.primary), record.starts
         )
         try:
-            yield self.driver.follow(member, order)
+            if status.term > 0 or (yield from self._is_stored(record)):
+                yield self.driver.follow(member, order)
         except (
             _ports.EndpointUnreachableError,
             _ports.EndpointRefusedError,
+            _ports.StoreUnavailableError,
+            _flows.TimeoutExpiredError,
         ) as exc:
             logging.info(
                 "event=follow_failed database=%s member=%s detail=%s",
@@ -290,6 +293,20 @@
                 exc,
             )
 
+    def _is_stored(self, record: _databases.Record) -> "_flows.Flow[bool]":
+        """Whether the store holds no later record.
+
+        A member that has lost its log would follow a replaced primary, whose
+        term it may have promised not to confirm.
+        """
+        stored = yield from _promotion.read_record(
+            self._timers, self._ctx.store, record.database
+        )
+        if stored is None or not stored.newer_than(record):
+            return True
+        self._ctx.publish(stored)
+        return False
+
     def _needs_failover(self) -> bool:
         record = self.record
         if record is None:
--- a/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
@@ -4,6 +4,7 @@
 import pytest
 
 import ferry_decisions as decisions
+from ferry_decisions import _promotion
 
 REPLICATION_STOPPED_S = 60.0
 
@@ -107,3 +108,39 @@
     fut = reader.read(lab.node_in(centre), written.key)
     lab.timers.advance(4.0)
     assert fut.result().value == written.value
+
+
+def promote_by(lab, centre, database, known):
+    """Starts a promotion by the node of a data centre."""
+    driver = standins.VirtualDriver(lab.links(centre))
+    store = lab.node_in(centre).store
+    attempt = _promotion.Promotion(
+        lab.timers, store, driver, database, "node", "claim"
+    )
+    return decisions.start(attempt.run(known))
+
+
+def test_a_member_without_its_promises_confirms_nothing_of_an_old_term():
+    """A node that has not learned of the new term makes it follow again."""
+    lab = standins.Lab(standins.LabPlan(), 1)
+    lab.timers.advance(1.5)
+    old, new, other = lab.members
+    lab.cut_centre("hall-a")
+    known = lab.node_in("hall-a").record
+    fut = promote_by(lab, "hall-b", lab.database, known)
+    lab.timers.advance(0.3)
+    assert fut.result().primary == new
+    lab.crash(other)
+    lab.restart(other, keeps_log=False)
+    lab.isolate(new)
+    lab.net.cut.discard(frozenset(("hall-a", "hall-c")))
+    lab.link_faults.cut.discard(frozenset((old, other)))
+    lab.timers.advance(1.0)
+    session = standins.LabSession(lab, "clerk", timeout_s=2.0)
+    session.write(lab.node_in("hall-a"))
+    lab.timers.advance(3.0)
+    lab.heal(new)
+    lab.heal_centre("hall-a")
+    lab.sync_records()
+    lab.timers.advance(5.0)
+    assert lab.verdict().total == 0
