Let replicas that leave prove no primary by themselves

Callers were told that a commit is durable on the word of a draining replica alone. A fence takes a draining member that is off the list and does not answer for ended, although it may run on beyond a partition, and so pauses the other replica only; "all but one" of two replicas was then the one that drains.

Proofs and floors now need as many replicas as a commit does that every node's fence includes: neither new nor leaving ones. If there are none, all replicas are needed. This replaces the greater number of replicas after a join: a group of two that grows goes on with the one that it had. While one of two replicas drains, the other one has to answer, and reads wait if it does not.

test_no_commit_is_acknowledged_by_a_draining_replica_alone failed before (the write was answered as done) and passes now. In test_promotions.py, the number of replicas in two calls has become a quorum of as many.

--- a/packages/proxy/src/ferry_proxy/_freshness.py
+++ b/packages/proxy/src/ferry_proxy/_freshness.py
@@ -4,13 +4,14 @@
 change of primary first pauses a fence of replicas (`fence_size`), so that no
 further commit of the old term can be acknowledged. This has two consequences:
 
-* If `proof_size` replicas report that they are not paused, the term had not
+* If a `Quorum` of replicas reports that they are not paused, the term had not
   been replaced when they were asked: every fence includes one of them.
 * The end of the primary's log, requested at the same time, covers every commit
   acknowledged before.
 """
 
 import collections
+from collections.abc import Collection
 
 import attrs
 import ferry_decisions as decisions
@@ -18,20 +19,64 @@
 from ferry_proxy import _members
 
 
-def proof_size(replicas: int, sync_replicas: int, joined: int = 0) -> int:
+def proof_size(replicas: int, sync_replicas: int) -> int:
     """Returns how many unpaused replicas prove that a term is current.
 
-    All but one are needed, and more of them than may be unpaused despite a
-    fence: those that it may leave out, and those that joined an isolated
-    primary after it was established. In a small group this takes all replicas.
+    All but one are needed. A replica that joined an isolated primary after the
+    fence was established is not paused, and must not suffice by itself.
 
     Args:
         replicas: The number of replicas in the group.
         sync_replicas: How many replicas must receive a commit.
-        joined: How many of them joined recently.
     """
-    outside_fence = max(1, sync_replicas) - 1 + joined
-    return max(1, sync_replicas, replicas - 1, min(replicas, outside_fence + 1))
+    return max(1, sync_replicas, replicas - 1)
+
+
+@attrs.frozen(slots=True)
+class Quorum:
+    """Which replicas have to confirm that a term is current.
+
+    Attributes:
+        size: How many have to.
+        established: The ids of those that no node's fence leaves out: they
+            neither joined nor restarted a moment ago, and do not leave.
+        min_established: How many of these have to.
+    """
+
+    size: int
+    established: frozenset[str] = frozenset()
+    min_established: int = 0
+
+    def is_met_by(self, confirming: Collection[str]) -> bool:
+        """Whether these replicas suffice.
+
+        Args:
+            confirming: The ids of replicas that are not paused.
+        """
+        found = self.established.intersection(confirming)
+        is_enough = len(confirming) >= self.size
+        return is_enough and len(found) >= self.min_established
+
+
+def quorum_of(
+    replicas: int,
+    restarted: int,
+    established: frozenset[str],
+    sync_replicas: int,
+) -> Quorum:
+    """Returns the quorum of a group; all replicas if none is established.
+
+    Args:
+        replicas: The number of replicas in the group.
+        restarted: How many of them restarted a moment ago; each counts twice.
+        established: The ids of the established ones.
+        sync_replicas: How many replicas must receive a commit.
+    """
+    size = proof_size(replicas + restarted, sync_replicas)
+    if not established:
+        return Quorum(max(size, replicas))
+    needed = min(len(established), max(1, sync_replicas))
+    return Quorum(size, established, needed)
 
 
 def fence_size(replicas: int, sync_replicas: int) -> int:
@@ -60,7 +105,7 @@
 def sample_of(
     leader: _members.Leader,
     reports: dict[str, _members.Report],
-    needed: int,
+    quorum: Quorum,
 ) -> Sample | None:
     """Returns the sample that a round of reports proves, or None.
 
@@ -70,19 +115,20 @@
     Args:
         leader: The primary as far as known.
         reports: The reports of the round, by member.
-        needed: How many replicas prove that the primary still leads.
+        quorum: Which replicas have to confirm that the primary still leads.
     """
     own = reports.get(leader.member)
     if own is None or not own.leads(leader):
         return None
-    following = [
-        r
-        for name, r in reports.items()
-        if name != leader.member and r.proves(leader.term)
-    ]
-    if len(following) < needed:
+    following = {
+        name: report
+        for name, report in reports.items()
+        if name != leader.member and report.proves(leader.term)
+    }
+    if not quorum.is_met_by(following):
         return None
-    return Sample(min(r.asked_at for r in [own, *following]), own.received)
+    asked_at = min(r.asked_at for r in [own, *following.values()])
+    return Sample(asked_at, own.received)
 
 
 class Floors:
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -161,12 +161,15 @@
         return max(0, len(self.pools) - 1)
 
     @property
-    def proof_size(self) -> int:
-        """How many replicas must confirm that the primary still leads."""
-        return _freshness.proof_size(
-            self.replicas + self.membership.recently_restarted,
+    def quorum(self) -> _freshness.Quorum:
+        """The replicas that prove that the primary still leads."""
+        leader = self.leader.member if self.leader else ""
+        replicas = [p.member for n, p in self.pools.items() if n != leader]
+        return _freshness.quorum_of(
+            len(replicas),
+            self.membership.recently_restarted,
+            self.membership.established(replicas),
             self.service.sync_replicas,
-            self.membership.recently_joined,
         )
 
     @property
@@ -295,9 +298,10 @@
             for p in others
             if p.contact.heard < cutoff or p.contact.link_failing_s > 0
         ]
-        for number in range(min(self.proof_size, len(responsive))):
-            turn = (self._next_replica + number) % len(responsive)
-            asked.append(responsive[turn])
+        quorum, turn = self.quorum, self._next_replica % max(1, len(responsive))
+        replicas = responsive[turn:] + responsive[:turn]
+        replicas.sort(key=lambda p: p.member.id not in quorum.established)
+        asked += replicas[: quorum.size]
         return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
 
     def _ask_with_retry(
@@ -355,7 +359,7 @@
     ) -> _freshness.Sample | None:
         if self.leader is None:
             return None
-        return _freshness.sample_of(self.leader, reports, self.proof_size)
+        return _freshness.sample_of(self.leader, reports, self.quorum)
 
     def _update_leader(self, reports: dict[str, _members.Report]) -> None:
         for name, report in reports.items():
--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from ferry_proxy import _clocks
+from ferry_proxy import _members
 
 # Members are replaced one after another, seconds apart. For this long after
 # one joins, more may have joined than are listed. One that was removed may
@@ -48,10 +49,11 @@
         """
         self.restarted_at[member] = self._clock.now()
 
-    @property
-    def recently_joined(self) -> int:
-        """How many members joined within `MEMBERSHIP_CHANGE_S`."""
-        return sum(map(self._is_recent, self._joined_at.values()))
+    def established(self, members: Iterable[_members.Member]) -> frozenset[str]:
+        """Returns the ids of members that are neither new nor leaving."""
+        return frozenset(
+            m.id for m in members if not m.draining and not self._is_new(m.id)
+        )
 
     @property
     def recently_restarted(self) -> int:
@@ -61,8 +63,14 @@
     @property
     def may_be_incomplete(self) -> bool:
         """Whether the list may lack members that are running."""
-        has_more = self.recently_joined > 0 or self.recently_restarted > 0
-        return has_more or self._is_recent(self._removed_at)
+        has_joined = any(map(self._is_recent, self._joined_at.values()))
+        has_restarted = self.recently_restarted > 0
+        is_removed = self._is_recent(self._removed_at)
+        return has_joined or has_restarted or is_removed
+
+    def _is_new(self, member: str) -> bool:
+        times = (self._joined_at.get(member), self.restarted_at.get(member))
+        return any(at is not None and self._is_recent(at) for at in times)
 
     def _is_recent(self, at: float) -> bool:
         return self._clock.now() - at < MEMBERSHIP_CHANGE_S
--- a/packages/proxy/src/ferry_proxy/_proofs.py
+++ b/packages/proxy/src/ferry_proxy/_proofs.py
@@ -9,6 +9,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _freshness
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _pools
@@ -30,8 +31,8 @@
     pools: dict[str, _pools.Pool]
 
     @property
-    def proof_size(self) -> int:
-        """How many replicas must confirm that the primary still leads."""
+    def quorum(self) -> _freshness.Quorum:
+        """The replicas that prove that the primary still leads."""
 
     def is_responsive(self, pool: _pools.Pool) -> bool:
         """Whether a member is reachable and owes no overdue reply."""
@@ -68,38 +69,40 @@
         leader = group.leader
         if leader is None:
             raise decisions.RequestFailedError(decisions.NO_PRIMARY)
-        wanted = group.proof_size
-        proofs: list[_members.Report] = []
+        quorum = group.quorum
+        confirming: set[str] = set()
         done: decisions.Future[None] = decisions.Future()
-        replicas = self._proof_order(leader)
+        replicas = self._proof_order(leader, quorum)
         futs = []
         for number, pool in enumerate(replicas):
-            if number >= wanted:
+            if number >= quorum.size:
                 pause = decisions.sleep(self._clock, PROOF_HEDGE_S)
                 yield decisions.first_completed(done, pause)
             if done.done():
                 break
-            fut = decisions.start(self._prove_by(pool, leader, proofs))
+            fut = decisions.start(self._prove_by(pool, leader, confirming))
             fut.add_done_callback(
-                lambda _: _resolve_if(len(proofs) >= wanted, done)
+                lambda _: _resolve_if(quorum.is_met_by(confirming), done)
             )
             futs.append(fut)
         if not done.done():
             yield decisions.settle_all(futs, lambda _: done.done())
-        if len(proofs) < wanted or group.leader != leader:
+        if not quorum.is_met_by(confirming) or group.leader != leader:
             raise decisions.RequestFailedError(
                 decisions.NO_PRIMARY, "no proof that the primary still leads"
             )
         return leader
 
-    def _proof_order(self, leader: _members.Leader) -> list[_pools.Pool]:
+    def _proof_order(
+        self, leader: _members.Leader, quorum: _freshness.Quorum
+    ) -> list[_pools.Pool]:
         """Returns the replicas, the most likely to reply soon first."""
         pools = [p for n, p in self._group.pools.items() if n != leader.member]
         return sorted(
             pools,
             key=lambda p: (
                 not self._group.is_responsive(p),
-                p.member.draining,
+                p.member.id not in quorum.established,
                 not self._group.is_near(p),
             ),
         )
@@ -108,11 +111,11 @@
         self,
         pool: _pools.Pool,
         leader: _members.Leader,
-        proofs: list[_members.Report],
+        confirming: set[str],
     ) -> "decisions.Flow[None]":
         report = yield from self._group.ask(pool, _links.Status())
         if report.proves(leader.term):
-            proofs.append(report)
+            confirming.add(pool.member.id)
         elif report.term > leader.term:
             self._group.refresh()
 
--- a/packages/proxy/src/ferry_proxy/tests/test_promotions.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_promotions.py
@@ -20,6 +20,7 @@
 CAUSE = _fencing.Cause
 PRIMARY = _members.Role.PRIMARY
 REPLICA = _members.Role.REPLICA
+ANY_REPLICA = _freshness.Quorum(1)
 
 
 def evidence(**changes):
@@ -138,7 +139,7 @@
     reports = {"a": report(PRIMARY, 7, 11.0)}
     if replica is not None:
         reports["b"] = replica
-    sample = _freshness.sample_of(leader, reports, 1)
+    sample = _freshness.sample_of(leader, reports, ANY_REPLICA)
     assert (sample.floor if sample else None) == expected
     if sample is not None:
         assert sample.at == 10.0
@@ -152,7 +153,7 @@
     """
     leader = _members.Leader("a", 1)
     reports = {"b": report(REPLICA, 5, 10.0)}
-    assert _freshness.sample_of(leader, reports, 1) is None
+    assert _freshness.sample_of(leader, reports, ANY_REPLICA) is None
 
 
 def test_floors_are_the_oldest_that_cover():
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -12,9 +12,9 @@
     lab.group.set_members({n: entries[n] for n in names}, lab.limit)
 
 
-def fence_of_another_node(lab, *names):
+def fence_of_another_node(lab, *names, term=2):
     for name in names:
-        lab.cluster.members[name].paused_term = 2
+        lab.cluster.members[name].paused_term = term
 
 
 def write(lab):
@@ -62,3 +62,24 @@
     list_members(lab, "a", "b", "c")
     assert write(lab).reason is None
     assert lab.do(lab.session(), fakes.statement("READ x")).reason is None
+
+
+def test_no_commit_is_acknowledged_by_a_draining_replica_alone():
+    """It may be off another node's list, whose fence leaves it out."""
+    lab = fakes.Lab()
+    lab.run(0.5)
+    lab.cluster.members["b"].draining = True
+    list_members(lab, "a", "b", "c")
+    fence_of_another_node(lab, "c")
+    assert write(lab).reason is decisions.NOT_CONFIRMED
+
+
+def test_a_draining_replica_that_ends_leaves_reads_and_writes_provable():
+    lab = fakes.Lab(_configuration.Consistency.PRIMARY)
+    lab.run(0.5)
+    lab.cluster.members["b"].draining = True
+    list_members(lab, "a", "b", "c")
+    lab.cluster.crash("b")
+    lab.run(1.0)
+    assert write(lab).reason is None
+    assert lab.do(lab.session(), fakes.statement("READ x")).reason is None
