--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -1,9 +1,12 @@
 """Changes of the list of a group's members, as one node has seen them."""
 
+from collections.abc import Iterable
+
 from ferry_proxy import _clocks
 
 # Members are replaced one after another, seconds apart. For this long after
-# one joins, more may have joined than are listed.
+# one joins, more may have joined than are listed. One that was removed may
+# still be running, and other nodes may know a list without it.
 MEMBERSHIP_CHANGE_S = 10.0
 
 
@@ -14,23 +17,28 @@
 
     Attributes:
         changed_at: When a member was last added or removed.
-        joined_at: When a member last joined or restarted.
         restarted_at: When members last restarted, by id.
     """
 
     def __init__(self, clock: _clocks.Clock) -> None:
         self._clock = clock
+        self._joined_at: dict[str, float] = {}
+        self._removed_at = float("-inf")
         self.changed_at = clock.now()
-        self.joined_at = float("-inf")
         self.restarted_at: dict[str, float] = {}
 
     def note_changed(self) -> None:
         """Records that members were added or removed."""
         self.changed_at = self._clock.now()
 
-    def note_joined(self) -> None:
-        """Records that a member joined a group that had others."""
-        self.joined_at = self._clock.now()
+    def note_joined(self, members: Iterable[str]) -> None:
+        """Records members that joined a group that had others."""
+        for name in members:
+            self._joined_at[name] = self._clock.now()
+
+    def note_removed(self) -> None:
+        """Records that a member is no longer listed."""
+        self._removed_at = self._clock.now()
 
     def note_restarted(self, member: str) -> None:
         """Records that a member restarted.
@@ -38,16 +46,23 @@
         Its new process counts as a further replica for a while, as a member
         does that joins under a new name.
         """
-        self.note_joined()
-        self.restarted_at[member] = self.joined_at
+        self.restarted_at[member] = self._clock.now()
+
+    @property
+    def recently_joined(self) -> int:
+        """How many members joined within `MEMBERSHIP_CHANGE_S`."""
+        return sum(map(self._is_recent, self._joined_at.values()))
 
     @property
     def recently_restarted(self) -> int:
         """How many members restarted within `MEMBERSHIP_CHANGE_S`."""
-        cutoff = self._clock.now() - MEMBERSHIP_CHANGE_S
-        return sum(at > cutoff for at in self.restarted_at.values())
+        return sum(map(self._is_recent, self.restarted_at.values()))
 
     @property
-    def has_joined_recently(self) -> bool:
-        """Whether members joined a moment ago; some may not be listed yet."""
-        return self._clock.now() - self.joined_at < MEMBERSHIP_CHANGE_S
+    def may_be_incomplete(self) -> bool:
+        """Whether the list may lack members that are running."""
+        has_more = self.recently_joined > 0 or self.recently_restarted > 0
+        return has_more or self._is_recent(self._removed_at)
+
+    def _is_recent(self, at: float) -> bool:
+        return self._clock.now() - at < MEMBERSHIP_CHANGE_S
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+import functools
 
 import attrs
 import ferry_decisions as decisions
@@ -23,17 +24,17 @@
 from ferry_proxy import _fences
 from ferry_proxy import _fencing
 from ferry_proxy import _groups
-from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _opinions
-from ferry_proxy import _peer_messages
+from ferry_proxy import _paused_members
 from ferry_proxy import _peers
 from ferry_proxy import _policy
 from ferry_proxy import _pools
 from ferry_proxy import _records
 from ferry_proxy import _stalls
 from ferry_proxy import _store
+from ferry_proxy import _succession
 
 # Nodes claim one after the other, this far apart. A claim reaches the next
 # node in less time.
@@ -42,13 +43,12 @@
 # of the claims.
 MAX_RANK = 2
 FAILURE_BACKOFF_S = 0.4
-# Each attempt costs calls of the store, and may fail until a member returns.
-MAX_FAILURE_BACKOFF_S = 1.6
-MAX_PROMOTE_WAIT_S = 16.0  # About half of `_departures.MAX_RUNNING_S`.
+# The backoff doubles with each attempt in vain, up to this often. All attempts
+# may be in vain until a member returns.
+MAX_DOUBLINGS = 2
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
-LEADER_POLL_S = 0.03  # How often a promoted member is asked whether it leads.
 
 
 @attrs.frozen(slots=True)
@@ -94,13 +94,18 @@
         self._is_changing = False
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
-        self._backoff_s = FAILURE_BACKOFF_S
-        self._promote_wait_s = ctx.policy.promote_wait_s
+        self._attempts_in_vain = 0
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
         )
         self._fence = _fences.Fence(ctx.clock, ctx.store, ctx.catalogue, group)
+        self._succession = _succession.Succession(
+            ctx, group, self._claims, self._fence
+        )
+        self._repair = _paused_members.Repair(
+            ctx.clock, ctx.policy, group, self._claims
+        )
         group.on_round.append(self._on_status_round)
 
     @property
@@ -116,6 +121,7 @@
 
     def _on_status_round(self, reports: dict[str, _members.Report]) -> None:
         self._stalls.update(reports)
+        self._repair.observe()
         self.check()
 
     def evidence(self) -> _fencing.Evidence:
@@ -152,12 +158,27 @@
         self._recheck_silent_primary()
         cause = _fencing.cause_of_change(self.evidence(), self._ctx.policy)
         if cause is None:
-            self._backoff_s = FAILURE_BACKOFF_S
+            self._attempts_in_vain = 0
+            self._repair_pauses()
             return
         self._is_changing = True
         fut = decisions.start(self._change_primary(cause))
         fut.add_done_callback(self._on_change_ended)
 
+    def _repair_pauses(self) -> None:
+        """Begins to resume members that were left paused, if there are any."""
+        if self._repair.is_due:
+            self._is_changing = True
+            delay_s = self._rank() * RANK_DELAY_S
+            fut = decisions.start(self._repair.run(delay_s))
+            fut.add_done_callback(self._on_repair_ended)
+
+    def _on_repair_ended(self, fut: "decisions.Future[None]") -> None:
+        self._is_changing = False
+        exc = fut.exception()
+        if exc is not None:
+            self._log("still paused", 0, "", repr(exc))
+
     def _recheck_silent_primary(self) -> None:
         """Asks a primary that does not answer again, over other links.
 
@@ -173,15 +194,18 @@
         self._is_changing = False
         exc = fut.exception()
         if exc is None:
-            self._backoff_s = FAILURE_BACKOFF_S
+            self._attempts_in_vain = 0
             return
         vetoed = isinstance(exc, _change_steps.VetoedError)
-        backoff_s = VETO_BACKOFF_S if vetoed else self._backoff_s
+        backoff_s = VETO_BACKOFF_S if vetoed else self._failure_backoff_s
         self._next_attempt_at = self._ctx.clock.now() + backoff_s
-        if not vetoed:
-            self._backoff_s = min(MAX_FAILURE_BACKOFF_S, 2 * self._backoff_s)
         self._log("abandoned", 0, "", repr(exc))
 
+    @property
+    def _failure_backoff_s(self) -> float:
+        doublings = min(MAX_DOUBLINGS, max(0, self._attempts_in_vain - 1))
+        return FAILURE_BACKOFF_S * (1 << doublings)
+
     # -- the change ------------------------------------------------------
 
     def _change_primary(self, cause: _fencing.Cause) -> "decisions.Flow[None]":
@@ -198,6 +222,7 @@
         self._check_veto(cause, list(opinions.replies.values()))
         if cause is _fencing.Cause.STALLED:
             yield from self._stalls.confirm(self._acknowledgements(opinions))
+        yield from self._require_successor(cause, opinions)
         held = yield from self._claims.take()
         self._log("claimed", held.claim.token, "", cause.value)
         self._group.expect_primary_change()
@@ -205,9 +230,26 @@
             self._require_unchanged(leader)
             yield from self._replace(cause, held, opinions)
         finally:
-            decisions.start(self._claims.release(held))
+            decisions.start(self._claims.release())
         self._ctx.note_promoted(cause.value, self._ctx.clock.now() - started_at)
 
+    def _require_successor(
+        self, cause: _fencing.Cause, opinions: _opinions.Opinions
+    ) -> "decisions.Flow[None]":
+        """Checks that a change may succeed, once an attempt was in vain.
+
+        A claim costs calls of the store, and a fence holds up the replicas.
+
+        Raises:
+            ChangeAbandonedError: It would not at present.
+        """
+        self._claims.require_free()
+        self._attempts_in_vain += 1
+        if self._attempts_in_vain > 1:
+            acks = self._acknowledgements(opinions)
+            order = _fences.Order(cause, 0, acks)
+            yield from self._fence.require_successor(order)
+
     def _acknowledgements(
         self, opinions: _opinions.Opinions
     ) -> _acknowledgements.Acknowledgements:
@@ -231,10 +273,11 @@
     ) -> "decisions.Flow[None]":
         """Fences the old primary and begins the next term."""
         token = held.claim.token
+        self._fence.guard = functools.partial(self._claims.require_valid, held)
+        self._fence.may_resume = lambda: self._claims.order is None
         order = _fences.Order(cause, token, self._acknowledgements(opinions))
         reports = yield from self._fence.raise_fence(order)
-        successor = yield from self._promote(reports, held)
-        yield from self._await_leader(successor, token)
+        yield from self._succession.promote(reports, held)
 
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes claim."""
@@ -271,89 +314,6 @@
         if vetoed:
             raise _change_steps.VetoedError("a peer hears the primary")
 
-    def _promote(
-        self,
-        reports: dict[str, _members.Report],
-        held: _records.HeldClaim,
-    ) -> "decisions.Flow[str]":
-        """Orders the promotion of a paused replica, and returns its id.
-
-        Raises:
-            ChangeAbandonedError: The claim is too old, a paused member has
-                restarted, or the platform refused the promotion.
-        """
-        ctx = self._ctx
-        group = self._group
-        members = {n: p.member for n, p in group.pools.items()}
-        successor = _fencing.choose_successor(reports, members)
-        token = held.claim.token
-        if not self._claims.is_valid(held):
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(
-                "the claim is too old to act on"
-            )
-        if self._fence.is_broken(reports):
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(
-                "a paused member began again"
-            )
-        detail = f"received {reports[successor].received}"
-        self._log("promoting", token, successor, detail)
-        try:
-            yield ctx.promotions.promote(
-                group.service.name, successor, ctx.node, token
-            )
-        except _store.PromotionRefusedError as exc:
-            yield from self._fence.resume(reports)
-            raise _change_steps.ChangeAbandonedError(str(exc)) from exc
-        except _store.StoreUnavailableError as exc:
-            # The order may still be executed, even later, so only the member
-            # itself can tell. The replicas stay paused meanwhile, so that the
-            # old primary acknowledges nothing that the successor lacks.
-            _change_steps.log_step(
-                self._group, "unanswered", token, successor, str(exc)
-            )
-        return successor
-
-    def _await_leader(
-        self, successor: str, token: int
-    ) -> "decisions.Flow[None]":
-        """Waits until the promoted member leads, and announces it."""
-        ctx = self._ctx
-        group = self._group
-        started_at = ctx.clock.now()
-        while ctx.clock.now() - started_at < self._promote_wait_s:
-            group.expect_primary_change()
-            pool = group.pools.get(successor)
-            if pool is None:
-                break
-            try:
-                report = yield from group.ask(pool, _links.Status())
-            except decisions.RequestFailedError as exc:
-                _change_steps.log_step(
-                    self._group, "asked", token, successor, exc.reason.name
-                )
-            else:
-                if report.role is _members.Role.PRIMARY:
-                    self._announce(successor, report.term, token)
-                    return
-            yield decisions.sleep(ctx.clock, LEADER_POLL_S)
-        # Promotions may take longer on this platform. Another order would only
-        # restart the wait, so the next attempt waits longer.
-        self._promote_wait_s = min(MAX_PROMOTE_WAIT_S, 2 * self._promote_wait_s)
-        raise _change_steps.ChangeAbandonedError(f"{successor} does not lead")
-
-    def _announce(self, successor: str, term: int, token: int) -> None:
-        group = self._group
-        self._log("promoted", token, successor, f"term {term}")
-        group.note_leader(_members.Leader(successor, term))
-        notice = _peer_messages.LeaderNotice(
-            group.service.name, successor, term
-        )
-        for stream in self._ctx.mesh.streams:
-            stream.tell(notice)
-        group.refresh()
-
     def _log(self, step: str, token: int, member: str, detail: str) -> None:
         _change_steps.log_step(self._group, step, token, member, detail)
 
