Wait for no order to a member whose process has ended

An order without an answer holds up orders to other members for 16 s, as it may be executed late. Such an order is no longer pending once the member's address refuses connections or is another member's; its silence alone is no proof. A node that would change the primary asks departed members itself.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -91,7 +91,10 @@
         group = self._group
         recorded = self._catalogue.stored_claims.orders.get(group.service.name)
         now = self._clock.boot_now()
-        return _orders.pending(recorded, now, group.last_leader, group.term)
+        order = _orders.pending(recorded, now, group.last_leader, group.term)
+        if order is not None and group.departures.has_ended(order.member):
+            return None
+        return order
 
     @property
     def order(self) -> _records.PromotionOrder | None:
--- a/packages/proxy/src/ferry_proxy/_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/_departed_members.py
@@ -84,7 +84,8 @@
     has_ended = exc is not None and (pool.is_refused or has_left)
     pool.close()
     if has_ended:
-        group.departures.note_ended(departure.key, clock.boot_now())
+        is_certain = pool.is_refused
+        group.departures.note_ended(departure.key, clock.boot_now(), is_certain)
     return Outcome(
         departure,
         clock.boot_now() - departure.removed_at,
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -99,6 +99,7 @@
     def __init__(self) -> None:
         self._open: dict[str, Departure] = {}
         self._covered: dict[str, None] = {}
+        self._ended: dict[str, None] = {}
         self._end: PrimaryEnd | None = None
 
     def open(self) -> list[Departure]:
@@ -136,6 +137,7 @@
             now: The current boot time, in seconds.
         """
         self._covered.pop(key_of(member), None)
+        self._ended.pop(member.id, None)
         for key, departure in list(self._open.items()):
             if departure.member.id != member.id:
                 continue
@@ -144,17 +146,31 @@
             else:
                 self.note_ended(key, now)
 
-    def note_ended(self, key: str, now: float) -> None:
+    def note_ended(self, key: str, now: float, is_certain: bool = True) -> None:
         """Records that the process of a departed member has ended.
 
         Args:
             key: The departure's key.
             now: The current boot time, in seconds.
+            is_certain: Whether its address refuses connections or is another
+                member's, as opposed to silence of a member that was leaving.
         """
         known = self._open.get(key)
-        if known is not None and now < known.latest_end:
+        if known is None:
+            return
+        if is_certain:
+            _add_bounded(self._ended, known.member.id)
+        if now < known.latest_end:
             self._open[key] = attrs.evolve(known, ended_at=now)
 
+    def has_ended(self, member: str) -> bool:
+        """Whether the process of a departed member has certainly ended.
+
+        Args:
+            member: The member's id.
+        """
+        return member in self._ended
+
     def adopt(self, departure: Departure) -> None:
         """Adds a departure that another node has observed.
 
@@ -168,7 +184,7 @@
         """Closes departures that another node found to be covered."""
         for key in keys:
             if self._open.pop(key, None) is not None:
-                self._note_covered(key)
+                _add_bounded(self._covered, key)
 
     def observe(
         self, leader: _members.Leader, reports: dict[str, _members.Report]
@@ -206,7 +222,7 @@
         for key, departure in list(self._open.items()):
             if departure.latest_end <= moment:
                 del self._open[key]
-                self._note_covered(key)
+                _add_bounded(self._covered, key)
 
     def _add(self, departure: Departure) -> None:
         self._open.pop(departure.key, None)
@@ -214,10 +230,12 @@
         if len(self._open) > MAX_DEPARTURES:
             del self._open[next(iter(self._open))]
 
-    def _note_covered(self, key: str) -> None:
-        self._covered[key] = None
-        if len(self._covered) > MAX_DEPARTURES:
-            del self._covered[next(iter(self._covered))]
+
+def _add_bounded(names: dict[str, None], name: str) -> None:
+    """Adds a name, and drops the earliest one if there are too many."""
+    names[name] = None
+    if len(names) > MAX_DEPARTURES:
+        del names[next(iter(names))]
 
 
 def _is_held_by_replica(
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -20,6 +20,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
 from ferry_proxy import _queueing
+from ferry_proxy import _round_plans
 from ferry_proxy.queueing import _commit_stall
 
 # A status round is evaluated after this long. Members without load answer in
@@ -46,6 +47,7 @@
         self._data_centre = data_centre
         self._commands = _control_commands.ControlCommands(clock, policy)
         self._proofs = _proofs.Proofs(clock, self)
+        self._round_plan = _round_plans.RoundPlan(clock, policy, self)
         self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
         self._changed: decisions.Future[None] = decisions.Future()
@@ -63,7 +65,6 @@
         self.acks = _acknowledgements.AckWatch(clock)
         self.claimed_change = _claimed_changes.NONE
         self._asking: set[str] = set()
-        self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_step: list[Callable[[str], object]] = []
@@ -262,7 +263,7 @@
         reports: dict[str, _members.Report] = {}
         futs = [
             decisions.start(self._ask_with_retry(pool, reports))
-            for pool in self._members_to_ask()
+            for pool in self._round_plan.members_to_ask(self._asking)
         ]
         enough = decisions.settle_all(
             futs, lambda _: self._sample(reports) is not None
@@ -276,34 +277,6 @@
         all_done.add_done_callback(lambda _: self._end_round(reports))
         return reports
 
-    def _members_to_ask(self) -> list[_pools.Pool]:
-        """Returns the members to request status from in this round.
-
-        These are normally the primary, as many replicas as a proof needs, in
-        rotation, and members not heard from lately. All are asked if the
-        primary is in doubt. Each request briefly occupies a member's slot.
-        """
-        pools = [p for n, p in self.pools.items() if n not in self._asking]
-        leader = self.leader_pool
-        is_stable = leader is not None and not self.is_primary_changing
-        if leader is None or not is_stable or not self.is_responsive(leader):
-            return pools
-        others = [p for p in pools if p is not leader]
-        responsive = [p for p in others if self.is_responsive(p)]
-        asked = [leader] if leader in pools else []
-        self._next_replica += 1
-        cutoff = self._clock.now() - self._policy.idle_probe_s
-        unheard = [
-            p
-            for p in others
-            if p.contact.heard < cutoff or p.contact.link_failing_s > 0
-        ]
-        quorum, turn = self.quorum, self._next_replica % max(1, len(responsive))
-        replicas = responsive[turn:] + responsive[:turn]
-        replicas.sort(key=lambda p: p.member.id not in quorum.established)
-        asked += replicas[: quorum.size]
-        return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
-
     def _ask_with_retry(
         self, pool: _pools.Pool, reports: dict[str, _members.Report]
     ) -> "decisions.Flow[None]":
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -20,6 +20,7 @@
 from ferry_proxy import _change_steps
 from ferry_proxy import _claims
 from ferry_proxy import _clocks
+from ferry_proxy import _departed_members
 from ferry_proxy import _events
 from ferry_proxy import _fences
 from ferry_proxy import _fencing
@@ -95,6 +96,7 @@
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
         self._attempts_in_vain = 0
+        self._probes = _departed_members.Probes(ctx.clock)
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
             ctx.clock, ctx.policy, ctx.node, ctx.store, ctx.catalogue, group
@@ -244,6 +246,7 @@
             ChangeAbandonedError: It would not at present.
         """
         self._claims.require_free()
+        self._probes.probe(self._group)
         self._attempts_in_vain += 1
         if self._attempts_in_vain > 1:
             acks = self._acknowledgements(opinions)
