Pause replicas that are listed while an order is under way

A replica that was listed or had restarted after the fence let an old primary that had not stepped down acknowledge commits, which the ordered member lacked. While the node waits for the member to lead, it pauses members that are listed or known to have restarted, under its claim.

--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -26,6 +26,7 @@
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _newcomers
 from ferry_proxy import _pools
 from ferry_proxy import _resumption
 from ferry_proxy import _store
@@ -74,6 +75,7 @@
         self._views = _fence_views.FenceViews(clock, store, catalogue, group)
         self._fence_started_at = clock.now()
         self._token = 0
+        self._newcomers = _newcomers.Newcomers(group)
         self.guard: _control_commands.Guard = _control_commands.no_guard
         self.may_resume: Callable[[], bool] = lambda: True
 
@@ -126,8 +128,13 @@
             yield from self._demote(view.old_primary, term)
         elif order.cause is not _fencing.Cause.LEAVING:
             decisions.start(self._demote(view.old_primary, term))
+        self._newcomers.begin(view.old_primary, term, reports)
         return reports
 
+    def pause_newcomers(self) -> None:
+        """Begins to pause members that were listed after the fence."""
+        self._newcomers.pause(self.guard)
+
     def _survey(self, order: Order) -> "decisions.Flow[_fence_views.View]":
         view = yield from self._views.survey()
         if self._needs_level_replica(order.cause, view):
--- a/packages/proxy/src/ferry_proxy/_succession.py
+++ b/packages/proxy/src/ferry_proxy/_succession.py
@@ -171,6 +171,7 @@
         started_at = ctx.clock.now()
         while ctx.clock.now() - started_at < self._promote_wait_s:
             group.expect_primary_change()
+            self._fence.pause_newcomers()
             pool = group.pools.get(successor)
             if pool is None:
                 break
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -237,6 +237,19 @@
     assert lab.lost == []
 
 
+def test_a_replica_listed_after_the_fence_is_paused(monkeypatch):
+    """Members count what it acknowledges, whatever callers are told."""
+    lab = lab_with_an_order_under_way(monkeypatch)
+    lab.cluster.members["d"] = fakes.FakeMember("d", lab.cluster, REPLICA)
+    lab.cluster.restart("b")
+    lab.apply_entries()
+    lab.run(0.1)
+    lab.write_steadily(1.0)
+    assert lab.cluster.acknowledged == []
+    lab.run(1.0)
+    assert lab.cluster.members["c"].role is PRIMARY
+
+
 def test_a_commit_at_the_primary_before_is_not_confirmed_by_the_next_one():
     """The commit was sent before the change, and answered after it."""
     lab = fakes.Lab()
