--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -22,6 +22,7 @@
 from ferry_proxy import _records
 from ferry_proxy import _store
 from ferry_proxy import _stored_claims
+from ferry_proxy import _stored_departures
 from ferry_proxy import _team_placement
 from ferry_proxy import _teams
 
@@ -89,6 +90,7 @@
         grace: The period during which entries missing from the store are kept.
         nodes: The nodes by name.
         stored_claims: The claims in the store, and the orders recorded in them.
+        stored_departures: The records of open departures in the store.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
         first_snapshot: The first snapshot that this node read in the store's
@@ -125,6 +127,7 @@
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.stored_claims = _stored_claims.StoredClaims()
+        self.stored_departures = _stored_departures.StoredDepartures()
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
@@ -285,14 +288,15 @@
 
     def outdated_claims(self, service: str) -> list[_store.Item]:
         """Returns the claims of a group that belong to earlier eras."""
+        prefix = _records.CLAIM_PREFIX
         current = _records.claim_key(self.revision.era, service)
         return [
             item
             for key, item in self._items.items()
-            if key.startswith(_records.CLAIM_PREFIX)
+            if key.startswith(prefix)
             and key != current
             and item.value is not None
-            and _records.parse_claim_key(key).service == service
+            and _records.parse_group_key(prefix, key).service == service
         ]
 
     def _advance(self, changes: _store.Changes) -> None:
@@ -357,6 +361,8 @@
             elif item.key.startswith(_records.CLAIM_PREFIX):
                 now = self._clock.boot_now()
                 self.stored_claims.apply(item, self.revision.era, now)
+            elif item.key.startswith(_records.DEPARTURE_PREFIX):
+                self.stored_departures.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -13,6 +13,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _acknowledgements
+from ferry_proxy import _freshness
 from ferry_proxy import _members
 
 # A member that is no longer listed may still be running, cut off by a
@@ -24,6 +25,11 @@
 MAX_DEPARTURES = 32
 
 
+def key_of(member: _members.Member) -> str:
+    """Returns a name that differs between the processes of a member."""
+    return f"{member.id}@{member.born}"
+
+
 @attrs.frozen(slots=True)
 class Departure:
     """A process of a member that is no longer listed, or has ended.
@@ -33,16 +39,19 @@
         removed_at: When this node learned of its departure, in boot time.
         ended_at: By when the process had ended, in boot time; infinite if it
             may still be running.
+        is_adopted: Whether another node observed it, at an unknown time before
+            `removed_at`.
     """
 
     member: _members.Member
     removed_at: float
     ended_at: float = float("inf")
+    is_adopted: bool = False
 
     @property
     def key(self) -> str:
         """A name that differs between the processes of a member."""
-        return f"{self.member.id}@{self.member.born}"
+        return key_of(self.member)
 
     @property
     def latest_end(self) -> float:
@@ -57,6 +66,17 @@
         """
         return now < self.latest_end
 
+    def is_covered_by(
+        self, floor: _freshness.Sample, received: decisions.Position
+    ) -> bool:
+        """Whether a replica holds all that was acknowledged with the process.
+
+        Args:
+            floor: A floor of the group.
+            received: The end of the replica's log.
+        """
+        return self.latest_end <= floor.at and received >= floor.floor
+
 
 @attrs.frozen(slots=True)
 class PrimaryEnd:
@@ -115,6 +135,7 @@
             member: Its entry.
             now: The current boot time, in seconds.
         """
+        self._covered.pop(key_of(member), None)
         for key, departure in list(self._open.items()):
             if departure.member.id != member.id:
                 continue
@@ -246,7 +267,7 @@
     if received < acks.at_most:
         detail = f"{names} left, {acks.at_most} may be acknowledged"
         return MissingCommits(False, f"{detail}, {received} is held")
-    if any(d.removed_at < acks.since for d in departures):
+    if any(d.is_adopted or d.removed_at < acks.since for d in departures):
         detail = f"{names} left, not all acknowledgements are known"
         return MissingCommits(False, detail)
     return None
--- a/packages/proxy/src/ferry_proxy/_stored_claims.py
+++ b/packages/proxy/src/ferry_proxy/_stored_claims.py
@@ -32,7 +32,7 @@
         Raises:
             InvalidItemError: The claim is malformed.
         """
-        found = _records.parse_claim_key(item.key)
+        found = _records.parse_group_key(_records.CLAIM_PREFIX, item.key)
         if found.era != era:
             return
         if item.value is None:
