Read an order back whose recording got no answer

A write without an answer may have taken place, and reads do not get lost: the claim is read back, and the change goes on if it holds the order. The test failed before: no member was promoted.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -5,6 +5,8 @@
 a claim over, so that no action of the holder is under way any more.
 """
 
+import typing
+
 import attrs
 import ferry_decisions as decisions
 
@@ -118,15 +120,37 @@
         try:
             item = yield self._write(held, claim)
         except _store.StoreUnavailableError as exc:
-            raise _change_steps.ChangeAbandonedError(
-                f"the order was not recorded: {exc}"
-            ) from exc
+            item = yield from self._read_back(claim, exc)
         if item is None:
             raise _change_steps.ChangeAbandonedError("the claim was taken over")
         self._catalogue.take((item,), "own claim")
         self._held = attrs.evolve(held, claim=claim, revision=item.revision)
         self._previous_order, self._order = self._order, order
 
+    def _read_back(
+        self, claim: _records.Claim, failure: _store.StoreUnavailableError
+    ) -> "decisions.Flow[_store.Item]":
+        """Returns a claim's item if a write without an answer took place.
+
+        Raises:
+            ChangeAbandonedError: It did not, or the store does not answer.
+        """
+        service = self._group.service.name
+        key = _records.claim_key(self._catalogue.revision.era, service)
+        try:
+            found = yield self._store.list(key)
+        except _store.StoreUnavailableError as exc:
+            raise _change_steps.ChangeAbandonedError(
+                f"the order was not recorded: {failure}, {exc}"
+            ) from exc
+        value = claim.encode()
+        for item in found.items:
+            if item.key == key and item.value == value:
+                return typing.cast(_store.Item, item)
+        raise _change_steps.ChangeAbandonedError(
+            f"the order was not recorded: {failure}"
+        )
+
     def note_refused(self) -> None:
         """Records that the platform will not execute the recorded order."""
         self._order = self._previous_order
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -265,3 +265,20 @@
     lab.run(2.0)
     assert lab.cluster.acknowledged == ["late"]
     assert fut.exception() is not None or fut.result().reason is not None
+
+
+def test_an_order_whose_recording_got_no_answer_is_read_back(monkeypatch):
+    lab = fakes.Lab()
+    lab.add_promoter()
+    put_if = lab.store.put_if
+    writes: list[str] = []
+
+    def drop_the_second_reply(key, value, revision):
+        writes.append(key)
+        lab.store.replies_to_drop = int(len(writes) == 2)
+        return put_if(key, value, revision)
+
+    monkeypatch.setattr(lab.store, "put_if", drop_the_second_reply)
+    lab.cluster.crash("a")
+    lab.run(2.0)
+    assert [token for _, token in lab.cluster.promotions] == [1]
