Tests that fail: departures closed by a stale primary, reports kept

- A primary that may have been replaced covers departures: a replica that is paused for a later term counts as one that holds its commits.
- The last report of a departed member that was asked is kept for good.

--- a/packages/proxy/src/ferry_proxy/tests/test_review.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_review.py
@@ -6,6 +6,7 @@
 from ferry_proxy import _acknowledgements
 from ferry_proxy import _claimed_changes
 from ferry_proxy import _configuration
+from ferry_proxy import _departures
 from ferry_proxy import _members
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _peer_messages
@@ -237,6 +238,33 @@
     assert lab.lost == []
 
 
+def report(role, paused_term, at):
+    position = decisions.Position(1, 5)
+    return _members.Report(role, 1, position, paused_term, at)
+
+
+def test_a_primary_that_may_have_been_replaced_covers_no_departure():
+    """A later primary and the departed member may have shared commits."""
+    departures = _departures.Departures()
+    departures.note_restarted(fakes.Lab().cluster.members["b"].entry(), 0.0)
+    for at in (1.0, 2.0):
+        reports = {
+            "a": report(_members.Role.PRIMARY, 0, at),
+            "c": report(REPLICA, 2, at),
+        }
+        departures.observe(_members.Leader("a", 1), reports)
+    assert [d.member.id for d in departures.open()] == ["b"]
+
+
+def test_nothing_is_kept_of_members_that_have_left():
+    fleet = departure_lab.Fleet("n1")
+    fleet.delist("b")
+    fleet.run(2.0)
+    fleet.cluster.crash("b")
+    fleet.run(60.0)
+    assert fleet.nodes["n1"].group.last_report("b") is None
+
+
 def test_a_departure_is_covered_only_by_as_many_replicas_as_hold_a_commit():
     """A fence leaves one of them out where two replicas must receive it."""
     lab = fakes.Lab()
