Hold commits back during a claim, whoever was ordered before

A commit is not confirmed while a change is claimed. An order of an earlier era of the store that named the present primary hid a newer claim, so commits were confirmed between that claim and its order. The claim and the order now count each by itself.

--- a/packages/proxy/src/ferry_proxy/_claimed_changes.py
+++ b/packages/proxy/src/ferry_proxy/_claimed_changes.py
@@ -18,11 +18,15 @@
     """A change that a node has claimed and that may still be carried out.
 
     Attributes:
-        expires_at: Until when it may be, in boot time.
-        ordered: The member that was ordered to lead; empty for none.
+        claimed_until: Until when the holder of the claim may act, in boot time.
+        claimed_for: The member that the holder ordered to lead; empty for none.
+        ordered_until: Until when an order may be executed, in boot time.
+        ordered: The member that it names; empty for none.
     """
 
-    expires_at: float
+    claimed_until: float
+    claimed_for: str = ""
+    ordered_until: float = float("-inf")
     ordered: str = ""
 
     def is_under_way(self, leader: _members.Leader | None, now: float) -> bool:
@@ -32,8 +36,10 @@
             leader: The primary as far as known.
             now: The current boot time, in seconds.
         """
-        leads = leader is not None and leader.member == self.ordered
-        return now < self.expires_at and not leads
+        leads = "" if leader is None else leader.member
+        is_claimed = now < self.claimed_until and leads != self.claimed_for
+        is_ordered = now < self.ordered_until and leads != self.ordered
+        return is_claimed or is_ordered
 
 
 NONE = ClaimedChange(float("-inf"))
@@ -51,10 +57,12 @@
         recorded: The newest order that may have been sent.
         policy: The tunable limits and intervals.
     """
-    expires_at = float("-inf")
+    claimed_until, claimed_for = float("-inf"), ""
     if held is not None and not held.claim.done:
-        expires_at = held.seen_at + policy.claim_takeover_s
+        claimed_until = held.seen_at + policy.claim_takeover_s
+        claimed_for = held.claim.order.member if held.claim.order else ""
     if recorded is None:
-        return ClaimedChange(expires_at)
-    order_end = recorded.seen_at + _orders.MAX_ORDER_AGE_S
-    return ClaimedChange(max(expires_at, order_end), recorded.order.member)
+        return ClaimedChange(claimed_until, claimed_for)
+    ordered_until = recorded.seen_at + _orders.MAX_ORDER_AGE_S
+    member = recorded.order.member
+    return ClaimedChange(claimed_until, claimed_for, ordered_until, member)
--- a/packages/proxy/src/ferry_proxy/tests/test_claimed_changes.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_claimed_changes.py
@@ -1,5 +1,6 @@
 """Changes of primary that are under way according to the store, by table."""
 
+import attrs
 import pytest
 
 from ferry_proxy import _claimed_changes
@@ -33,7 +34,10 @@
 def test_a_change_is_under_way_until_its_outcome_is_known(
     claim, order, leader, age_s, expected
 ):
-    held = _records.HeldClaim(claim, fakes.at(1), 100.0) if claim else None
+    held = None
+    if claim is not None:
+        claim = attrs.evolve(claim, order=order)
+        held = _records.HeldClaim(claim, fakes.at(1), 100.0)
     recorded = _records.RecordedOrder(order, 100.0) if order else None
     change = _claimed_changes.claimed_change(held, recorded, POLICY)
     known = _members.Leader(leader, 1) if leader else None
