Refuse malformed opinions of peers

A negative position, a text or a triple raised an untyped error in each change of primary, and a watched time of NaN counted as "has observed everything". The fields are checked when a message is decoded.

--- a/packages/proxy/src/ferry_proxy/_opinion_messages.py
+++ b/packages/proxy/src/ferry_proxy/_opinion_messages.py
@@ -1,10 +1,27 @@
 """Messages by which nodes ask one another for what they know of a primary."""
 
+import math
+
 import attrs
 
 from ferry_proxy import _peer_messages
 
 
+def _finite(_: object, field: "attrs.Attribute[float]", value: float) -> None:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError(f"{field.name} is no finite number")
+
+
+def _position(
+    _: object,
+    field: "attrs.Attribute[tuple[int, int]]",
+    value: tuple[int, int],
+) -> None:
+    numbers = [n for n in value if type(n) is int and n >= 0]
+    if len(value) != 2 or len(numbers) != 2:
+        raise ValueError(f"{field.name} is no term and index")
+
+
 @_peer_messages.message("opinion?")
 @attrs.frozen(slots=True, repr=False)
 class OpinionRequest:
@@ -43,10 +60,14 @@
             the record of departures; empty if there are none.
     """
 
-    heard_ago_s: float
-    unanswered_s: float = 0.0
-    least_acked: tuple[int, int] = (0, 0)
-    most_acked: tuple[int, int] = (0, 0)
-    watched_s: float = -1.0
-    acked_ago_s: float = -1.0
+    heard_ago_s: float = attrs.field(validator=_finite)
+    unanswered_s: float = attrs.field(default=0.0, validator=_finite)
+    least_acked: tuple[int, int] = attrs.field(
+        default=(0, 0), validator=_position
+    )
+    most_acked: tuple[int, int] = attrs.field(
+        default=(0, 0), validator=_position
+    )
+    watched_s: float = attrs.field(default=-1.0, validator=_finite)
+    acked_ago_s: float = attrs.field(default=-1.0, validator=_finite)
     departures: bytes = b""
