Have departures recorded that the surveyor has not seen

Only the first connected node records departures. One that had just restarted did not know of them, and a rolling restart then lost a commit. The surveyor now asks its peers, once a second at most, when they name departures that it does not know.

--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -21,6 +21,7 @@
 from ferry_proxy import _freshness
 from ferry_proxy import _groups
 from ferry_proxy import _members
+from ferry_proxy import _opinions
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
 from ferry_proxy import _serving_peers
@@ -30,6 +31,8 @@
 # This allows for the surveyor's round: idle members answer it in 5 ms, busy
 # ones in 30 ms.
 SURVEYOR_ROUND_S = 0.04
+# How often peers are asked for departures that this node does not know.
+PEERS_ASKED_INTERVAL_S = 1.0
 # Requests end this long after the last call of `survey`, when the group is no
 # longer served here.
 MAX_TICK_AGE_S = 1.0
@@ -59,6 +62,7 @@
         self._pause_s = pause_s
         self._next_request: decisions.Timer | None = None
         self._last_tick_at = float("-inf")
+        self._peers_asked_at = float("-inf")
         self._probes = _departed_members.Probes(clock)
 
     def survey(self, group: _groups.Group) -> None:
@@ -129,6 +133,7 @@
             group: The group.
             departures: The keys of the departures that are open at the peer.
         """
+        self._ask_unknown(group, departures)
         leader = group.leader
         pool = group.leader_pool
         sample = group.floors.newest
@@ -144,6 +149,20 @@
             tuple(k for k in group.departures.covered_keys if k in departures),
         )
 
+    def _ask_unknown(
+        self, group: _groups.Group, departures: Collection[str]
+    ) -> None:
+        """Asks the peers for departures that this node has not heard of.
+
+        It may have started since. As the surveyor, it has them recorded.
+        """
+        known = {d.key for d in group.departures.open()}
+        unknown = set(departures) - known - set(group.departures.covered_keys)
+        now = self._clock.now()
+        if unknown and now - self._peers_asked_at > PEERS_ASKED_INTERVAL_S:
+            self._peers_asked_at = now
+            decisions.start(_opinions.ask(self._clock, self._mesh, group))
+
     def _surveyor(self, group: _groups.Group) -> _peers.Peer | None:
         """Returns the stream to the surveyor; None if that is this node."""
         return _serving_peers.first_connected(
