Cover a departure by as many unpaused replicas as hold a commit

A replica that was paused for a later term closed a departure, although the primary that it was compared with may have been replaced; and one replica closed it where two must receive a commit, of which a fence leaves one out. A change that asks all members itself may rely on paused ones. Reports of departed members and the times of joins are no longer kept for good.

--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -186,8 +186,23 @@
             if self._open.pop(key, None) is not None:
                 _add_bounded(self._covered, key)
 
+    def cover_before(self, moment: float) -> None:
+        """Closes the departures of processes that ended before a moment.
+
+        Args:
+            moment: A boot time, in seconds, at which the primary's log ended
+                where enough replicas are known to have caught up with it.
+        """
+        for key, departure in list(self._open.items()):
+            if departure.latest_end <= moment:
+                del self._open[key]
+                _add_bounded(self._covered, key)
+
     def observe(
-        self, leader: _members.Leader, reports: dict[str, _members.Report]
+        self,
+        leader: _members.Leader,
+        reports: dict[str, _members.Report],
+        copies: int,
     ) -> None:
         """Closes the departures that a round of reports covers.
 
@@ -198,14 +213,16 @@
         Args:
             leader: The primary.
             reports: The reports of listed members, by id.
+            copies: How many replicas must have received an acknowledged
+                commit, and so all commits of a departed member.
         """
         if not self._open:
             self._end = None
             return
         if self._end is not None and self._end.leader != leader:
             self._end = None
-        if self._end is not None and _is_held_by_replica(self._end, reports):
-            self._cover_before(self._end.at)
+        if self._end is not None and _holders(self._end, reports) >= copies:
+            self.cover_before(self._end.at)
             self._end = None
         own = reports.get(leader.member)
         if own is not None and own.leads(leader) and not self._covers_any():
@@ -218,12 +235,6 @@
             d.latest_end <= end.at for d in self._open.values()
         )
 
-    def _cover_before(self, moment: float) -> None:
-        for key, departure in list(self._open.items()):
-            if departure.latest_end <= moment:
-                del self._open[key]
-                _add_bounded(self._covered, key)
-
     def _add(self, departure: Departure) -> None:
         self._open.pop(departure.key, None)
         self._open[departure.key] = departure
@@ -238,14 +249,14 @@
         del names[next(iter(names))]
 
 
-def _is_held_by_replica(
-    end: PrimaryEnd, reports: dict[str, _members.Report]
-) -> bool:
-    """Whether a replica has received everything up to the end of a log."""
-    return any(
-        report.role is _members.Role.REPLICA
-        and report.term <= end.leader.term
-        and report.received >= end.position
+def _holders(end: PrimaryEnd, reports: dict[str, _members.Report]) -> int:
+    """Returns how many replicas hold everything up to the end of a log.
+
+    A replica that is paused for a later term does not count: the primary may
+    have been replaced before it was asked.
+    """
+    return sum(
+        report.proves(end.leader.term) and report.received >= end.position
         for name, report in reports.items()
         if name != end.leader.member
     )
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -163,19 +163,19 @@
         if leader is None or pool is None:
             raise _change_steps.ChangeAbandonedError("the primary is unknown")
         end = yield from group.ask(pool, _links.Status())
-        group.departures.observe(leader, {leader.member: end})
         futs = [
             decisions.start(group.ask(p, _links.Status()))
             for p in view.pools.values()
         ]
         yield decisions.settle_all(futs, lambda _: False)
         reports = self.last_reports(view.pools)
-        group.departures.observe(leader, reports)
-        if all(r.received < end.received for r in reports.values()):
+        level = sum(r.received >= end.received for r in reports.values())
+        if level < max(1, view.sync_replicas):
             held = {n: str(r.received) for n, r in reports.items()}
             raise _change_steps.ChangeAbandonedError(
                 f"no replica has caught up with {end.received}: {held}"
             )
+        group.departures.cover_before(end.asked_at)
 
     def last_reports(self, names: Iterable[str]) -> Reports:
         """Returns the latest reports of members, by id."""
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -248,7 +248,8 @@
             decisions.RequestFailedError: The member sent no report.
         """
         report = yield from self._commands.ask(pool, command, guard)
-        self._last_report[pool.member.id] = report
+        if self.pools.get(pool.member.id) is pool:
+            self._last_report[pool.member.id] = report
         return report
 
     def last_report(self, member: str) -> _members.Report | None:
@@ -296,7 +297,8 @@
     def _apply_reports(self, reports: dict[str, _members.Report]) -> None:
         self._update_leader(reports)
         if self.leader is not None:
-            self.departures.observe(self.leader, reports)
+            copies = max(1, self.service.sync_replicas)
+            self.departures.observe(self.leader, reports, copies)
         sample = self._sample(reports)
         if sample is not None and self.leader is not None:
             self.floors.add(sample, self.leader.term)
--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -34,6 +34,8 @@
 
     def note_joined(self, members: Iterable[str]) -> None:
         """Records members that joined a group that had others."""
+        recent = self._joined_at.items()
+        self._joined_at = {n: at for n, at in recent if self._is_recent(at)}
         for name in members:
             self._joined_at[name] = self._clock.now()
 
--- a/packages/proxy/src/ferry_proxy/tests/test_review.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_review.py
@@ -252,7 +252,7 @@
             "a": report(_members.Role.PRIMARY, 0, at),
             "c": report(REPLICA, 2, at),
         }
-        departures.observe(_members.Leader("a", 1), reports)
+        departures.observe(_members.Leader("a", 1), reports, copies=1)
     assert [d.member.id for d in departures.open()] == ["b"]
 
 
@@ -307,7 +307,9 @@
 )
 def test_a_malformed_opinion_is_refused(fields):
     """With NaN, a peer counts as one that has observed all commits."""
-    reply = _opinion_messages.OpinionReply(1.0, **fields)
+    reply = _opinion_messages.OpinionReply(1.0)
+    for name, value in fields.items():
+        object.__setattr__(reply, name, value)
     encoded = _peer_messages.encode(1, reply)
     with pytest.raises(_peer_messages.PeerProtocolError):
         _peer_messages.Decoder().feed(encoded)
