Count the acknowledgements of nodes that left, and none too many

Only nodes listed at the change were asked for acknowledgements: a commit that a node had passed on before it left the list was promoted away. A node that left since now counts as one that did not answer. On a stall, nodes are asked again after the fence, as a replica that is not listed may receive commits until then. A commit that was not confirmed to its caller no longer counts as acknowledged; it kept a group without a primary for good.

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -46,24 +46,27 @@
         self.since = clock.boot_now()
         self.newest_at = float("-inf")
 
-    def note(
-        self,
-        end_before: decisions.Position | None,
-        end_after: decisions.Position | None,
-    ) -> None:
-        """Records a commit, before its caller is told.
+    def note_replied(self, end: decisions.Position | None) -> None:
+        """Records that a primary replied to a commit.
 
-        The primary does not tell the position of the commit itself, and its
-        log may hold further ones that are not acknowledged.
+        Its log may hold further commits that are not acknowledged.
+
+        Args:
+            end: The end of its log, as it replied; None if unknown.
+        """
+        self.newest_at = self._clock.boot_now()
+        if end is not None:
+            self.at_most = max(self.at_most, end)
+
+    def note_confirmed(self, end_before: decisions.Position | None) -> None:
+        """Records that the caller of a commit is going to be told.
+
+        The primary does not tell the position of the commit itself.
 
         Args:
             end_before: The end of the primary's log, as known before the
                 commit was sent; None if unknown.
-            end_after: The end that the primary replied with; None if unknown.
         """
-        self.newest_at = self._clock.boot_now()
-        if end_after is not None:
-            self.at_most = max(self.at_most, end_after)
         if end_before is not None:
             position = attrs.evolve(end_before, index=end_before.index + 1)
             self.at_least = max(self.at_least, position)
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -139,8 +139,13 @@
             decisions.RequestFailedError: It is unknown whether the commit is
                 durable.
         """
+        acks = job.group.acks
+        acks.note_replied(reply.position)
+        yield from self._require_durable(job)
+        acks.note_confirmed(job.progress.log_end)
+
+    def _require_durable(self, job: _jobs.Job) -> "decisions.Flow[None]":
         group = job.group
-        group.acks.note(job.progress.log_end, reply.position)
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
         was_claimed = yield from self._await_claimed_change(job)
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -96,6 +96,8 @@
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
         self._attempts_in_vain = 0
+        self._nodes: set[str] = set()
+        self._node_left_at = float("-inf")
         self._probes = _departed_members.Probes(ctx.clock)
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
@@ -153,6 +155,7 @@
 
     def check(self) -> None:
         """Begins a change of the primary if the evidence requires one."""
+        self._note_nodes()
         if self._is_changing or self._is_stopped or self._ctx.is_stopping():
             return
         if self._ctx.clock.now() < self._next_attempt_at:
@@ -257,7 +260,15 @@
         self, opinions: _opinions.Opinions
     ) -> _acknowledgements.Acknowledgements:
         peers = {*self._ctx.nodes()} - {self._ctx.node}
-        return opinions.acknowledgements(self._group.acks, peers)
+        acks = opinions.acknowledgements(self._group.acks, peers)
+        return attrs.evolve(acks, since=max(acks.since, self._node_left_at))
+
+    def _note_nodes(self) -> None:
+        """Notes when a node left, as it may have passed on commits."""
+        nodes = {*self._ctx.nodes()}
+        if self._nodes - nodes:
+            self._node_left_at = self._ctx.clock.boot_now()
+        self._nodes = nodes
 
     def _require_unchanged(self, leader: _members.Leader | None) -> None:
         """Checks that the cause of the change is not of an earlier primary.
@@ -280,8 +291,27 @@
         self._fence.may_resume = lambda: self._claims.order is None
         order = _fences.Order(cause, token, self._acknowledgements(opinions))
         reports = yield from self._fence.raise_fence(order)
+        if cause is _fencing.Cause.STALLED:
+            yield from self._require_no_acks(reports)
         yield from self._succession.promote(reports, held)
 
+    def _require_no_acks(
+        self, reports: dict[str, _members.Report]
+    ) -> "decisions.Flow[None]":
+        """Checks again that no replica received commits before the fence.
+
+        Raises:
+            ChangeAbandonedError: One that is not listed yet has.
+        """
+        opinions = yield from _opinions.ask(
+            self._ctx.clock, self._ctx.mesh, self._group
+        )
+        try:
+            self._stalls.require_unrefuted(self._acknowledgements(opinions))
+        except _change_steps.ChangeAbandonedError:
+            yield from self._fence.resume(reports)
+            raise
+
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes claim."""
         names = sorted({*self._ctx.nodes(), self._ctx.node})
--- a/packages/proxy/src/ferry_proxy/_stalls.py
+++ b/packages/proxy/src/ferry_proxy/_stalls.py
@@ -58,11 +58,7 @@
         Raises:
             ChangeAbandonedError: A replica receives its commits.
         """
-        now, stalled_s = self._clock.boot_now(), self._detector.stalled_s
-        if _fencing.is_stall_refuted(acks, stalled_s, now):
-            raise _change_steps.ChangeAbandonedError(
-                f"stalled for {stalled_s:.1f} s, but commits are acknowledged"
-            )
+        self.require_unrefuted(acks)
         group = self._group
         futs = [
             decisions.start(group.ask(pool, _links.Status()))
@@ -79,3 +75,20 @@
             raise _change_steps.ChangeAbandonedError(
                 "a replica receives commits again"
             )
+
+    def require_unrefuted(
+        self, acks: _acknowledgements.Acknowledgements
+    ) -> None:
+        """Checks that no commit was acknowledged during the stall.
+
+        Args:
+            acks: The acknowledgements known to the serving nodes.
+
+        Raises:
+            ChangeAbandonedError: One was.
+        """
+        now, stalled_s = self._clock.boot_now(), self._detector.stalled_s
+        if _fencing.is_stall_refuted(acks, stalled_s, now):
+            raise _change_steps.ChangeAbandonedError(
+                f"stalled for {stalled_s:.1f} s, but commits are acknowledged"
+            )
--- a/packages/proxy/src/ferry_proxy/tests/departure_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/departure_lab.py
@@ -203,7 +203,8 @@
         assert self.cluster.replicate(primary)
         self.cluster.acknowledged.append(name)
         node = next(iter(self.nodes.values()))
-        node.group.acks.note(end_before, primary.end)
+        node.group.acks.note_replied(primary.end)
+        node.group.acks.note_confirmed(end_before)
 
     @property
     def primary(self) -> fakes.FakeMember:
