Confirm no commit by floors or proofs of another primary

Callers were told that a commit is durable that ran at a primary which had been replaced before it replied: a fresh floor of the new primary confirmed it, and a proof of the same member in a later term would have. A request now keeps the primary and the term that were known when it was sent, and its commit is confirmed only while they are the group's.

test_a_commit_at_a_primary_that_was_replaced_meanwhile_is_in_doubt failed before for replies within 0.1 s (a single write and a COMMIT were answered as done) and passes now.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -130,6 +130,7 @@
         members come and go, is therefore confirmed by a proof that the primary
         still leads. A replica that was paused and has restarted would prove it
         as well, so a commit is not confirmed before a claimed change is over.
+        A proof of another primary, or of another term, confirms nothing.
 
         Args:
             job: The statement that committed.
@@ -144,9 +145,11 @@
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
         was_claimed = yield from self._await_claimed_change(job)
+        led = job.progress.leader
         if (
             fresh
             and not was_claimed
+            and group.leader == led
             and not group.is_membership_changing
             and took_s < self._policy.doubt_s
         ):
@@ -157,7 +160,7 @@
             raise decisions.RequestFailedError(
                 decisions.NOT_CONFIRMED, exc.detail
             ) from exc
-        if leader.member != job.progress.member:
+        if leader != led or job.progress.at_replica:
             raise decisions.RequestFailedError(
                 decisions.NOT_CONFIRMED, f"{leader.member} leads by now"
             )
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -165,12 +165,7 @@
         """The replicas that prove that the primary still leads."""
         leader = self.leader.member if self.leader else ""
         replicas = [p.member for n, p in self.pools.items() if n != leader]
-        return _freshness.quorum_of(
-            len(replicas),
-            self.membership.recently_restarted,
-            self.membership.established(replicas),
-            self.service.sync_replicas,
-        )
+        return self.membership.quorum(replicas, self.service.sync_replicas)
 
     @property
     def is_membership_changing(self) -> bool:
--- a/packages/proxy/src/ferry_proxy/_jobs.py
+++ b/packages/proxy/src/ferry_proxy/_jobs.py
@@ -62,6 +62,7 @@
         leader = self.group.leader
         at_replica = leader is None or leader.member != member
         pool = self.group.pools.get(member)
+        self.progress.leader = leader
         self.progress.log_end = pool.reported.position if pool else None
         self.progress.note_dispatched(member, at_replica, now)
 
--- a/packages/proxy/src/ferry_proxy/_membership_changes.py
+++ b/packages/proxy/src/ferry_proxy/_membership_changes.py
@@ -1,8 +1,10 @@
 """Changes of the list of a group's members, as one node has seen them."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from ferry_proxy import _clocks
+from ferry_proxy import _freshness
 from ferry_proxy import _members
 
 # Members are replaced one after another, seconds apart. For this long after
@@ -49,10 +51,20 @@
         """
         self.restarted_at[member] = self._clock.now()
 
-    def established(self, members: Iterable[_members.Member]) -> frozenset[str]:
-        """Returns the ids of members that are neither new nor leaving."""
-        return frozenset(
-            m.id for m in members if not m.draining and not self._is_new(m.id)
+    def quorum(
+        self, replicas: Sequence[_members.Member], sync_replicas: int
+    ) -> _freshness.Quorum:
+        """Returns the replicas that prove that the primary still leads.
+
+        Args:
+            replicas: The replicas in the group.
+            sync_replicas: How many replicas must receive a commit.
+        """
+        established = frozenset(
+            r.id for r in replicas if not r.draining and not self._is_new(r.id)
+        )
+        return _freshness.quorum_of(
+            len(replicas), self.recently_restarted, established, sync_replicas
         )
 
     @property
--- a/packages/proxy/src/ferry_proxy/_requests.py
+++ b/packages/proxy/src/ferry_proxy/_requests.py
@@ -4,6 +4,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _configuration
+from ferry_proxy import _members
 from ferry_proxy import _policy
 from ferry_proxy import _statements
 from ferry_proxy import _teams
@@ -19,6 +20,7 @@
         attempts: How many times it was sent to a member.
         offered_at: When a member was first contacted for it; 0 for never.
         dispatched_at: When it was last sent to a member.
+        leader: The primary as known then; None if it was unknown.
         log_end: The end of that member's log as known before; None if it was
             unknown.
         via: The serving node that it was forwarded to; empty for none.
@@ -29,6 +31,7 @@
     attempts: int = 0
     offered_at: float = 0.0
     dispatched_at: float = 0.0
+    leader: _members.Leader | None = None
     log_end: decisions.Position | None = None
     via: str = ""
 
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _members
 from ferry_proxy.tests import fakes
 
 
@@ -17,6 +18,12 @@
         lab.cluster.members[name].paused_term = term
 
 
+def new_replica(lab, name):
+    """Adds a replica that receives commits but is not listed."""
+    joined = fakes.FakeMember(name, lab.cluster, _members.Role.REPLICA)
+    lab.cluster.members[name] = joined
+
+
 def write(lab):
     return lab.do(lab.session(), fakes.statement("WRITE x 1"))
 
@@ -83,3 +90,28 @@
     lab.run(1.0)
     assert write(lab).reason is None
     assert lab.do(lab.session(), fakes.statement("READ x")).reason is None
+
+
+@pytest.mark.parametrize("work_s", [0.1, 0.3])
+@pytest.mark.parametrize("text", ["WRITE x 2", "COMMIT"])
+def test_a_commit_at_a_primary_that_was_replaced_meanwhile_is_in_doubt(
+    text, work_s
+):
+    """Floors and proofs have to be of the primary that the commit ran at."""
+    lab = fakes.Lab()
+    new_replica(lab, "d")
+    lab.cluster.members["d"].log = []
+    list_members(lab, "a", "b", "c", "d")
+    lab.run(15.0)
+    session = lab.session()
+    if text == "COMMIT":
+        lab.do(session, fakes.statement("BEGIN"))
+        lab.do(session, fakes.statement("WRITE x 1"))
+    lab.cluster.work_s = lambda _: work_s
+    fut = session.run(fakes.statement(text))
+    for name in "bd":
+        lab.cluster.members[name].term = 2
+    lab.cluster.members["b"].role = _members.Role.PRIMARY
+    lab.group.note_leader(_members.Leader("b", 2))
+    lab.run(2.0)
+    assert fut.result().reason is decisions.NOT_CONFIRMED
