Tests that fail: commits lost on outdated views of the members

A node that has just started knows of no departure, and its peers' lower bound of the acknowledged commits misses those of other nodes: a replica that lacks two acknowledged commits is promoted. A planned change checks that a replica holds all that the primary does, then demotes the primary; a commit in between that only a replica not listed yet has received is lost. On the PostgreSQL side, nodes that know different members of a database confirm and promote by majorities that share no member.

--- a/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
+++ b/packages/decisions/src/ferry_decisions/tests/test_lost_logs.py
@@ -1,5 +1,6 @@
 """Promotions after a member has restarted without its log and its promises."""
 
+import attrs
 import ferry_standins as standins
 import pytest
 
@@ -144,3 +145,31 @@
     lab.sync_records()
     lab.timers.advance(5.0)
     assert lab.verdict().total == 0
+
+
+def test_nodes_that_know_different_members_lose_no_commit(group):
+    """A member is replaced while one node still knows the former list."""
+    lab = group.lab
+    lab.link_faults.cut.clear()
+    described = decisions.Member("plates-new", "hall-b", "127.0.0.1", 9)
+    lab.members["plates-new"] = standins.VirtualMember(
+        lab.timers, described, lab.group
+    )
+    members = [m for m in lab.database.members if m.name != group.holder]
+    database = attrs.evolve(lab.database, members=(*members, described))
+    record = lab.node_in("hall-a").record
+    order = decisions.PromoteOrder(
+        record.term, database.member(record.primary), record.starts
+    )
+    standins.VirtualDriver(lab.links("hall-b")).follow(described, order)
+    lab.timers.advance(1.0)
+    assert lab.members["plates-new"].replica.complete_term == record.term
+    lab.link_faults.cut |= {
+        frozenset((group.primary, name))
+        for name in (group.behind, "plates-new")
+    }
+    assert group.write() is decisions.Outcome.RAN
+    lab.crash(group.primary)
+    fut = promote_by(lab, "hall-b", database, record)
+    lab.timers.advance(0.4)
+    assert fut.exception() is not None
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -4,6 +4,8 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _departures
+from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy.tests import fakes
 
@@ -24,6 +26,16 @@
     lab.cluster.members[name] = joined
 
 
+def commit_of_another_node(lab, count):
+    """Commits writes of which this node sees nothing."""
+    primary = lab.cluster.members["a"]
+    for _ in range(count):
+        request_id = f"other {len(primary.log)}"
+        primary.log.append((primary.term, request_id))
+        assert lab.cluster.replicate(primary)
+        lab.cluster.acknowledged.append(request_id)
+
+
 def write(lab):
     return lab.do(lab.session(), fakes.statement("WRITE x 1"))
 
@@ -115,3 +127,71 @@
     lab.group.note_leader(_members.Leader("b", 2))
     lab.run(2.0)
     assert fut.result().reason is decisions.NOT_CONFIRMED
+
+
+def test_a_restarted_node_promotes_no_replica_behind_a_departed_one():
+    """Its peers know less of the acknowledged commits than there are."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.run(0.5)
+    lab.stop_probing()
+    assert write(lab).reason is None
+    commit_of_another_node(lab, 3)
+    lab.cluster.members["c"].isolated = True
+    commit_of_another_node(lab, 1)
+    assert write(lab).reason is None
+    list_members(lab, "a", "c")
+    lab.group.departures = _departures.Departures()
+    lab.cluster.crash("b")
+    lab.cluster.crash("a")
+    lab.run(4.0)
+    assert lab.cluster.lost == []
+
+
+def test_a_commit_just_before_a_planned_change_is_on_the_successor(
+    monkeypatch,
+):
+    """A new replica receives commits before it is listed."""
+    lab = fakes.Lab()
+    lab.add_promoter()
+    lab.run(0.5)
+    new_replica(lab, "d")
+    ask = lab.group.ask
+
+    def commit_before_step_down(pool, command, *guard):
+        if isinstance(command, _links.StepDown) and not lab.cluster.lost:
+            late = [lab.cluster.members[n] for n in "bc"]
+            for member in late:
+                member.isolated = True
+            commit_of_another_node(lab, 1)
+            for member in late:
+                member.isolated = False
+        return (yield from ask(pool, command, *guard))
+
+    monkeypatch.setattr(lab.group, "ask", commit_before_step_down)
+    lab.cluster.members["a"].draining = True
+    list_members(lab, "a", "b", "c")
+    lab.run(2.0)
+    assert lab.cluster.acknowledged
+    assert lab.cluster.lost == []
+
+
+def test_an_outdated_claim_resumes_nobody_that_a_later_one_has_paused(
+    monkeypatch,
+):
+    lab = fakes.Lab()
+    promoter = lab.add_promoter()
+    lab.run(0.5)
+
+    replicas = [lab.cluster.members[n] for n in "bc"]
+
+    def is_valid(_):
+        if any(m.paused_term < 2 for m in replicas):
+            return True
+        fence_of_another_node(lab, "b", "c", term=9)
+        return False
+
+    monkeypatch.setattr(promoter._claims, "is_valid", is_valid)
+    lab.cluster.crash("a")
+    lab.run(2.0)
+    assert [m.paused_term for m in replicas] == [9, 9]
