Let a primary that stepped down count in its own planned change

Between the check that a replica holds everything and the order to step down, the primary may acknowledge a commit through a replica that is not listed yet, which the listed ones lack. Its reply held the final end of its log and was thrown away. A primary that has stepped down is now paused and compared like a replica, and leads again if it alone holds a commit. A failure to step down is logged. The test lost the commit before.

--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -115,7 +115,7 @@
         view = yield from self._survey(order)
         term = self._views.next_term(view)
         if order.cause is _fencing.Cause.LEAVING:
-            yield from self._demote(view.old_primary, term)
+            view = yield from self._step_down(view, term)
         reports, failed = yield from self._pause_listed(view, term)
         departed = yield from self._pause_departed(view, term)
         view = attrs.evolve(view, departed=departed)
@@ -160,16 +160,37 @@
 
     # -- the fence -------------------------------------------------------
 
+    def _step_down(
+        self, view: _fence_views.View, term: int
+    ) -> "decisions.Flow[_fence_views.View]":
+        """Demotes a primary that answers; it then counts as a replica.
+
+        It leads again if it alone holds a commit of the last moment.
+        """
+        yield from self._demote(view.old_primary, term)
+        pool = self._group.pools.get(view.old_primary)
+        report = self._group.last_report(view.old_primary)
+        if pool is None or report is None:
+            return view
+        if report.role is not _members.Role.REPLICA:
+            return view
+        return attrs.evolve(view, pools={**view.pools, view.old_primary: pool})
+
     def _demote(self, old_primary: str, term: int) -> "decisions.Flow[None]":
         """Orders the old primary to step down.
 
-        A failure is ignored, as the paused replicas fence it anyway.
+        A failure is only logged, as the paused replicas fence it anyway.
         """
         pool = self._group.pools.get(old_primary)
         if pool is None:
             return
         asked = decisions.start(self._command(pool, _links.StepDown(term)))
         yield decisions.settled(asked)
+        exc = asked.exception()
+        if exc is not None:
+            _change_steps.log_step(
+                self._group, "not demoted", self._token, old_primary, repr(exc)
+            )
 
     def _pause_listed(
         self, view: _fence_views.View, term: int
