--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -142,7 +142,9 @@
             report = group.last_report(name)
             if report is None or report.role is not _members.Role.PRIMARY:
                 continue
-            if report.term > group.term or group.leader is None:
+            if report.term > group.term or (
+                report.term == group.term and group.leader is None
+            ):
                 group.note_leader(_members.Leader(name, report.term))
                 raise _change_steps.ChangeAbandonedError(
                     f"{name} leads already"
