Require a floor for commits from before the nodes observed any

Acknowledgements counted as known if the nodes had observed them since before a departure. A floor that is no older than the observation covers them, so the successor must hold one; when the departure happened no longer matters.

--- a/packages/proxy/src/ferry_proxy/_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/_departure_records.py
@@ -60,9 +60,7 @@
             now: The current boot time, in seconds.
         """
         ended_at = now if self.has_ended else float("inf")
-        return _departures.Departure(
-            self.member, now, ended_at, is_adopted=True
-        )
+        return _departures.Departure(self.member, now, ended_at)
 
     @property
     def key(self) -> str:
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -39,14 +39,11 @@
         removed_at: When this node learned of its departure, in boot time.
         ended_at: By when the process had ended, in boot time; infinite if it
             may still be running.
-        is_adopted: Whether another node observed it, at an unknown time before
-            `removed_at`.
     """
 
     member: _members.Member
     removed_at: float
     ended_at: float = float("inf")
-    is_adopted: bool = False
 
     @property
     def key(self) -> str:
@@ -279,6 +276,7 @@
     received: decisions.Position,
     departures: list[Departure],
     acks: _acknowledgements.Acknowledgements,
+    floor: decisions.Position | None,
 ) -> MissingCommits | None:
     """Returns the commits that a successor may lack; None if it holds all.
 
@@ -286,6 +284,8 @@
         received: The end of its log.
         departures: The open departures, without the old primary's.
         acks: The acknowledgements known to the serving nodes.
+        floor: A floor for all commits acknowledged before the nodes began to
+            observe acknowledgements; None if there is none.
     """
     if received < acks.at_least:
         detail = f"{acks.at_least} was acknowledged, {received} is held"
@@ -296,7 +296,7 @@
     if received < acks.at_most:
         detail = f"{names} left, {acks.at_most} may be acknowledged"
         return MissingCommits(False, f"{detail}, {received} is held")
-    if any(d.is_adopted or d.removed_at < acks.since for d in departures):
+    if floor is None or received < floor:
         detail = f"{names} left, not all acknowledgements are known"
         return MissingCommits(False, detail)
     return None
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -287,6 +287,7 @@
             max(r.received for r in reports.values()),
             self._views.uncovered_departures(view.old_primary, reports),
             order.acks,
+            self._group.floors.covering(order.acks.since),
         )
         if missing is None or not view.sync_replicas:
             return ""
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -193,25 +193,29 @@
 
 
 @pytest.mark.parametrize(
-    ("held", "departed_at", "since", "expected"),
+    ("held", "departures", "floor", "expected"),
     [
-        (4, [], 0.0, True),
-        (5, [], 0.0, None),
-        (5, [10.0], 0.0, False),
-        (7, [10.0], 0.0, None),
-        (7, [10.0], 11.0, False),
-        (7, [10.0], float("inf"), False),
-        (4, [10.0], float("inf"), True),
+        (4, 0, 4, True),
+        (5, 0, None, None),
+        (5, 1, 5, False),
+        (7, 1, 7, None),
+        (7, 1, 8, False),
+        (7, 1, None, False),
+        (4, 1, None, True),
     ],
 )
-def test_commits_that_a_successor_may_lack(held, departed_at, since, expected):
+def test_commits_that_a_successor_may_lack(held, departures, floor, expected):
     def position(index):
-        return decisions.Position(1, index)
+        return None if index is None else decisions.Position(1, index)
 
-    acks = _acknowledgements.Acknowledgements(position(5), position(7), since)
+    acks = _acknowledgements.Acknowledgements(position(5), position(7), 0.0)
     member = fakes.Lab().cluster.members["b"].entry()
-    departures = [_departures.Departure(member, at) for at in departed_at]
-    missing = _departures.missing_commits(position(held), departures, acks)
+    missing = _departures.missing_commits(
+        position(held),
+        [_departures.Departure(member, 10.0)] * departures,
+        acks,
+        position(floor),
+    )
     assert (missing.is_known if missing else None) is expected
 
 
