Name a change of primary as such in the fence, and log what had no line

Fence.Order becomes Fence.Change, as orders are what the platform gets. Failures to resume departed members, peers without an opinion and claims that have changed at their release leave a line each.

--- a/packages/proxy/src/ferry_proxy/_claims.py
+++ b/packages/proxy/src/ferry_proxy/_claims.py
@@ -209,17 +209,17 @@
         ):
             order = None
         done = attrs.evolve(held.claim, done=True, order=order)
+        detail = "the claim has changed"
         try:
             item = yield self._write(held, done)
         except _store.StoreUnavailableError as exc:
             # The next claim has to wait until this one is too old to act on.
-            token = held.claim.token
-            _change_steps.log_step(
-                self._group, "unreleased", token, "", str(exc)
-            )
-            return
+            item, detail = None, str(exc)
         if item is not None:
             self._catalogue.take((item,), "own claim")
+            return
+        token = held.claim.token
+        _change_steps.log_step(group, "unreleased", token, "", detail)
 
     def require_free(self) -> None:
         """Checks that no other node may be acting on a claim.
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -37,7 +37,7 @@
 
 
 @attrs.frozen(slots=True)
-class Order:
+class Change:
     """The change of primary that a fence is raised for.
 
     Attributes:
@@ -79,28 +79,28 @@
         self.guard: _control_commands.Guard = _control_commands.no_guard
         self.may_resume: Callable[[], bool] = lambda: True
 
-    def require_successor(self, order: Order) -> "decisions.Flow[None]":
+    def require_successor(self, change: Change) -> "decisions.Flow[None]":
         """Checks, without a change to any member, that one may be promoted.
 
         Args:
-            order: The change that a fence would be raised for.
+            change: The change that a fence would be raised for.
 
         Raises:
             ChangeAbandonedError: None may at present.
         """
-        view = yield from self._survey(order)
+        view = yield from self._survey(change)
         reports = self._views.last_reports(view.pools)
-        refusal = self._missing(order, view, reports) if reports else ""
+        refusal = self._missing(change, view, reports) if reports else ""
         if refusal:
             raise _change_steps.ChangeAbandonedError(refusal)
 
     def raise_fence(
-        self, order: Order
+        self, change: Change
     ) -> "decisions.Flow[dict[str, _members.Report]]":
         """Demotes the old primary and pauses its replicas.
 
         Args:
-            order: The change that the fence is raised for.
+            change: The change that the fence is raised for.
 
         Returns:
             The reports of the paused members, by id.
@@ -109,35 +109,47 @@
             ChangeAbandonedError: Too few replicas could be paused, or they may
                 lack acknowledged commits.
         """
-        self._token = order.token
+        self._token = change.token
         yield from self._views.refresh_members()
         self._fence_started_at = self._clock.now()
-        view = yield from self._survey(order)
+        view = yield from self._survey(change)
         term = self._views.next_term(view)
-        if order.cause is _fencing.Cause.LEAVING:
+        if change.cause is _fencing.Cause.LEAVING:
             view = yield from self._step_down(view, term)
+        reports = yield from self._pause_members(change, view, term)
+        if change.cause is _fencing.Cause.STALLED:
+            yield from self._demote(view.old_primary, term)
+        elif change.cause is not _fencing.Cause.LEAVING:
+            decisions.start(self._demote(view.old_primary, term))
+        self._newcomers.begin(view.old_primary, term, reports)
+        return reports
+
+    def _pause_members(
+        self, change: Change, view: _fence_views.View, term: int
+    ) -> "decisions.Flow[dict[str, _members.Report]]":
+        """Pauses all members that may receive commits; returns their reports.
+
+        Raises:
+            ChangeAbandonedError: None of them may be promoted. They are
+                resumed.
+        """
         reports, failed = yield from self._pause_listed(view, term)
         departed = yield from self._pause_departed(view, term)
         view = attrs.evolve(view, departed=departed)
-        self._log_fence(order, view, reports, failed)
-        refusal = self._refusal(order, view, reports)
+        self._log_fence(change, view, reports, failed)
+        refusal = self._refusal(change, view, reports)
         if refusal:
             yield from self.resume(reports, departed.values())
             raise _change_steps.ChangeAbandonedError(refusal)
-        if order.cause is _fencing.Cause.STALLED:
-            yield from self._demote(view.old_primary, term)
-        elif order.cause is not _fencing.Cause.LEAVING:
-            decisions.start(self._demote(view.old_primary, term))
-        self._newcomers.begin(view.old_primary, term, reports)
         return reports
 
     def pause_newcomers(self) -> None:
         """Begins to pause members that were listed after the fence."""
         self._newcomers.pause(self.guard)
 
-    def _survey(self, order: Order) -> "decisions.Flow[_fence_views.View]":
+    def _survey(self, change: Change) -> "decisions.Flow[_fence_views.View]":
         view = yield from self._views.survey()
-        if self._needs_level_replica(order.cause, view):
+        if self._needs_level_replica(change.cause, view):
             yield from self._views.require_caught_up(view)
         return view
 
@@ -258,7 +270,7 @@
 
     def _refusal(
         self,
-        order: Order,
+        change: Change,
         view: _fence_views.View,
         reports: dict[str, _members.Report],
     ) -> str:
@@ -266,7 +278,7 @@
         needed = view.needed
         detail = f"{len(reports)} of {len(view.pools)} paused, {needed} needed"
         _change_steps.log_step(
-            self._group, "fenced", order.token, view.old_primary, detail
+            self._group, "fenced", change.token, view.old_primary, detail
         )
         if len(reports) < needed or not reports:
             return detail
@@ -274,11 +286,11 @@
         for name, outcome in view.departed.items():
             if outcome.report and outcome.report.received > received:
                 return f"{name} is not listed and holds more"
-        return self._missing(order, view, reports)
+        return self._missing(change, view, reports)
 
     def _missing(
         self,
-        order: Order,
+        change: Change,
         view: _fence_views.View,
         reports: dict[str, _members.Report],
     ) -> str:
@@ -286,15 +298,15 @@
         missing = _departures.missing_commits(
             max(r.received for r in reports.values()),
             self._views.uncovered_departures(view.old_primary, reports),
-            order.acks,
-            self._group.floors.covering(order.acks.since),
+            change.acks,
+            self._group.floors.covering(change.acks.since),
         )
         if missing is None or not view.sync_replicas:
             return ""
         is_overdue = self._lost_for_s() > MAX_LOST_PRIMARY_S
         if is_overdue and not missing.is_known:
             _change_steps.log_step(
-                self._group, "unproved", order.token, "", missing.detail
+                self._group, "unproved", change.token, "", missing.detail
             )
             return ""
         return f"commits may be missing: {missing.detail}"
@@ -308,7 +320,7 @@
 
     def _log_fence(
         self,
-        order: Order,
+        change: Change,
         view: _fence_views.View,
         reports: dict[str, _members.Report],
         failed: dict[str, str],
@@ -319,11 +331,11 @@
         revision = self._catalogue.revision
         event = _change_events.MembersFenced(
             service=group.service.name,
-            token=order.token,
-            cause=order.cause.value,
+            token=change.token,
+            cause=change.cause.value,
             old_primary=view.old_primary,
             old_end=str(last.received) if last else "",
-            acknowledged=str(order.acks.at_least),
+            acknowledged=str(change.acks.at_least),
             list_revision=f"{revision.era}:{revision.number}",
             listed=[
                 f"{n} leaving" if p.member.draining else n
@@ -383,7 +395,7 @@
     ) -> "decisions.Flow[None]":
         paused = {o.departure: o.report for o in outcomes if o.report}
         terms = {d.member.id: r.paused_term for d, r in paused.items()}
-        yield from _departed_members.reach_all(
+        resumed = yield from _departed_members.reach_all(
             self._clock,
             self._group,
             list(paused),
@@ -391,3 +403,7 @@
                 self._group, pool, terms[pool.member.id], self.guard
             ),
         )
+        for name, outcome in resumed.items():
+            _change_steps.log_step(
+                self._group, "resumed", self._token, name, outcome.describe()
+            )
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -79,9 +79,8 @@
 
         Every later term begins with a fence that pauses the replica, so the
         report is valid even if the replica has not learned of `term` yet.
-        Otherwise a replica that receives nothing would block reads: they
-        failed for 2 s after a crash of the primary on days on which the other
-        replica received nothing.
+        Otherwise a replica that receives nothing would block reads after a
+        change of primary.
         """
         not_paused = self.paused_term <= term
         return self.role is Role.REPLICA and self.term <= term and not_paused
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -92,6 +92,9 @@
         for s in streams
     ]
     yield decisions.settle_all(futs, lambda _: False)
+    for stream, fut in zip(streams, futs, strict=True):
+        if fut.exception() is not None:
+            decisions.log_debug("opinion %s: %r", stream.peer, fut.exception())
     replies = {
         stream.peer: fut.result()
         for stream, fut in zip(streams, futs, strict=True)
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -47,6 +47,8 @@
 # The backoff doubles with each attempt in vain, up to this often. All attempts
 # may be in vain until a member returns.
 MAX_DOUBLINGS = 2
+# The least time between status rounds while the primary does not answer.
+RECHECK_S = 0.15
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
@@ -82,10 +84,6 @@
     is_stopping: Callable[[], bool]
 
 
-# The least time between status rounds while the primary does not answer.
-RECHECK_S = 0.15
-
-
 class Promoter:
     """Watches the primary of one group and replaces it when necessary."""
 
@@ -253,8 +251,8 @@
         self._attempts_in_vain += 1
         if self._attempts_in_vain > 1:
             acks = self._acknowledgements(opinions)
-            order = _fences.Order(cause, 0, acks)
-            yield from self._fence.require_successor(order)
+            change = _fences.Change(cause, 0, acks)
+            yield from self._fence.require_successor(change)
 
     def _acknowledgements(
         self, opinions: _opinions.Opinions
@@ -289,8 +287,8 @@
         token = held.claim.token
         self._fence.guard = functools.partial(self._claims.require_valid, held)
         self._fence.may_resume = lambda: self._claims.order is None
-        order = _fences.Order(cause, token, self._acknowledgements(opinions))
-        reports = yield from self._fence.raise_fence(order)
+        change = _fences.Change(cause, token, self._acknowledgements(opinions))
+        reports = yield from self._fence.raise_fence(change)
         if cause is _fencing.Cause.STALLED:
             yield from self._require_no_acks(reports)
         yield from self._succession.promote(reports, held)
--- a/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_restored_claims.py
@@ -161,8 +161,8 @@
         _acknowledgements.NO_POSITION,
         since=0.0,
     )
-    order = _fences.Order(_fencing.Cause.REFUSED, 1, acks)
-    raised = decisions.start(fence.raise_fence(order))
+    change = _fences.Change(_fencing.Cause.REFUSED, 1, acks)
+    raised = decisions.start(fence.raise_fence(change))
     lab.run(2.0)
     assert isinstance(raised.exception(), _change_steps.ChangeAbandonedError)
     paused = [m.paused_term for m in lab.cluster.members.values()]
