--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -388,22 +388,6 @@
         yield from _resumption.resume(
             self._group, reports, self._token, self.guard
         )
-        yield from self._resume_departed(departed)
-
-    def _resume_departed(
-        self, outcomes: Iterable[_departed_members.Outcome]
-    ) -> "decisions.Flow[None]":
-        paused = {o.departure: o.report for o in outcomes if o.report}
-        terms = {d.member.id: r.paused_term for d, r in paused.items()}
-        resumed = yield from _departed_members.reach_all(
-            self._clock,
-            self._group,
-            list(paused),
-            lambda pool: _resumption.resume_member(
-                self._group, pool, terms[pool.member.id], self.guard
-            ),
+        yield from _resumption.resume_departed(
+            self._clock, self._group, departed, self._token, self.guard
         )
-        for name, outcome in resumed.items():
-            _change_steps.log_step(
-                self._group, "resumed", self._token, name, outcome.describe()
-            )
--- a/packages/proxy/src/ferry_proxy/_resumption.py
+++ b/packages/proxy/src/ferry_proxy/_resumption.py
@@ -1,9 +1,14 @@
 """Lets members that a fence has paused receive commits again."""
 
+from collections.abc import Iterable
+
 import ferry_decisions as decisions
 
 from ferry_proxy import _change_events
+from ferry_proxy import _change_steps
+from ferry_proxy import _clocks
 from ferry_proxy import _control_commands
+from ferry_proxy import _departed_members
 from ferry_proxy import _events
 from ferry_proxy import _fence_views
 from ferry_proxy import _groups
@@ -44,6 +49,36 @@
     _events.emit(event)
 
 
+def resume_departed(
+    clock: _clocks.Clock,
+    group: _groups.Group,
+    outcomes: Iterable[_departed_members.Outcome],
+    token: int,
+    guard: _control_commands.Guard,
+) -> "decisions.Flow[None]":
+    """Resumes paused members that are no longer listed.
+
+    Args:
+        clock: The clock.
+        group: The group.
+        outcomes: Members that are not listed, the paused ones among them.
+        token: The fencing token of the claim, for the log.
+        guard: Raises an error once this node may send no more commands.
+    """
+    paused = {o.departure: o.report for o in outcomes if o.report}
+    terms = {d.member.id: r.paused_term for d, r in paused.items()}
+    resumed = yield from _departed_members.reach_all(
+        clock,
+        group,
+        list(paused),
+        lambda p: resume_member(group, p, terms[p.member.id], guard),
+    )
+    for name, outcome in resumed.items():
+        _change_steps.log_step(
+            group, "resumed", token, name, outcome.describe()
+        )
+
+
 def resume_member(
     group: _groups.Group,
     pool: _pools.Pool,
