--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -26,6 +26,7 @@
 from ferry_proxy import _groups
 from ferry_proxy import _links
 from ferry_proxy import _members
+from ferry_proxy import _newcomers
 from ferry_proxy import _pools
 from ferry_proxy import _resumption
 from ferry_proxy import _store
@@ -74,6 +75,7 @@
         self._views = _fence_views.FenceViews(clock, store, catalogue, group)
         self._fence_started_at = clock.now()
         self._token = 0
+        self._newcomers = _newcomers.Newcomers(group)
         self.guard: _control_commands.Guard = _control_commands.no_guard
         self.may_resume: Callable[[], bool] = lambda: True
 
@@ -88,10 +90,7 @@
         """
         view = yield from self._survey(order)
         reports = self._views.last_reports(view.pools)
-        received = max((r.received for r in reports.values()), default=None)
-        if received is None:
-            return
-        refusal = self._missing(order, view, received)
+        refusal = self._missing(order, view, reports) if reports else ""
         if refusal:
             raise _change_steps.ChangeAbandonedError(refusal)
 
@@ -129,8 +128,13 @@
             yield from self._demote(view.old_primary, term)
         elif order.cause is not _fencing.Cause.LEAVING:
             decisions.start(self._demote(view.old_primary, term))
+        self._newcomers.begin(view.old_primary, term, reports)
         return reports
 
+    def pause_newcomers(self) -> None:
+        """Begins to pause members that were listed after the fence."""
+        self._newcomers.pause(self.guard)
+
     def _survey(self, order: Order) -> "decisions.Flow[_fence_views.View]":
         view = yield from self._views.survey()
         if self._needs_level_replica(order.cause, view):
@@ -148,7 +152,10 @@
         if not self._group.service.sync_replicas:
             return False
         if cause is _fencing.Cause.STALLED:
-            return bool(self._views.open_departures(view.old_primary))
+            reports = self._views.last_reports(view.pools)
+            return bool(
+                self._views.uncovered_departures(view.old_primary, reports)
+            )
         return cause is _fencing.Cause.LEAVING
 
     # -- the fence -------------------------------------------------------
@@ -246,17 +253,19 @@
         for name, outcome in view.departed.items():
             if outcome.report and outcome.report.received > received:
                 return f"{name} is not listed and holds more"
-        return self._missing(order, view, received)
+        return self._missing(order, view, reports)
 
     def _missing(
         self,
         order: Order,
         view: _fence_views.View,
-        received: decisions.Position,
+        reports: dict[str, _members.Report],
     ) -> str:
         """Returns which commits a successor may lack; empty if it may lead."""
         missing = _departures.missing_commits(
-            received, self._views.open_departures(view.old_primary), order.acks
+            max(r.received for r in reports.values()),
+            self._views.uncovered_departures(view.old_primary, reports),
+            order.acks,
         )
         if missing is None or not view.sync_replicas:
             return ""
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -20,6 +20,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
 from ferry_proxy import _queueing
+from ferry_proxy import _round_plans
 from ferry_proxy.queueing import _commit_stall
 
 # A status round is evaluated after this long. Members without load answer in
@@ -46,6 +47,7 @@
         self._data_centre = data_centre
         self._commands = _control_commands.ControlCommands(clock, policy)
         self._proofs = _proofs.Proofs(clock, self)
+        self._round_plan = _round_plans.RoundPlan(clock, policy, self)
         self.commits = _commit_stall.CommitWatch(clock, policy, self)
         self._rounds = decisions.SharedRounds(self._round)
         self._changed: decisions.Future[None] = decisions.Future()
@@ -63,7 +65,6 @@
         self.acks = _acknowledgements.AckWatch(clock)
         self.claimed_change = _claimed_changes.NONE
         self._asking: set[str] = set()
-        self._next_replica = 0
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
         self.on_step: list[Callable[[str], object]] = []
@@ -132,10 +133,7 @@
         self.departures.note_removed(pool.member, self._clock.boot_now())
 
     def _forget_restarted(self, pool: _pools.Pool) -> None:
-        """Discards all state of a member whose process has restarted.
-
-        The new process is not paused and may be empty.
-        """
+        """Discards all state of a member's process, which has restarted."""
         self._close(pool)
         self.departures.note_restarted(pool.member, self._clock.boot_now())
         self.membership.note_restarted(pool.member.id)
@@ -239,9 +237,7 @@
         command: _links.Command,
         guard: _control_commands.Guard = _control_commands.no_guard,
     ) -> "decisions.Flow[_members.Report]":
-        """Sends a control command to a member and returns its report.
-
-        The guard is called right before the command is sent.
+        """Sends a control command to a member, if the guard does not fail.
 
         Raises:
             decisions.RequestFailedError: The member sent no report.
@@ -262,7 +258,7 @@
         reports: dict[str, _members.Report] = {}
         futs = [
             decisions.start(self._ask_with_retry(pool, reports))
-            for pool in self._members_to_ask()
+            for pool in self._round_plan.members_to_ask(self._asking)
         ]
         enough = decisions.settle_all(
             futs, lambda _: self._sample(reports) is not None
@@ -276,34 +272,6 @@
         all_done.add_done_callback(lambda _: self._end_round(reports))
         return reports
 
-    def _members_to_ask(self) -> list[_pools.Pool]:
-        """Returns the members to request status from in this round.
-
-        These are normally the primary, as many replicas as a proof needs, in
-        rotation, and members not heard from lately. All are asked if the
-        primary is in doubt. Each request briefly occupies a member's slot.
-        """
-        pools = [p for n, p in self.pools.items() if n not in self._asking]
-        leader = self.leader_pool
-        is_stable = leader is not None and not self.is_primary_changing
-        if leader is None or not is_stable or not self.is_responsive(leader):
-            return pools
-        others = [p for p in pools if p is not leader]
-        responsive = [p for p in others if self.is_responsive(p)]
-        asked = [leader] if leader in pools else []
-        self._next_replica += 1
-        cutoff = self._clock.now() - self._policy.idle_probe_s
-        unheard = [
-            p
-            for p in others
-            if p.contact.heard < cutoff or p.contact.link_failing_s > 0
-        ]
-        quorum, turn = self.quorum, self._next_replica % max(1, len(responsive))
-        replicas = responsive[turn:] + responsive[:turn]
-        replicas.sort(key=lambda p: p.member.id not in quorum.established)
-        asked += replicas[: quorum.size]
-        return list(dict.fromkeys([*asked, *unheard])) if responsive else pools
-
     def _ask_with_retry(
         self, pool: _pools.Pool, reports: dict[str, _members.Report]
     ) -> "decisions.Flow[None]":
@@ -367,14 +335,22 @@
             if report.role is _members.Role.PRIMARY:
                 self.note_leader(_members.Leader(name, report.term))
         leader = self.leader
-        own = reports.get(leader.member) if leader else None
-        if leader is None or own is None or own.term < leader.term:
-            return  # A late report from an earlier term.
-        if own.role is _members.Role.REPLICA:
+        if leader is not None and self._is_replaced(leader, reports):
             name = self.service.name
-            _events.emit(_events.LeaderLost(name, leader.member, own.term))
+            _events.emit(_events.LeaderLost(name, leader.member, self.term))
             self._lose_leader()
 
+    def _is_replaced(
+        self, leader: _members.Leader, reports: dict[str, _members.Report]
+    ) -> bool:
+        """Whether a later term began, or the primary has stepped down."""
+        if leader.term < self.term:
+            return True
+        own = reports.get(leader.member)
+        if own is None or own.term < leader.term:
+            return False  # A late report from an earlier term.
+        return own.role is _members.Role.REPLICA
+
     def note_leader(self, leader: _members.Leader) -> None:
         """Sets the leader unless one of the same or a later term is known."""
         known = self.leader
@@ -383,8 +359,7 @@
         if leader.term < self.term or not is_newer or not is_listed:
             return
         previous = self.pools.get(self.last_leader)
-        self.leader = leader
-        self.last_leader = leader.member
+        self.leader, self.last_leader = leader, leader.member
         self.leader_found_at = self._clock.now()
         self.term = leader.term
         self.primary_change_until = float("-inf")
--- a/packages/proxy/src/ferry_proxy/_opinions.py
+++ b/packages/proxy/src/ferry_proxy/_opinions.py
@@ -8,6 +8,7 @@
 
 from ferry_proxy import _acknowledgements
 from ferry_proxy import _clocks
+from ferry_proxy import _departure_sync
 from ferry_proxy import _groups
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _peers
@@ -68,6 +69,7 @@
         most_acked=(acks.at_most.term, acks.at_most.index),
         watched_s=clock.boot_now() - acks.since,
         acked_ago_s=acked_ago_s if math.isfinite(acked_ago_s) else -1.0,
+        departures=_departure_sync.describe(group, clock.boot_now()),
     )
     pool = group.pools.get(question.member)
     if pool is None or pool.member.born != question.born:
@@ -83,12 +85,7 @@
     clock: _clocks.Clock, mesh: _peers.Peers, group: _groups.Group
 ) -> "decisions.Flow[Opinions]":
     """Asks the peers for their contact with the primary, and for commits."""
-    leader, pool = group.leader, group.leader_pool
-    question = _opinion_messages.OpinionRequest(
-        group.service.name,
-        leader.member if leader else "",
-        pool.member.born if pool else 0,
-    )
+    question = _question(group)
     streams = list(mesh.streams)
     futs = [
         decisions.with_timeout(clock, OPINION_WAIT_S, s.call(question))
@@ -100,11 +97,39 @@
         for stream, fut in zip(streams, futs, strict=True)
         if fut.exception() is None
     }
-    return Opinions(
-        {
-            peer: reply
-            for peer, reply in replies.items()
-            if isinstance(reply, _opinion_messages.OpinionReply)
-        },
-        clock.boot_now(),
+    opinions = {
+        peer: reply
+        for peer, reply in replies.items()
+        if isinstance(reply, _opinion_messages.OpinionReply)
+    }
+    now = clock.boot_now()
+    _adopt_departures(group, opinions, now)
+    return Opinions(opinions, now)
+
+
+def _question(group: _groups.Group) -> _opinion_messages.OpinionRequest:
+    leader, pool = group.leader, group.leader_pool
+    return _opinion_messages.OpinionRequest(
+        group.service.name,
+        leader.member if leader else "",
+        pool.member.born if pool else 0,
     )
+
+
+def _adopt_departures(
+    group: _groups.Group,
+    opinions: dict[str, _opinion_messages.OpinionReply],
+    now: float,
+) -> None:
+    """Adds the departures that peers know.
+
+    This node may have restarted before one was recorded.
+
+    Args:
+        group: The group.
+        opinions: The replies, by node.
+        now: The current boot time, in seconds.
+    """
+    for peer, opinion in opinions.items():
+        if opinion.departures:
+            _departure_sync.adopt_encoded(group, opinion.departures, peer, now)
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -83,6 +83,17 @@
     assert lab.do(lab.session(), fakes.statement("READ x")).reason is None
 
 
+def test_a_primary_that_returns_into_a_later_term_is_not_followed():
+    """Its successor has ended, and a replica of the later term is left."""
+    lab = fakes.Lab()
+    replica = lab.cluster.members["b"]
+    replica.term = 2
+    lab.cluster.members["c"].crashed = True
+    lab.group.note_leader(_members.Leader("a", 1))
+    lab.run(1.0)
+    assert lab.group.leader is None
+
+
 def test_no_commit_is_acknowledged_by_a_draining_replica_alone():
     """It may be off another node's list, whose fence leaves it out."""
     lab = fakes.Lab()
--- a/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_two_promoters.py
@@ -237,6 +237,19 @@
     assert lab.lost == []
 
 
+def test_a_replica_listed_after_the_fence_is_paused(monkeypatch):
+    """Members count what it acknowledges, whatever callers are told."""
+    lab = lab_with_an_order_under_way(monkeypatch)
+    lab.cluster.members["d"] = fakes.FakeMember("d", lab.cluster, REPLICA)
+    lab.cluster.restart("b")
+    lab.apply_entries()
+    lab.run(0.1)
+    lab.write_steadily(1.0)
+    assert lab.cluster.acknowledged == []
+    lab.run(1.0)
+    assert lab.cluster.members["c"].role is PRIMARY
+
+
 def test_a_commit_at_the_primary_before_is_not_confirmed_by_the_next_one():
     """The commit was sent before the change, and answered after it."""
     lab = fakes.Lab()
@@ -252,3 +265,20 @@
     lab.run(2.0)
     assert lab.cluster.acknowledged == ["late"]
     assert fut.exception() is not None or fut.result().reason is not None
+
+
+def test_an_order_whose_recording_got_no_answer_is_read_back(monkeypatch):
+    lab = fakes.Lab()
+    lab.add_promoter()
+    put_if = lab.store.put_if
+    writes: list[str] = []
+
+    def drop_the_second_reply(key, value, revision):
+        writes.append(key)
+        lab.store.replies_to_drop = int(len(writes) == 2)
+        return put_if(key, value, revision)
+
+    monkeypatch.setattr(lab.store, "put_if", drop_the_second_reply)
+    lab.cluster.crash("a")
+    lab.run(2.0)
+    assert [token for _, token in lab.cluster.promotions] == [1]
