--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -39,14 +39,11 @@
         removed_at: When this node learned of its departure, in boot time.
         ended_at: By when the process had ended, in boot time; infinite if it
             may still be running.
-        is_adopted: Whether another node observed it, at an unknown time before
-            `removed_at`.
     """
 
     member: _members.Member
     removed_at: float
     ended_at: float = float("inf")
-    is_adopted: bool = False
 
     @property
     def key(self) -> str:
@@ -186,8 +183,23 @@
             if self._open.pop(key, None) is not None:
                 _add_bounded(self._covered, key)
 
+    def cover_before(self, moment: float) -> None:
+        """Closes the departures of processes that ended before a moment.
+
+        Args:
+            moment: A boot time, in seconds, at which the primary's log ended
+                where enough replicas are known to have caught up with it.
+        """
+        for key, departure in list(self._open.items()):
+            if departure.latest_end <= moment:
+                del self._open[key]
+                _add_bounded(self._covered, key)
+
     def observe(
-        self, leader: _members.Leader, reports: dict[str, _members.Report]
+        self,
+        leader: _members.Leader,
+        reports: dict[str, _members.Report],
+        copies: int,
     ) -> None:
         """Closes the departures that a round of reports covers.
 
@@ -198,14 +210,16 @@
         Args:
             leader: The primary.
             reports: The reports of listed members, by id.
+            copies: How many replicas must have received an acknowledged
+                commit, and so all commits of a departed member.
         """
         if not self._open:
             self._end = None
             return
         if self._end is not None and self._end.leader != leader:
             self._end = None
-        if self._end is not None and _is_held_by_replica(self._end, reports):
-            self._cover_before(self._end.at)
+        if self._end is not None and _holders(self._end, reports) >= copies:
+            self.cover_before(self._end.at)
             self._end = None
         own = reports.get(leader.member)
         if own is not None and own.leads(leader) and not self._covers_any():
@@ -218,12 +232,6 @@
             d.latest_end <= end.at for d in self._open.values()
         )
 
-    def _cover_before(self, moment: float) -> None:
-        for key, departure in list(self._open.items()):
-            if departure.latest_end <= moment:
-                del self._open[key]
-                _add_bounded(self._covered, key)
-
     def _add(self, departure: Departure) -> None:
         self._open.pop(departure.key, None)
         self._open[departure.key] = departure
@@ -238,14 +246,14 @@
         del names[next(iter(names))]
 
 
-def _is_held_by_replica(
-    end: PrimaryEnd, reports: dict[str, _members.Report]
-) -> bool:
-    """Whether a replica has received everything up to the end of a log."""
-    return any(
-        report.role is _members.Role.REPLICA
-        and report.term <= end.leader.term
-        and report.received >= end.position
+def _holders(end: PrimaryEnd, reports: dict[str, _members.Report]) -> int:
+    """Returns how many replicas hold everything up to the end of a log.
+
+    A replica that is paused for a later term does not count: the primary may
+    have been replaced before it was asked.
+    """
+    return sum(
+        report.proves(end.leader.term) and report.received >= end.position
         for name, report in reports.items()
         if name != end.leader.member
     )
@@ -268,6 +276,7 @@
     received: decisions.Position,
     departures: list[Departure],
     acks: _acknowledgements.Acknowledgements,
+    floor: decisions.Position | None,
 ) -> MissingCommits | None:
     """Returns the commits that a successor may lack; None if it holds all.
 
@@ -275,6 +284,8 @@
         received: The end of its log.
         departures: The open departures, without the old primary's.
         acks: The acknowledgements known to the serving nodes.
+        floor: A floor for all commits acknowledged before the nodes began to
+            observe acknowledgements; None if there is none.
     """
     if received < acks.at_least:
         detail = f"{acks.at_least} was acknowledged, {received} is held"
@@ -285,7 +296,7 @@
     if received < acks.at_most:
         detail = f"{names} left, {acks.at_most} may be acknowledged"
         return MissingCommits(False, f"{detail}, {received} is held")
-    if any(d.is_adopted or d.removed_at < acks.since for d in departures):
+    if floor is None or received < floor:
         detail = f"{names} left, not all acknowledgements are known"
         return MissingCommits(False, detail)
     return None
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -47,6 +47,8 @@
 # The backoff doubles with each attempt in vain, up to this often. All attempts
 # may be in vain until a member returns.
 MAX_DOUBLINGS = 2
+# The least time between status rounds while the primary does not answer.
+RECHECK_S = 0.15
 # The vetoing peer may lose contact with the primary next, and asking it again
 # is cheap.
 VETO_BACKOFF_S = 0.1
@@ -82,10 +84,6 @@
     is_stopping: Callable[[], bool]
 
 
-# The least time between status rounds while the primary does not answer.
-RECHECK_S = 0.15
-
-
 class Promoter:
     """Watches the primary of one group and replaces it when necessary."""
 
@@ -96,6 +94,8 @@
         self._is_stopped = False
         self._next_attempt_at = float("-inf")
         self._attempts_in_vain = 0
+        self._nodes: set[str] = set()
+        self._node_left_at = float("-inf")
         self._probes = _departed_members.Probes(ctx.clock)
         self._stalls = _stalls.Stalls(ctx.clock, ctx.policy, group)
         self._claims = _claims.Claims(
@@ -153,6 +153,7 @@
 
     def check(self) -> None:
         """Begins a change of the primary if the evidence requires one."""
+        self._note_nodes()
         if self._is_changing or self._is_stopped or self._ctx.is_stopping():
             return
         if self._ctx.clock.now() < self._next_attempt_at:
@@ -250,14 +251,22 @@
         self._attempts_in_vain += 1
         if self._attempts_in_vain > 1:
             acks = self._acknowledgements(opinions)
-            order = _fences.Order(cause, 0, acks)
-            yield from self._fence.require_successor(order)
+            change = _fences.Change(cause, 0, acks)
+            yield from self._fence.require_successor(change)
 
     def _acknowledgements(
         self, opinions: _opinions.Opinions
     ) -> _acknowledgements.Acknowledgements:
         peers = {*self._ctx.nodes()} - {self._ctx.node}
-        return opinions.acknowledgements(self._group.acks, peers)
+        acks = opinions.acknowledgements(self._group.acks, peers)
+        return attrs.evolve(acks, since=max(acks.since, self._node_left_at))
+
+    def _note_nodes(self) -> None:
+        """Notes when a node left, as it may have passed on commits."""
+        nodes = {*self._ctx.nodes()}
+        if self._nodes - nodes:
+            self._node_left_at = self._ctx.clock.boot_now()
+        self._nodes = nodes
 
     def _require_unchanged(self, leader: _members.Leader | None) -> None:
         """Checks that the cause of the change is not of an earlier primary.
@@ -278,10 +287,29 @@
         token = held.claim.token
         self._fence.guard = functools.partial(self._claims.require_valid, held)
         self._fence.may_resume = lambda: self._claims.order is None
-        order = _fences.Order(cause, token, self._acknowledgements(opinions))
-        reports = yield from self._fence.raise_fence(order)
+        change = _fences.Change(cause, token, self._acknowledgements(opinions))
+        reports = yield from self._fence.raise_fence(change)
+        if cause is _fencing.Cause.STALLED:
+            yield from self._require_no_acks(reports)
         yield from self._succession.promote(reports, held)
 
+    def _require_no_acks(
+        self, reports: dict[str, _members.Report]
+    ) -> "decisions.Flow[None]":
+        """Checks again that no replica received commits before the fence.
+
+        Raises:
+            ChangeAbandonedError: One that is not listed yet has.
+        """
+        opinions = yield from _opinions.ask(
+            self._ctx.clock, self._ctx.mesh, self._group
+        )
+        try:
+            self._stalls.require_unrefuted(self._acknowledgements(opinions))
+        except _change_steps.ChangeAbandonedError:
+            yield from self._fence.resume(reports)
+            raise
+
     def _rank(self) -> int:
         """Returns this node's place in the order in which nodes claim."""
         names = sorted({*self._ctx.nodes(), self._ctx.node})
