Bound acknowledged commits from below by the term that committed them

The lower bound took the term of the log's end before the commit, which may be of the term before. A replica ahead in that term then passed for one that holds the commit. The bound names the term of the primary that committed it.

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -4,6 +4,7 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _clocks
+from ferry_proxy import _members
 
 NO_POSITION = decisions.Position(0, 0)
 
@@ -58,15 +59,21 @@
         if end is not None:
             self.at_most = max(self.at_most, end)
 
-    def note_confirmed(self, end_before: decisions.Position | None) -> None:
+    def note_confirmed(
+        self,
+        leader: _members.Leader | None,
+        end_before: decisions.Position | None,
+    ) -> None:
         """Records that the caller of a commit is going to be told.
 
         The primary does not tell the position of the commit itself.
 
         Args:
+            leader: The primary that committed it; None if unknown.
             end_before: The end of the primary's log, as known before the
                 commit was sent; None if unknown.
         """
-        if end_before is not None:
-            position = attrs.evolve(end_before, index=end_before.index + 1)
+        if leader is not None and end_before is not None:
+            index = end_before.index + 1
+            position = decisions.Position(leader.term, index)
             self.at_least = max(self.at_least, position)
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -143,7 +143,7 @@
         acks = job.group.acks
         acks.note_replied(reply.position)
         yield from self._require_durable(job)
-        acks.note_confirmed(job.progress.log_end)
+        acks.note_confirmed(job.progress.leader, job.progress.log_end)
 
     def _require_durable(self, job: _jobs.Job) -> "decisions.Flow[None]":
         group = job.group
--- a/packages/proxy/src/ferry_proxy/tests/departure_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/departure_lab.py
@@ -204,7 +204,7 @@
         self.cluster.acknowledged.append(name)
         node = next(iter(self.nodes.values()))
         node.group.acks.note_replied(primary.end)
-        node.group.acks.note_confirmed(end_before)
+        node.group.acks.note_confirmed(node.group.leader, end_before)
 
     @property
     def primary(self) -> fakes.FakeMember:
