Ask departed members until their processes have ended

It is asked until its process has ended. While it cannot be reached it counts as running for 30 s, as before. The test lost the commit before.

--- a/packages/proxy/src/ferry_proxy/_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/_departed_members.py
@@ -46,7 +46,8 @@
     @property
     def is_unsure(self) -> bool:
         """Whether it may receive commits, out of reach of this node."""
-        return self.report is None and not self.has_ended
+        may_run = self.age_s < _departures.MAX_RUNNING_S
+        return self.report is None and not self.has_ended and may_run
 
     def describe(self) -> str:
         """Returns a description for the log."""
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -225,7 +225,7 @@
         group = self._group
         now = self._clock.boot_now()
         running = [
-            d for d in self.open_departures(old_primary) if d.may_run(now)
+            d for d in self.open_departures(old_primary) if d.ended_at > now
         ]
         return (
             yield from _departed_members.reach_all(
--- a/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_departed_members.py
@@ -258,3 +258,16 @@
     lab.cluster.crash("a")
     lab.run(3.0)
     assert [member for member, _ in lab.cluster.promotions] == ["c"]
+
+
+def test_a_member_that_has_long_been_off_the_list_is_still_asked():
+    """It runs on, and alone holds a commit beside the lost primary."""
+    lab = lab_with_a_lagging_replica()
+    listed = lab.cluster.entries()
+    del listed["b"]
+    lab.group.set_members(listed, lab.limit)
+    lab.run(1.0)
+    lab.group.acks = _acknowledgements.AckWatch(lab.clock)
+    lab.cluster.crash("a")
+    lab.run(80.0)
+    assert lab.cluster.promotions == []
--- a/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_stale_views.py
@@ -206,3 +206,14 @@
     lab.cluster.crash("a")
     lab.run(2.0)
     assert [m.paused_term for m in replicas] == [9, 9]
+
+
+def test_no_commit_is_told_that_only_an_unlisted_replica_has_received():
+    """It joined the primary behind a cut, which this node is behind, too."""
+    lab = fakes.Lab()
+    lab.run(2.0)
+    new_replica(lab, "d")
+    for name in "bc":
+        lab.cluster.members[name].dark = True
+    lab.run(0.3)
+    assert write(lab).reason is decisions.NOT_CONFIRMED
