Wait 15 s for a lost primary where acknowledgements are unknown

Crashed processes are back within 10 s. A commit that is known to be acknowledged is waited for as before.

--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -33,7 +33,7 @@
 
 # A primary that was lost for longer is replaced although not all
 # acknowledgements are known. A crashed process is back sooner.
-MAX_LOST_PRIMARY_S = 30.0
+MAX_LOST_PRIMARY_S = 15.0
 
 
 @attrs.frozen(slots=True)
