Hold commits back during a claim also while no primary is known

A claim without an order did not count as under way at a node that had just lost its primary: the empty names of the leader and of the ordered member were taken for the same. A commit that the old primary still answered was then confirmed without a proof. The new row of the table failed before.

--- a/packages/proxy/src/ferry_proxy/_claimed_changes.py
+++ b/packages/proxy/src/ferry_proxy/_claimed_changes.py
@@ -36,7 +36,7 @@
             leader: The primary as far as known.
             now: The current boot time, in seconds.
         """
-        leads = "" if leader is None else leader.member
+        leads = None if leader is None else leader.member
         is_claimed = now < self.claimed_until and leads != self.claimed_for
         is_ordered = now < self.ordered_until and leads != self.ordered
         return is_claimed or is_ordered
--- a/packages/proxy/src/ferry_proxy/tests/test_claimed_changes.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_claimed_changes.py
@@ -20,6 +20,7 @@
     [
         (None, None, "a", 0.0, False),
         (HELD, None, "a", 0.0, True),
+        (HELD, None, "", 0.0, True),
         (HELD, None, "a", POLICY.claim_takeover_s - 0.1, True),
         (HELD, None, "a", POLICY.claim_takeover_s, False),
         (DONE, None, "a", 0.0, False),
