Log whose news of the store a refusal rests on

Its evidence now has the age of the store's last answer to the node itself, the reporting peer, and how far both copies reach. test_currency.py: the evidence of a node that learns from a peer names it, that of a reader names none.

--- a/packages/proxy/src/ferry_proxy/_currency.py
+++ b/packages/proxy/src/ferry_proxy/_currency.py
@@ -12,6 +12,7 @@
 import typing
 
 import attrs
+import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
@@ -33,12 +34,25 @@
 
 
 class PeerInfo(typing.Protocol):
-    """The configuration version that a peer reports on its stream."""
+    """What a peer reports on its stream about its copy of the store.
+
+    Attributes:
+        peer: The name of the peer.
+        store_seen: When the store last answered the peer, or the node that the
+            peer learned it from, in the clock's seconds.
+    """
+
+    peer: str
+    store_seen: float
 
     @property
     def version(self) -> int:
         """The version of the peer's configuration; 0 for none."""
 
+    @property
+    def covered(self) -> decisions.Revision:
+        """The revision of the newest change in the peer's copy."""
+
 
 class PeerInfoSource(typing.Protocol):
     """The streams to other nodes."""
@@ -51,6 +65,10 @@
 class StoreNews(typing.Protocol):
     """Tells when the store last answered."""
 
+    @property
+    def answered_at(self) -> float:
+        """When the store last answered this node itself."""
+
     @property
     def seen_at(self) -> float:
         """When the store last answered this node or a peer that reports it."""
@@ -72,6 +90,11 @@
         store_era: The era in which the store was last read.
         store_age_s: Seconds since the store answered this node or a peer that
             reported it.
+        answer_age_s: Seconds since the store answered this node itself.
+        covered: The number of the newest change in this node's copy.
+        reporter: The peer with the newest report of an answer, if that is newer
+            than the answer to this node; empty otherwise.
+        reporter_covered: The number of the newest change in that peer's copy.
         peers: The number of connected peers.
         told_version: The newest configuration version that a peer reports.
         copy_read_s: Seconds since this node first read a store that had been
@@ -89,6 +112,10 @@
     peers: int
     told_version: int
     copy_read_s: float = math.inf
+    answer_age_s: float = math.inf
+    covered: int = 0
+    reporter: str = ""
+    reporter_covered: int = 0
 
 
 def doubt(evidence: Evidence, max_store_age_s: float) -> Doubt | None:
@@ -137,6 +164,7 @@
     def evidence(self) -> Evidence:
         """The evidence as of now."""
         origin = self._catalogue.active_configuration.origin
+        reporter = self._reporter
         return Evidence(
             version=self._catalogue.version,
             era=origin.item.revision.era if origin else 0,
@@ -148,8 +176,21 @@
             peers=len(self._mesh.streams),
             told_version=self.told_version,
             copy_read_s=self._copy_read_s,
+            answer_age_s=self._suspensions.age_s(self._news.answered_at),
+            covered=self._catalogue.covered.number,
+            reporter=reporter.peer if reporter else "",
+            reporter_covered=reporter.covered.number if reporter else 0,
         )
 
+    @property
+    def _reporter(self) -> PeerInfo | None:
+        """The peer that the newest news of the store came from, if any."""
+        streams = self._mesh.streams
+        newest = max(streams, key=lambda s: s.store_seen, default=None)
+        if newest is None or newest.store_seen <= self._news.answered_at:
+            return None
+        return newest
+
     @property
     def _copy_read_s(self) -> float:
         first = self._catalogue.first_snapshot
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -142,6 +142,11 @@
         """Makes this node watch the store until the store next answers."""
         self._is_read_requested = True
 
+    @property
+    def answered_at(self) -> float:
+        """When the store last answered this node itself."""
+        return self._answered_at
+
     @property
     def seen_at(self) -> float:
         """When the store last answered this node or a peer that reports it."""
--- a/packages/proxy/src/ferry_proxy/tests/test_currency.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_currency.py
@@ -3,6 +3,7 @@
 import math
 
 import attrs
+import ferry_decisions as decisions
 import pytest
 
 from ferry_proxy import _currency
@@ -27,6 +28,9 @@
 @attrs.frozen
 class Peer:
     version: int
+    peer: str = "n1"
+    store_seen: float = float("-inf")
+    covered: decisions.Revision = decisions.UNREAD_REVISION
 
 
 def currency(node, clock, versions=()):
@@ -127,3 +131,23 @@
     lab.store.put("members/b", b"orders")
     lab.clock.advance(0.3)
     assert doubt(found) is None
+
+
+def test_the_evidence_names_the_peer_that_the_news_came_from(lab):
+    node = lab.other
+    lab.clock.advance(1.0)
+    evidence = currency_of(node, lab.clock).evidence
+    assert evidence.reporter == lab.reader.own.name
+    assert evidence.reporter_covered == lab.reader.copy.covered.number
+    assert evidence.covered == node.copy.covered.number
+    assert evidence.answer_age_s > evidence.store_age_s
+
+
+def test_the_evidence_of_a_reader_names_no_peer(lab):
+    evidence = currency_of(lab.reader, lab.clock).evidence
+    assert evidence.reporter == ""
+    assert evidence.answer_age_s == evidence.store_age_s
+
+
+def currency_of(node, clock):
+    return _currency.Currency(clock, node.copy, node.follower, node)
--- a/packages/proxy/src/ferry_proxy/tests/test_refusals.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusals.py
@@ -28,7 +28,8 @@
     (line,) = lines()
     assert line["event"] == "RefusedByConfiguration"
     assert line["subject"] == "orders-db"
-    expected = attrs.asdict(fakes.CURRENT) | {"copy_read_s": None}
+    expected = attrs.asdict(fakes.CURRENT)
+    expected |= {"copy_read_s": None, "answer_age_s": None}
     assert line["evidence"] == expected
 
 
