Refuse for good only by a copy that is known to be complete

Callers saw a route refused, as an older configuration says, over 3 s after its change was acknowledged. A node took the newest moment at which the store had answered anybody for the age of its own copy:

- A peer reports that moment beside the newest change that it holds, and nothing tied the two: a relay vouched for changes that it had not fetched.
- The moment was that at which the answer or the report was read, not that of which it tells: late answers, and reports that waited while the process was paused, looked fresh.
- The doubt began after 3.8 s, the longest time between two answers of the store.

A copy's age now belongs to its content. A node counts it from its own reads, from when they were asked for, or from the end of the wait of a watch that brought nothing. The doubt begins at the bound itself. Watches wait for 1 s instead of 3, and a node whose peers' reports are older than 2.4 s reads the store, so that any node with a path to it is within the bound. Boot time replaces the count of the last suspension.

--- a/packages/proxy/src/ferry_proxy/_currency.py
+++ b/packages/proxy/src/ferry_proxy/_currency.py
@@ -12,11 +12,10 @@
 import typing
 
 import attrs
-import ferry_decisions as decisions
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
-from ferry_proxy import _suspensions
+from ferry_proxy import _copy_age
 
 # The time that operators need, after the store was restored from a backup, to
 # write again what the backup lacks.
@@ -27,32 +26,19 @@
     """Why a configuration may be older than the newest confirmed version."""
 
     PEER_IS_AHEAD = "a peer has a newer configuration"
-    STORE_SILENT = "no recent news of the store"
+    OLD_COPY = "no recent proof that the copy of the store is complete"
     STORE_RESTORED = (
         "the store came back from a copy that may hold an older one"
     )
 
 
 class PeerInfo(typing.Protocol):
-    """What a peer reports on its stream about its copy of the store.
-
-    Attributes:
-        peer: The name of the peer.
-        store_seen: When the store last answered the peer, or the node that the
-            peer learned it from, in the clock's seconds.
-    """
-
-    peer: str
-    store_seen: float
+    """The configuration version that a peer reports on its stream."""
 
     @property
     def version(self) -> int:
         """The version of the peer's configuration; 0 for none."""
 
-    @property
-    def covered(self) -> decisions.Revision:
-        """The revision of the newest change in the peer's copy."""
-
 
 class PeerInfoSource(typing.Protocol):
     """The streams to other nodes."""
@@ -62,16 +48,18 @@
         """One stream for each peer."""
 
 
-class StoreNews(typing.Protocol):
-    """Tells when the store last answered."""
+class StoreReads(typing.Protocol):
+    """This node's reads of the store.
 
-    @property
-    def answered_at(self) -> float:
-        """When the store last answered this node itself."""
+    Attributes:
+        copy_age: How old the state is that the copy is complete for.
+    """
+
+    copy_age: _copy_age.CopyAge
 
     @property
-    def seen_at(self) -> float:
-        """When the store last answered this node or a peer that reports it."""
+    def answered_at(self) -> float:
+        """When the store last answered this node, in the clock's seconds."""
 
 
 @attrs.frozen(slots=True, kw_only=True, repr=False, eq=False)
@@ -88,13 +76,12 @@
             configuration.
         held_s: Seconds since the item was received.
         store_era: The era in which the store was last read.
-        store_age_s: Seconds since the store answered this node or a peer that
-            reported it.
+        copy_age_s: Seconds since the newest moment that this node's copy is
+            complete for.
+        reporter: The peer that reported that moment; empty if this node's own
+            read showed it.
         answer_age_s: Seconds since the store answered this node itself.
         covered: The number of the newest change in this node's copy.
-        reporter: The peer with the newest report of an answer, if that is newer
-            than the answer to this node; empty otherwise.
-        reporter_covered: The number of the newest change in that peer's copy.
         peers: The number of connected peers.
         told_version: The newest configuration version that a peer reports.
         copy_read_s: Seconds since this node first read a store that had been
@@ -108,28 +95,27 @@
     source: str
     held_s: float
     store_era: int
-    store_age_s: float
+    copy_age_s: float
     peers: int
     told_version: int
     copy_read_s: float = math.inf
+    reporter: str = ""
     answer_age_s: float = math.inf
     covered: int = 0
-    reporter: str = ""
-    reporter_covered: int = 0
 
 
-def doubt(evidence: Evidence, max_store_age_s: float) -> Doubt | None:
+def doubt(evidence: Evidence, max_copy_age_s: float) -> Doubt | None:
     """Returns why a configuration may be outdated; None if it is current.
 
     Args:
         evidence: What is known about the configuration.
-        max_store_age_s: The longest time between two answers of a store that
-            is reachable, in seconds.
+        max_copy_age_s: The greatest age of a copy that counts as current, in
+            seconds.
     """
     if evidence.told_version > evidence.version:
         return Doubt.PEER_IS_AHEAD
-    if evidence.store_age_s > max_store_age_s:
-        return Doubt.STORE_SILENT
+    if evidence.copy_age_s > max_copy_age_s:
+        return Doubt.OLD_COPY
     if evidence.copy_read_s < RESTORE_DOUBT_S:
         return Doubt.STORE_RESTORED
     return None
@@ -142,18 +128,13 @@
         self,
         clock: _clocks.Clock,
         catalogue: _catalogue.Catalogue,
-        news: StoreNews,
+        reads: StoreReads,
         mesh: PeerInfoSource,
     ) -> None:
         self._clock = clock
         self._catalogue = catalogue
-        self._news = news
+        self._reads = reads
         self._mesh = mesh
-        self._suspensions = _suspensions.Suspensions(clock)
-
-    def update(self) -> None:
-        """Detects suspensions of this machine; has to be called often."""
-        self._suspensions.update()
 
     @property
     def told_version(self) -> int:
@@ -164,7 +145,7 @@
     def evidence(self) -> Evidence:
         """The evidence as of now."""
         origin = self._catalogue.active_configuration.origin
-        reporter = self._reporter
+        copy_age = self._reads.copy_age
         return Evidence(
             version=self._catalogue.version,
             era=origin.item.revision.era if origin else 0,
@@ -172,25 +153,15 @@
             source=origin.source if origin else "",
             held_s=self._clock.now() - origin.learned_at if origin else 0.0,
             store_era=self._catalogue.revision.era,
-            store_age_s=self._suspensions.age_s(self._news.seen_at),
+            copy_age_s=copy_age.seconds,
             peers=len(self._mesh.streams),
             told_version=self.told_version,
             copy_read_s=self._copy_read_s,
-            answer_age_s=self._suspensions.age_s(self._news.answered_at),
+            reporter=copy_age.reporter,
+            answer_age_s=self._clock.now() - self._reads.answered_at,
             covered=self._catalogue.covered.number,
-            reporter=reporter.peer if reporter else "",
-            reporter_covered=reporter.covered.number if reporter else 0,
         )
 
-    @property
-    def _reporter(self) -> PeerInfo | None:
-        """The peer that the newest news of the store came from, if any."""
-        streams = self._mesh.streams
-        newest = max(streams, key=lambda s: s.store_seen, default=None)
-        if newest is None or newest.store_seen <= self._news.answered_at:
-            return None
-        return newest
-
     @property
     def _copy_read_s(self) -> float:
         first = self._catalogue.first_snapshot
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -14,6 +14,7 @@
 
 from ferry_proxy import _catalogue
 from ferry_proxy import _clocks
+from ferry_proxy import _copy_age
 from ferry_proxy import _events
 from ferry_proxy import _policy
 from ferry_proxy import _records
@@ -39,12 +40,17 @@
 # node without this pause, 0.75 with it.
 BATCHING_PAUSE_S = 0.3
 
-# A watch is answered every 3 s while nothing changes, and after 4 s if it times
-# out, so a longer silence means that the store is unreachable.
+# A watch is answered every second while nothing changes, and peers report that
+# within another, so a longer silence means that the store is unreachable.
 MAX_STORE_AGE_S = 5.0
 
+# A node that does not watch the store reads it once the reports of its peers
+# are older than this share of the time within which a configuration has to take
+# effect. The rest is for the read itself.
+MAX_REPORT_AGE_SHARE = 0.8
 
-class PeerInfo(typing.Protocol):
+
+class PeerInfo(_copy_age.PeerInfo, typing.Protocol):
     """What a peer reports on its stream about the store.
 
     Attributes:
@@ -96,7 +102,11 @@
 
 
 class Follower:
-    """Keeps a node's copy of the store up to date."""
+    """Keeps a node's copy of the store up to date.
+
+    Attributes:
+        copy_age: How old the state is that the copy is complete for.
+    """
 
     def __init__(
         self,
@@ -113,6 +123,7 @@
         self._own = own
         self._mesh = mesh
         self._policy = policy
+        self.copy_age = _copy_age.CopyAge(clock, catalogue, mesh)
         self._needs_snapshot = True
         self._answered_at = float("-inf")
         self._last_seen_at = float("-inf")
@@ -136,7 +147,8 @@
         is_new = not self._catalogue.is_read
         if self._is_reader or self._is_read_requested or is_new:
             return True
-        return self._clock.now() - self._reported_at > MAX_STORE_AGE_S
+        max_age_s = self._policy.max_copy_age_s * MAX_REPORT_AGE_SHARE
+        return self.copy_age.reported_s > max_age_s
 
     def request_store_read(self) -> None:
         """Makes this node watch the store until the store next answers."""
@@ -202,20 +214,43 @@
     def _follow_once(self) -> "decisions.Flow[None]":
         catalogue = self._catalogue
         if self._needs_snapshot:
+            asked_at = self._clock.boot_now()
             snapshot = yield self._store.list(ALL_KEYS)
             self._note_answer()
             catalogue.merge_snapshot(snapshot, "store")
+            self._note_complete(snapshot, asked_at)
             self._needs_snapshot = False
             yield decisions.sleep(self._clock, BATCHING_PAUSE_S)
         while not self._stopped and self.is_watching:
+            wait_s, asked_at = self._watch_wait_s, self._clock.boot_now()
             changes = yield self._store.changes(
-                ALL_KEYS, catalogue.revision, self._policy.watch_wait_s
+                ALL_KEYS, catalogue.revision, wait_s
             )
             self._note_answer()
             catalogue.merge_changes(changes, "store")
+            # Only an empty answer tells when it was sent.
+            waited_s = 0.0 if changes.items else wait_s
+            self._note_complete(changes, asked_at + waited_s)
             if _is_of_nodes(changes):
                 yield decisions.sleep(self._clock, BATCHING_PAUSE_S)
 
+    @property
+    def _watch_wait_s(self) -> float:
+        """How long the next watch waits; less if the copy is old already."""
+        wait_s = self._policy.watch_wait_s
+        return min(wait_s, max(0.0, wait_s - self.copy_age.seconds))
+
+    def _note_complete(self, merged: _store.Changes, moment: float) -> None:
+        """Records a moment that the copy is complete for after a read.
+
+        Args:
+            merged: The items that were read; ignored by a copy that is in a
+                later era by now.
+            moment: The moment that they are complete for, in boot time.
+        """
+        if merged.revision.era == self._catalogue.revision.era:
+            self.copy_age.confirm(min(moment, self._clock.boot_now()))
+
     def _note_answer(self) -> None:
         self._answered_at = self._clock.now()
         self._is_read_requested = False
--- a/packages/proxy/src/ferry_proxy/_gauges.py
+++ b/packages/proxy/src/ferry_proxy/_gauges.py
@@ -103,6 +103,7 @@
     gauges: dict[str, Callable[[], float]] = {
         "sessions": session_count,
         "store_age_seconds": lambda: sources.follower.age_s,
+        "copy_age_seconds": lambda: sources.follower.copy_age.seconds,
         "store_era": lambda: catalogue.revision.era,
         "store_revision": lambda: catalogue.revision.number,
         "configuration_version": lambda: catalogue.version,
--- a/packages/proxy/src/ferry_proxy/_mesh.py
+++ b/packages/proxy/src/ferry_proxy/_mesh.py
@@ -219,9 +219,9 @@
 
     def announce(self) -> None:
         """Pings all peers at once with this node's current state."""
-        encoded = _peers.EncodedPing.of(self._handler.describe())
+        ping = self._handler.describe()
         for stream in self.streams:
-            stream.tick(encoded)
+            stream.tick(ping)
 
     def close(self) -> None:
         """Closes all streams."""
@@ -233,18 +233,18 @@
     def _tick(self) -> None:
         self._note_silences()
         self._inbound = [s for s in self._inbound if not s.closed]
-        encoded = _peers.EncodedPing.of(self._handler.describe())
+        ping = self._handler.describe()
         for stream in [*self._inbound, *self._outbound.values()]:
-            stream.tick(encoded)
+            stream.tick(ping)
         self._dial()
 
     def _ping_waiting_peers(self) -> None:
         """Pings the peers that wait for a reply from this node."""
         waiting_peers = [s for s in self.streams if s.has_pending_replies]
         if waiting_peers:
-            encoded = _peers.EncodedPing.of(self._handler.describe())
+            ping = self._handler.describe()
             for stream in waiting_peers:
-                stream.tick(encoded)
+                stream.tick(ping)
 
     def _dial(self) -> None:
         for address in list(self._outbound.keys() - self._wanted):
--- a/packages/proxy/src/ferry_proxy/_peer_handler.py
+++ b/packages/proxy/src/ferry_proxy/_peer_handler.py
@@ -64,7 +64,7 @@
     def describe(self) -> _peer_messages.Ping:
         """Returns this node's current state for its peers."""
         servable = [n for n in self.groups.groups if self.groups.can_serve(n)]
-        age_s = self.follower.age_s
+        age_s = self.follower.copy_age.seconds
         covered = self.catalogue.covered
         return _peer_messages.Ping(
             covered.era,
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -29,6 +29,7 @@
 # at least `LOAD_PROTOCOL` understand demands and load reports.
 LOAD_PROTOCOL = 1
 PROTOCOL = LOAD_PROTOCOL
+MS_PER_S = 1000
 
 
 class PeerProtocolError(Exception):
@@ -94,8 +95,8 @@
         era: The era of the newest change in the sender's copy of the store.
         covered: The number of that change.
         version: The version of the sender's configuration; 0 for none.
-        store_age_s: Seconds since the store answered the sender, or a node
-            that the sender has its data from; negative for never.
+        store_age_s: Seconds since the newest moment that the sender's copy is
+            complete for; negative for none.
         services: The groups whose statements the sender can run now.
         missed: The groups that other nodes serve and the sender has lost.
     """
@@ -128,12 +129,23 @@
     data centres.
 
     Attributes:
-        store_age_ms: Milliseconds since the store answered the sender, or a
-            node that the sender has its data from; negative for never.
+        store_age_ms: Milliseconds since the newest moment that the sender's
+            copy is complete for; negative for none.
     """
 
     store_age_ms: int
 
+    @classmethod
+    def of(cls, ping: Ping) -> "SamePing":
+        """Returns the short form of a ping."""
+        age_s = ping.store_age_s
+        return cls(round(age_s * MS_PER_S) if age_s >= 0 else -1)
+
+    @property
+    def store_age_s(self) -> float:
+        """The age in seconds; negative for none."""
+        return self.store_age_ms / MS_PER_S
+
 
 @message("sync")
 @attrs.frozen(slots=True, repr=False)
@@ -316,7 +328,7 @@
 
     Attributes:
         number: Positive for a request, its negative for the reply, and 0 for
-            a message without a reply.
+            a message without a reply. Of a ping, the echo of the peer's pings.
         body: The message.
     """
 
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -12,11 +12,11 @@
 import ferry_runtime as runtime
 
 from ferry_proxy import _peer_messages
+from ferry_proxy import _ping_echoes
 
 # A stream without data for this long is closed. Three pings are due in it.
 PEER_TIMEOUT_S = 1.6
 TCP_USER_TIMEOUT_MS = 1_500
-MS_PER_S = 1000
 
 
 class PeerLostError(Exception):
@@ -124,32 +124,6 @@
         return [streams[n] for n in self._names() if n in streams]
 
 
-@attrs.frozen(slots=True)
-class EncodedPing:
-    """A ping, encoded once for all streams.
-
-    Attributes:
-        state: The contents of the ping without the age of the store's data.
-        full: The bytes for streams on which another state was sent last.
-        short: The bytes for streams on which this state was sent last.
-    """
-
-    state: _peer_messages.Ping
-    full: bytes
-    short: bytes
-
-    @classmethod
-    def of(cls, ping: _peer_messages.Ping) -> "EncodedPing":
-        """Encodes a ping in its full and its short form."""
-        age_s = ping.store_age_s
-        age_ms = round(age_s * MS_PER_S) if age_s >= 0 else -1
-        return cls(
-            ping.state,
-            _peer_messages.encode(0, ping),
-            _peer_messages.encode(0, _peer_messages.SamePing(age_ms)),
-        )
-
-
 @attrs.frozen(slots=True)
 class _Call:
     """A request that waits for its reply.
@@ -170,8 +144,10 @@
         peer: The name of the peer; empty until its `Hello` has arrived.
         covered: The newest change in the peer's copy of the store.
         version: The version of the configuration that the peer has.
-        store_seen: When the store last answered the peer or a node that the
-            peer has its data from, in the clock's seconds.
+        store_seen: The moment that the peer's copy of the store is complete
+            for, in the clock's seconds.
+        complete_at: The same moment in boot time, or an earlier one if the
+            report may have been delayed.
         services: The groups whose statements the peer can run.
         missed: The groups that other nodes serve and the peer has lost.
         open_transactions: Transactions of this node that run over the stream.
@@ -210,6 +186,7 @@
         self.covered = decisions.UNREAD_REVISION
         self.version = 0
         self.store_seen = float("-inf")
+        self.complete_at = float("-inf")
         self.services: frozenset[str] = frozenset()
         self.missed: frozenset[str] = frozenset()
         self.open_transactions = 0
@@ -219,10 +196,11 @@
         stream.on_closed = self._end
         stream.keep_alive(TCP_USER_TIMEOUT_MS)
         self._last_sent_state: _peer_messages.Ping | None = None
+        self._echoes = _ping_echoes.PingEchoes()
         self._pending_replies = 0
         protocol = _peer_messages.PROTOCOL
         stream.send(_peer_messages.encode(protocol, _peer_messages.Hello(node)))
-        self._send_ping(EncodedPing.of(handler.describe()))
+        self._send_ping(handler.describe())
 
     @property
     def closed(self) -> bool:
@@ -286,22 +264,25 @@
         """Sends a message that has no reply."""
         self._stream.send(_peer_messages.encode(0, body))
 
-    def tick(self, encoded: EncodedPing) -> None:
+    def tick(self, ping: _peer_messages.Ping) -> None:
         """Sends a ping, or closes the stream if the peer has timed out."""
         if self.silence_s > PEER_TIMEOUT_S:
             self._fail("silent")
         elif not self.closed:
-            self._send_ping(encoded)
+            self._send_ping(ping)
 
     @property
     def has_pending_replies(self) -> bool:
         """Whether the peer waits for a reply from this node."""
         return self._pending_replies > 0 and not self.closed
 
-    def _send_ping(self, encoded: EncodedPing) -> None:
-        is_same = encoded.state == self._last_sent_state
-        self._last_sent_state = encoded.state
-        self._stream.send(encoded.short if is_same else encoded.full)
+    def _send_ping(self, ping: _peer_messages.Ping) -> None:
+        state = ping.state
+        is_same = state == self._last_sent_state
+        self._last_sent_state = state
+        body = _peer_messages.SamePing.of(ping) if is_same else ping
+        self._echoes.note_sent(self._loop.boot_now())
+        self._stream.send(_peer_messages.encode(self._echoes.echo, body))
 
     def close(self) -> None:
         """Closes the stream."""
@@ -327,11 +308,11 @@
         elif isinstance(body, _peer_messages.Ping):
             self.covered = body.newest
             self.version = body.version
-            self._update_store_seen(body.store_age_s)
+            self._note_report(envelope.number, body.store_age_s)
             self.services = frozenset(body.services)
             self.missed = frozenset(body.missed)
         elif isinstance(body, _peer_messages.SamePing):
-            self._update_store_seen(body.store_age_ms / MS_PER_S)
+            self._note_report(envelope.number, body.store_age_s)
         elif envelope.number < 0:
             call = self._calls.pop(-envelope.number, None)
             if call is not None:
@@ -339,14 +320,20 @@
         else:
             self._send_answer(envelope.number, self._handler.answer(self, body))
 
-    def _update_store_seen(self, age_s: float) -> None:
-        """Records when the store last answered the peer.
+    def _note_report(self, echo: int, age_s: float) -> None:
+        """Records the moment that the peer's copy is complete for.
 
         Args:
-            age_s: Seconds since then; negative if it never has.
+            echo: How many pings the peer had received, modulo a constant.
+            age_s: Seconds since that moment; negative if there is none.
         """
-        if age_s >= 0:
-            self.store_seen = self._heard_at - age_s
+        self._echoes.note_received()
+        if age_s < 0:
+            return
+        self.store_seen = self._heard_at - age_s
+        sent_at = self._echoes.sent_at(echo)
+        if sent_at is not None:
+            self.complete_at = sent_at - age_s
 
     def _send_answer(
         self,
--- a/packages/proxy/src/ferry_proxy/_policy.py
+++ b/packages/proxy/src/ferry_proxy/_policy.py
@@ -37,6 +37,11 @@
 # that fires late.
 DRAIN_MARGIN_S = 1.0
 
+# The longest wait of a watch, as a share of the time within which a
+# configuration has to take effect. The rest is for reports on their way from
+# node to node.
+WATCH_WAIT_SHARE = 1 / 3
+
 # The number of missed heartbeats after which the platform unlists a member.
 LAPSE_HEARTBEATS = 3
 
@@ -121,10 +126,12 @@
             floors for this long sends callers to other nodes. Peers send a
             message every 0.5 s, and floors arrive every 0.4 s. With 0.9 s,
             callers of a data centre that was cut off recovered 0.3 s later.
-        watch_wait_s: How long a watch of the store waits for changes. A watch
-            that has failed silently goes unnoticed for that long; peers report
-            changes meanwhile.
+        watch_wait_s: How long a watch of the store waits for changes. Copies
+            of the store grow that old in calm, and a watch that has failed
+            silently goes unnoticed for that long.
         store_timeout_s: How much longer than that a store call may take.
+        max_copy_age_s: The age up to which a copy of the store counts as
+            current: the time within which a configuration has to take effect.
         drain_s: How long a member that is leaving may receive statements.
         entry_lapse_s: How long the platform keeps a silent member listed;
             three heartbeats.
@@ -162,8 +169,9 @@
     return_grace_s: float = attrs.field(default=2.5, validator=_positive)
     idle_probe_s: float = attrs.field(default=1.5, validator=_positive)
     isolated_s: float = attrs.field(default=0.7, validator=_positive)
-    watch_wait_s: float = attrs.field(default=3.0, validator=_positive)
+    watch_wait_s: float = attrs.field(default=1.0, validator=_positive)
     store_timeout_s: float = attrs.field(default=0.8, validator=_positive)
+    max_copy_age_s: float = attrs.field(default=3.0, validator=_positive)
     drain_s: float = attrs.field(default=6.0, validator=_positive)
     entry_lapse_s: float = attrs.field(default=3.6, validator=_positive)
     has_teams: bool = False
@@ -180,11 +188,6 @@
         factory=dict, validator=_known_features
     )
 
-    @property
-    def max_store_age_s(self) -> float:
-        """The longest time between two answers of a store that is reachable."""
-        return self.watch_wait_s + self.store_timeout_s
-
     def within(self, bounds: Bounds) -> "Policy":
         """Returns a copy that meets the platform's requirements."""
         spare = bounds.drain_s - DRAIN_MARGIN_S
@@ -192,7 +195,10 @@
             self,
             drain_s=max(spare, bounds.drain_s / 2),
             entry_lapse_s=LAPSE_HEARTBEATS * bounds.heartbeat_s,
-            watch_wait_s=min(self.watch_wait_s, bounds.configuration_s),
+            watch_wait_s=min(
+                self.watch_wait_s, bounds.configuration_s * WATCH_WAIT_SHARE
+            ),
+            max_copy_age_s=min(self.max_copy_age_s, bounds.configuration_s),
             has_teams=bounds.has_teams,
             limit_window_s=bounds.limit_window_s,
             limit_overage=bounds.limit_overage,
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -84,7 +84,7 @@
         )
         self._roster = _roster.Roster(loop, self.catalogue, self._own.name)
         refusals = _refusals.Refusals(
-            lambda: self._currency.evidence, policy.max_store_age_s
+            lambda: self._currency.evidence, policy.max_copy_age_s
         )
         access = _access.Access(
             policy.has_teams, lambda: self.catalogue.configuration, refusals
@@ -343,7 +343,6 @@
     # -- periodic work ---------------------------------------------------
 
     def _check(self) -> None:
-        self._currency.update()
         self.reach.evaluate()
         self._rate_limiter.check()
         self._groups.check()
--- a/packages/proxy/src/ferry_proxy/_refusals.py
+++ b/packages/proxy/src/ferry_proxy/_refusals.py
@@ -15,12 +15,12 @@
 
     Attributes:
         evidence: Returns how current the configuration is.
-        max_store_age_s: The longest time without news of a store that is
-            reachable, in seconds.
+        max_copy_age_s: The greatest age of a copy of the store that counts as
+            current, in seconds.
     """
 
     evidence: Callable[[], _currency.Evidence]
-    max_store_age_s: float
+    max_copy_age_s: float
 
     def of(
         self, reason: decisions.Reason, subject: str
@@ -35,7 +35,7 @@
             subject: The database or the key that is missing.
         """
         evidence = self.evidence()
-        why = _currency.doubt(evidence, self.max_store_age_s)
+        why = _currency.doubt(evidence, self.max_copy_age_s)
         _events.emit(
             _events.RefusedByConfiguration(
                 reason.name, subject, why.value if why else "", evidence
--- a/packages/proxy/src/ferry_proxy/tests/configuration_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/configuration_lab.py
@@ -148,7 +148,7 @@
             self.clock, self.copy, self.follower,
             nothing, nothing, nothing, nothing,
         )  # fmt: skip
-        self.max_store_age_s = lab.policy.max_store_age_s
+        self.max_copy_age_s = lab.policy.max_copy_age_s
         ticker = decisions.Ticker(self.clock, CHECK_S)
         self.mesh.open(self.handler, ticker)
         ticker.subscribe(CHECK_S, self._check)
@@ -162,7 +162,6 @@
         self.mesh.want(())
 
     def _check(self):
-        self.currency.update()
         self._connect()
         state = self.handler.describe().state
         if state != self._told:
@@ -181,7 +180,7 @@
     @property
     def doubt(self):
         evidence = self.currency.evidence
-        return _currency.doubt(evidence, self.max_store_age_s)
+        return _currency.doubt(evidence, self.max_copy_age_s)
 
 
 @attrs.frozen
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -625,12 +625,12 @@
     source="store",
     held_s=60.0,
     store_era=0,
-    store_age_s=0.1,
+    copy_age_s=0.1,
     peers=2,
     told_version=1,
 )
-MAX_STORE_AGE_S = 3.8
-REFUSALS = _refusals.Refusals(lambda: CURRENT, MAX_STORE_AGE_S)
+MAX_COPY_AGE_S = 3.0
+REFUSALS = _refusals.Refusals(lambda: CURRENT, MAX_COPY_AGE_S)
 
 
 class Lab:
@@ -666,7 +666,7 @@
         )
         self.evidence = CURRENT
         self.refusals = _refusals.Refusals(
-            lambda: self.evidence, MAX_STORE_AGE_S
+            lambda: self.evidence, MAX_COPY_AGE_S
         )
         self.ctx = _sessions.SessionContext(
             self.clock,
--- a/packages/proxy/src/ferry_proxy/tests/test_currency.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_currency.py
@@ -11,7 +11,7 @@
 from ferry_proxy.tests import test_followers
 from ferry_proxy.tests import test_restored_configuration
 
-LIMIT_S = 3.8
+LIMIT_S = 3.0
 
 
 @attrs.define
@@ -28,9 +28,6 @@
 @attrs.frozen
 class Peer:
     version: int
-    peer: str = "n1"
-    store_seen: float = float("-inf")
-    covered: decisions.Revision = decisions.UNREAD_REVISION
 
 
 def currency(node, clock, versions=()):
@@ -93,8 +90,8 @@
         ({}, None),
         ({"told_version": 2}, _currency.Doubt.PEER_IS_AHEAD),
         ({"told_version": 2, "version": 2}, None),
-        ({"store_age_s": 3.9}, _currency.Doubt.STORE_SILENT),
-        ({"store_age_s": 3.7}, None),
+        ({"copy_age_s": 3.1}, _currency.Doubt.OLD_COPY),
+        ({"copy_age_s": 2.9}, None),
         ({"copy_read_s": 9.9}, _currency.Doubt.STORE_RESTORED),
         ({"copy_read_s": 10.1}, None),
     ],
@@ -104,49 +101,46 @@
     assert _currency.doubt(evidence, LIMIT_S) is expected
 
 
-@attrs.define
-class SuspendedClock:
-    """A clock whose monotonic time stops while its machine is suspended."""
-
-    lab: test_followers.Lab
-    suspended_s: float = 0.0
+class SuspendableTimers(decisions.VirtualTimers):
+    """Timers whose monotonic time stops while the machine is suspended."""
 
-    def now(self):
-        return self.lab.clock.now()
+    suspended_s = 0.0
 
     def boot_now(self):
-        return self.lab.clock.now() + self.suspended_s
+        return self.now() + self.suspended_s
+
 
-    def after(self, delay, callback):
-        return self.lab.clock.after(delay, callback)
+class SuspendableLab(test_followers.Lab):
+    """Nodes on a machine that may be suspended."""
+
+    timers = SuspendableTimers
 
 
 def test_news_from_before_a_suspension_are_old_news():
-    lab = test_followers.Lab()
-    clock = SuspendedClock(lab)
-    found = currency(lab.reader, clock)
+    lab = SuspendableLab()
+    assert isinstance(lab.clock, SuspendableTimers)
+    found = currency(lab.reader, lab.clock)
     assert doubt(found) is None
-    clock.suspended_s = 5.0
-    assert doubt(found) is _currency.Doubt.STORE_SILENT
+    lab.clock.suspended_s = 5.0
+    assert doubt(found) is _currency.Doubt.OLD_COPY
     lab.store.put("members/b", b"orders")
     lab.clock.advance(0.3)
     assert doubt(found) is None
 
 
-def test_the_evidence_names_the_peer_that_the_news_came_from(lab):
+def test_the_evidence_names_the_peer_that_reported_the_age(lab):
     node = lab.other
     lab.clock.advance(1.0)
     evidence = currency_of(node, lab.clock).evidence
     assert evidence.reporter == lab.reader.own.name
-    assert evidence.reporter_covered == lab.reader.copy.covered.number
     assert evidence.covered == node.copy.covered.number
-    assert evidence.answer_age_s > evidence.store_age_s
+    assert evidence.answer_age_s > evidence.copy_age_s
 
 
 def test_the_evidence_of_a_reader_names_no_peer(lab):
     evidence = currency_of(lab.reader, lab.clock).evidence
     assert evidence.reporter == ""
-    assert evidence.answer_age_s == evidence.store_age_s
+    assert evidence.answer_age_s <= evidence.copy_age_s
 
 
 def currency_of(node, clock):
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -30,7 +30,8 @@
     Attributes:
         peer: The name of the peer.
         peer_copy: The peer's copy.
-        store_seen: When the store last answered the peer.
+        store_seen: The moment that the peer's copy is complete for.
+        complete_at: The same moment in boot time.
         silence_s: How long the peer has been silent.
         unresponsive_s: How long the peer has been silent while it owes a reply.
         calls: The number of calls so far.
@@ -41,6 +42,7 @@
     peer: str
     peer_copy: _catalogue.Catalogue
     store_seen: float = float("-inf")
+    complete_at: float = float("-inf")
     silence_s: float = 0.0
     unresponsive_s: float = 0.0
     calls: int = 0
@@ -96,7 +98,9 @@
         for stream in self.streams:
             for node in self._lab.readers:
                 if stream.peer_copy is node.copy:
-                    stream.store_seen = node.follower.seen_at
+                    age_s = node.follower.copy_age.seconds
+                    stream.store_seen = self._lab.clock.now() - age_s
+                    stream.complete_at = stream.store_seen
         self.registrar.update()
 
 
@@ -128,9 +132,10 @@
     """Four nodes of a data centre: three watch the store, one does not."""
 
     layout = LAYOUT
+    timers = decisions.VirtualTimers
 
     def __init__(self) -> None:
-        self.clock = decisions.VirtualTimers()
+        self.clock = self.timers()
         self.policy = _policy.Policy()
         self.store = fakes.FakeStore(self.clock)
         self.store.put("members/a", b"orders")
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _opinion_messages
 from ferry_proxy import _peer_messages
 from ferry_proxy import _peers
+from ferry_proxy import _ping_echoes
 from ferry_proxy import _records
 
 GROUPS = [f"group{n}" for n in range(10)]
@@ -27,6 +28,9 @@
     def now(self) -> float:
         return self.time
 
+    def boot_now(self) -> float:
+        return self.time
+
 
 class FakeStream:
     """One end of a pair; what it sends arrives at the other end at once."""
@@ -90,7 +94,7 @@
         """Sends a ping half a second later and returns its bytes."""
         self.loop.time += 0.5
         self.handler.ping = attrs.evolve(self.handler.ping, **changes)
-        self.sender.tick(_peers.EncodedPing.of(self.handler.ping))
+        self.sender.tick(self.handler.ping)
         return bytes(self.raw.sent[-1])
 
     @property
@@ -155,8 +159,7 @@
     pair.sender.peer = "b"
     mesh._inbound.append(pair.sender)
     ticker.subscribe(_mesh.PENDING_REPLY_PING_S, mesh._ping_waiting_peers)
-    encoded = _peers.EncodedPing.of(IDLE_PING)
-    ticker.subscribe(_mesh.PING_S, lambda: pair.receiver.tick(encoded))
+    ticker.subscribe(_mesh.PING_S, lambda: pair.receiver.tick(IDLE_PING))
     pair.receiver.call(_peer_messages.SyncRequest(0, 0, 0))
     for _ in range(40):
         timers.advance(0.05)
@@ -173,7 +176,7 @@
     assert pair.names_seen == ["a"]
     fut = pair.receiver.call(_peer_messages.SyncRequest(0, 0, 0))
     pair.loop.time += _peers.PEER_TIMEOUT_S + 0.1
-    pair.receiver.tick(_peers.EncodedPing.of(IDLE_PING))
+    pair.receiver.tick(IDLE_PING)
     assert pair.receiver.closed
     assert len(pair.names_seen) == 2
     assert isinstance(fut.exception(), _peers.PeerLostError)
@@ -214,3 +217,38 @@
     assert not pair.receiver.understands_load
     first = _peer_messages.Decoder().feed(pair.raw.sent[0])[0]
     assert first.body == _peer_messages.Hello("a")
+
+
+def test_a_delayed_report_is_as_old_as_the_last_ping_that_it_returns():
+    pair = Pair()
+    far = pair.raw.other
+    pair.receiver.tick(IDLE_PING)
+    returned_at = pair.loop.time
+    deliver = far.on_data
+    delayed: list[bytes] = []
+    far.on_data = delayed.append
+    pair.tick(store_age_s=0.25)
+    pair.receiver.tick(IDLE_PING)
+    pair.loop.time += 1.0
+    for data in delayed:
+        deliver(data)
+    assert pair.receiver.complete_at == returned_at - 0.25
+
+
+def test_a_build_that_returns_no_pings_proves_nothing():
+    pair = Pair()
+    pair.raw.other.on_data(_peer_messages.encode(0, IDLE_PING))
+    assert pair.receiver.complete_at == float("-inf")
+
+
+@pytest.mark.parametrize("count", [1, 2, 126, 127, 128, 254, 255, 1000])
+@pytest.mark.parametrize("under_way", [0, 1, 60])
+def test_echoes_name_the_ping_that_they_return(count, under_way):
+    near, far = _ping_echoes.PingEchoes(), _ping_echoes.PingEchoes()
+    for number in range(1, count + 1):
+        near.note_sent(float(number))
+        far.note_received()
+    echo = far.echo
+    for number in range(under_way):
+        near.note_sent(float(count + 1 + number))
+    assert near.sent_at(echo) == count
--- a/packages/proxy/src/ferry_proxy/tests/test_refusals.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_refusals.py
@@ -47,7 +47,7 @@
 
 OUTDATED_EVIDENCE = [
     {"told_version": 2},
-    {"store_age_s": 60.0},
+    {"copy_age_s": 60.0},
     {"era": 1, "store_era": 1, "copy_read_s": 0.2},
 ]
 
