Doubt a restored configuration that is only newer than one's own

Callers saw a route refused for good after the store came back from a copy: a node that had missed changes held version 1, the copy held 2, and 3 had been acknowledged and lost. The node took 2, newer than its own, for one that was written after the restore, and had no doubt until the operator wrote again. That a version is new to a node says nothing of when it was written; only a revision above the first one read in the era does.

The case in test_currency.py that demanded no doubt in this state held the fault; it now demands the doubt, and its end as the operator writes. Its price: who names a database that never was is told to come back for up to 10 s also where the operator had written before the node first read.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -70,13 +70,10 @@
     Attributes:
         revision: The store's revision at the time.
         read_at: When it was read, in the clock's seconds.
-        has_newer_version: Whether it held a newer configuration than the one
-            that was active here before.
     """
 
     revision: decisions.Revision
     read_at: float
-    has_newer_version: bool = False
 
 
 class Catalogue:
@@ -252,7 +249,6 @@
             and item.revision <= snapshot.revision
         ]
         known = self.revision
-        version = self.version
         is_first = self.first_snapshot is None
         is_restored = snapshot.revision.era > known.era
         if is_restored:
@@ -261,9 +257,8 @@
         self._advance(snapshot)
         taken = self.take((*snapshot.items, *deleted), source)
         if is_first or is_restored:
-            has_newer_version = 0 < version < self.version
             self.first_snapshot = SnapshotRead(
-                snapshot.revision, self._clock.now(), has_newer_version
+                snapshot.revision, self._clock.now()
             )
         listed = len(snapshot.items)
         _events.emit(
--- a/packages/proxy/src/ferry_proxy/_currency.py
+++ b/packages/proxy/src/ferry_proxy/_currency.py
@@ -168,6 +168,6 @@
         origin = self._catalogue.active_configuration.origin
         if first is None or not first.revision.era or origin is None:
             return math.inf
-        if first.has_newer_version or origin.item.revision > first.revision:
+        if origin.item.revision > first.revision:
             return math.inf  # It was written after the restore.
         return self._clock.now() - first.read_at
--- a/packages/proxy/src/ferry_proxy/tests/test_confirmed_configurations.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_confirmed_configurations.py
@@ -47,6 +47,7 @@
     """
     isolate(lab, behind)
     behind.store.rejects_calls = True
+    lab.run(lab.policy.watch_wait_s + 1.0)
     lab.change()
     copy = lab.store.copy()
     lab.change()
--- a/packages/proxy/src/ferry_proxy/tests/test_currency.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_currency.py
@@ -61,13 +61,15 @@
     assert doubt(found) is None
 
 
-def test_a_newer_configuration_than_before_was_written_since(lab):
+def test_a_newer_configuration_than_before_may_be_older_than_a_lost_one(lab):
     found = currency(lab.reader, lab.clock)
-    copy = lab.store.copy()
-    lab.store.restore(copy)
+    lab.store.restore(lab.store.copy())
     lab.store.put("config", b"11")
     lab.clock.advance(lab.policy.watch_wait_s + 1.0)
     assert lab.reader.copy.revision.era == 2
+    assert doubt(found) is _currency.Doubt.STORE_RESTORED
+    lab.store.put("config", b"12")
+    lab.clock.advance(0.3)
     assert doubt(found) is None
 
 
