Count a deletion as covered by the full read that showed it

A node that learns from peers kept a member that had left the list: the reader had missed the deletion, read all items, and reported the newest change that is still an item. Both copies then looked alike, until the next change; the reader also vouched for a state that the other copy did not hold. A full read covers its own revision, deletions included.

test_a_deletion_that_a_peer_saw_only_in_a_full_read_spreads failed before.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -255,6 +255,8 @@
             self._begin_era(snapshot.revision.era, source)
         self._complete_since = max(self._complete_since, snapshot.revision)
         self._advance(snapshot)
+        # The newest change may be a deletion, which leaves no item.
+        self.covered = max(self.covered, snapshot.revision)
         taken = self.take((*snapshot.items, *deleted), source)
         if is_first or is_restored:
             self.first_snapshot = SnapshotRead(
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -398,3 +398,16 @@
     row = (key, value[:cut], number, True)
     with pytest.raises(_peer_messages.PeerProtocolError):
         _ = _peer_messages.SyncReply([row], 0, 7, 7, False, None).batch
+
+
+def test_a_deletion_that_a_peer_saw_only_in_a_full_read_spreads():
+    lab = Lab()
+    lab.reader.store.rejects_calls = True
+    lab.clock.advance(lab.policy.watch_wait_s + 0.5)
+    lab.store.delete("members/a")
+    left = tuple(i for i in lab.store.items.values() if i.value is not None)
+    snapshot = _store.Changes(left, lab.store.revision)
+    lab.reader.copy.merge_snapshot(snapshot, "store")
+    assert lab.reader.copy.members == {}
+    lab.settle()
+    assert lab.other.copy.members == {}
