--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -54,8 +54,8 @@
     """What a peer reports on its stream about the store.
 
     Attributes:
-        store_seen: When the store last answered the peer, or the node that the
-            peer learned it from, in the clock's seconds.
+        store_seen: The moment that the peer's copy is complete for, in the
+            clock's seconds.
     """
 
     store_seen: float
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import functools
+import math
 import typing
 import zlib
 
@@ -137,9 +138,9 @@
 
     @classmethod
     def of(cls, ping: Ping) -> "SamePing":
-        """Returns the short form of a ping."""
+        """Returns the short form of a ping, with its age rounded up."""
         age_s = ping.store_age_s
-        return cls(round(age_s * MS_PER_S) if age_s >= 0 else -1)
+        return cls(math.ceil(age_s * MS_PER_S) if age_s >= 0 else -1)
 
     @property
     def store_age_s(self) -> float:
