--- a/packages/proxy/src/ferry_proxy/tests/test_copy_age.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_copy_age.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ferry_proxy import _copy_age
+from ferry_proxy import _store
 from ferry_proxy.tests import fakes
 from ferry_proxy.tests import test_restored_configuration
 
@@ -41,7 +42,8 @@
 def age(*streams):
     clock = decisions.VirtualTimers(NOW_S)
     copy: typing.Any = Copy()
-    return _copy_age.CopyAge(clock, copy, Mesh(list(streams)))
+    mesh: typing.Any = Mesh(list(streams))
+    return _copy_age.CopyAge(clock, copy, mesh)
 
 
 @pytest.mark.parametrize(
@@ -131,6 +133,17 @@
 def test_a_full_read_tells_of_the_time_at_which_it_was_asked_for():
     lab, follower = reader_with_slow_store()
     lab.store.restore(lab.store.copy())
-    wait_for_answer(lab, follower)
-    assert lab.reader.copy.revision.era == lab.store.era
+    while lab.reader.copy.revision.era < lab.store.era:
+        wait_for_answer(lab, follower)
     assert follower.copy_age.seconds >= ANSWER_DELAY_S
+
+
+def test_an_answer_of_an_earlier_era_tells_of_no_moment():
+    lab, follower = reader_with_slow_store()
+    wait_for_answer(lab, follower)
+    later = fakes.at(lab.store.number, era=lab.store.era + 1)
+    lab.reader.copy.merge_snapshot(_store.Changes((), later), "peer")
+    age_s, before = follower.copy_age.seconds, lab.clock.now()
+    wait_for_answer(lab, follower)
+    elapsed_s = lab.clock.now() - before
+    assert follower.copy_age.seconds == pytest.approx(age_s + elapsed_s)
