Read the store when one's own copy becomes old, not each peer's report

A node several hops from a reader has reports older than 2.4 s at most times, and read the store each second for as long. What has to stay young is its own copy, which a single read renews for 2.4 s, and its peers' with it.

--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -1,8 +1,9 @@
 """Follows the store with a single watch over all keys.
 
 A few nodes of each data centre watch the store. The others learn of changes
-from peers, and watch the store themselves only while no peer has recent news of
-it. The number of store calls therefore does not grow with the fleet.
+from peers. They read the store themselves only when their copy becomes old, and
+watch it while no peer has recent news of it. Store calls are therefore far fewer
+than nodes.
 """
 
 from collections.abc import Iterable
@@ -44,10 +45,10 @@
 # within another, so a longer silence means that the store is unreachable.
 MAX_STORE_AGE_S = 5.0
 
-# A node that does not watch the store reads it once the reports of its peers
-# are older than this share of the time within which a configuration has to take
-# effect. The rest is for the read itself.
-MAX_REPORT_AGE_SHARE = 0.8
+# A node that does not watch the store reads it once its copy is older than this
+# share of the time within which a configuration has to take effect. The rest is
+# for the read itself.
+MAX_COPY_AGE_SHARE = 0.8
 
 
 class PeerInfo(_copy_age.PeerInfo, typing.Protocol):
@@ -147,8 +148,9 @@
         is_new = not self._catalogue.is_read
         if self._is_reader or self._is_read_requested or is_new:
             return True
-        max_age_s = self._policy.max_copy_age_s * MAX_REPORT_AGE_SHARE
-        return self.copy_age.reported_s > max_age_s
+        max_age_s = self._policy.max_copy_age_s * MAX_COPY_AGE_SHARE
+        is_copy_old = self.copy_age.seconds > max_age_s
+        return is_copy_old or self.copy_age.reported_s > MAX_STORE_AGE_S
 
     def request_store_read(self) -> None:
         """Makes this node watch the store until the store next answers."""
--- a/packages/proxy/src/ferry_proxy/tests/test_followers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_followers.py
@@ -222,6 +222,16 @@
     assert lab.other.store.calls == []
 
 
+def test_a_node_reads_the_store_before_its_copy_is_too_old():
+    lab = Lab()
+    lab.reader.store.rejects_calls = True
+    lab.other.store.calls.clear()
+    for _ in range(100):
+        lab.clock.advance(0.05)
+        assert lab.other.follower.copy_age.seconds < lab.policy.max_copy_age_s
+    assert 1 <= lab.other.store.calls.count("changes") <= 3
+
+
 def test_a_node_without_peers_watches():
     lab = Lab()
     lab.other.streams.clear()
