--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -2,8 +2,8 @@
 
 A few nodes of each data centre watch the store. The others learn of changes
 from peers. They read the store themselves only when their copy becomes old, and
-watch it while no peer has recent news of it. Store calls are therefore far fewer
-than nodes.
+watch it while no peer has recent news of it, so store calls are far fewer than
+nodes.
 """
 
 from collections.abc import Iterable
