--- a/packages/proxy/src/ferry_proxy/tests/configuration_lab.py
+++ b/packages/proxy/src/ferry_proxy/tests/configuration_lab.py
@@ -1,6 +1,7 @@
 """Nodes that follow configurations, in virtual time, amid random faults."""
 
 from collections.abc import Callable
+import functools
 import random
 import typing
 
@@ -92,7 +93,7 @@
 
     def _answer(self, inner, out):
         if not self.is_silent:
-            deliver = lambda: decisions.forward(inner, out)  # noqa: E731
+            deliver = functools.partial(decisions.forward, inner, out)
             self._clock.after(self.answer_delay_s, deliver)
 
 
@@ -149,6 +150,7 @@
             nothing, nothing, nothing, nothing,
         )  # fmt: skip
         self.max_copy_age_s = lab.policy.max_copy_age_s
+        self.newest_version = 0
         ticker = decisions.Ticker(self.clock, CHECK_S)
         self.mesh.open(self.handler, ticker)
         ticker.subscribe(CHECK_S, self._check)
@@ -184,8 +186,8 @@
 
 
 @attrs.frozen
-class Refusal:
-    """A running node would refuse for good what was acknowledged."""
+class Finding:
+    """A running node had an older version than the one required of it."""
 
     at: float
     node: str
@@ -200,6 +202,7 @@
     Attributes:
         refusals: Nodes without a doubt that lacked an acknowledged version.
         late: Calm nodes that had an older version than the acknowledged one.
+        regressions: Nodes that had a newer version before.
     """
 
     def __init__(self, monkeypatch, places) -> None:
@@ -221,8 +224,9 @@
         self.seeds = [(e.host, e.port) for e in self.entries[:3]]
         self.operator_version = 0
         self.acknowledged: list[tuple[float, int]] = []
-        self.refusals: list[Refusal] = []
-        self.late: list[Refusal] = []
+        self.refusals: list[Finding] = []
+        self.late: list[Finding] = []
+        self.regressions: list[Finding] = []
         self.disturbed_until: dict[str, float] = {}
         self.change()
         self.nodes = {e.name: Node(self, e) for e in self.entries}
@@ -274,18 +278,24 @@
             self._ask_node(node)
 
     def _ask_node(self, node):
+        if not node.is_running or not node.version:
+            return
+        if node.version < node.newest_version:
+            self.regressions.append(self._finding(node, node.newest_version))
+        node.newest_version = max(node.newest_version, node.version)
         required = self.required()
-        if not node.is_running or not node.version or node.version >= required:
+        if node.version >= required:
             return
-        now = round(self.timers.now(), 3)
-        found = Refusal(
-            now, node.name, node.version, required, node.currency.evidence
-        )
         if node.doubt is None:
-            self.refusals.append(found)
+            self.refusals.append(self._finding(node, required))
         calm_since = self.disturbed_until.get(node.name, node.started_at)
-        if now - calm_since > CALM_S:
-            self.late.append(found)
+        if self.timers.now() - calm_since > CALM_S:
+            self.late.append(self._finding(node, required))
+
+    def _finding(self, node, required):
+        at = round(self.timers.now(), 3)
+        evidence = node.currency.evidence
+        return Finding(at, node.name, node.version, required, evidence)
 
 
 # Nodes have to learn of changes from peers while the store rejects them.
@@ -326,7 +336,7 @@
         if field not in HARMLESS:
             self.lab.disturb(node.name, seconds)
         setattr(node.store, field, value)
-        heal = lambda: setattr(node.store, field, usual)  # noqa: E731
+        heal = functools.partial(setattr, node.store, field, usual)
         self.lab.timers.after(seconds, heal)
 
     def disturb_all(self, seconds):
@@ -382,7 +392,9 @@
         return
     lab.store.down = True
     faults.disturb_all(seconds)
-    lab.timers.after(seconds, lambda: setattr(lab.store, "down", False))
+    lab.timers.after(
+        seconds, functools.partial(setattr, lab.store, "down", False)
+    )
 
 
 @_kind
@@ -443,7 +455,7 @@
 def copies_withheld(faults):
     node = faults.node()
     node.handler.withholds_copies = True
-    heal = lambda: setattr(node.handler, "withholds_copies", False)  # noqa: E731
+    heal = functools.partial(setattr, node.handler, "withholds_copies", False)
     faults.lab.timers.after(faults.seconds(), heal)
 
 
--- a/packages/proxy/src/ferry_proxy/tests/configuration_search.py
+++ b/packages/proxy/src/ferry_proxy/tests/configuration_search.py
@@ -11,7 +11,11 @@
 
 def _findings(lab: configuration_lab.Lab) -> list[str]:
     """Returns a line for the first finding of each kind, node and version."""
-    kinds = {"refused for good": lab.refusals, "late": lab.late}
+    kinds = {
+        "refused for good": lab.refusals,
+        "late": lab.late,
+        "went back": lab.regressions,
+    }
     lines: dict[tuple[str, str, int], str] = {}
     for kind, found in kinds.items():
         for case in found:
@@ -19,7 +23,7 @@
             lines.setdefault(
                 (kind, case.node, case.required),
                 f"{case.at:.2f} {case.node} {kind}: version {case.version},"
-                f" {case.required} confirmed; copy {evidence.copy_age_s:.2f} s"
+                f" {case.required} required; copy {evidence.copy_age_s:.2f} s"
                 f" old by {evidence.reporter or 'its own read'}, era"
                 f" {evidence.store_era}, told {evidence.told_version}",
             )
--- a/packages/proxy/src/ferry_proxy/tests/test_confirmed_configurations.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_confirmed_configurations.py
@@ -171,3 +171,4 @@
     lab = configuration_lab.play(monkeypatch, seed)
     assert lab.refusals == []
     assert lab.late == []
+    assert lab.regressions == []
