Never take an old echo for a newer ping

An echo was looked up modulo 127 from the newest ping back. With 127 pings or more waiting behind a large message on a narrow link, an old echo named a recent ping, and the report it came with looked younger than it was: the node could refuse a route for good by it. Echoes are now counted on from the one before, so an ambiguous one names an earlier ping or none.

test_echoes_name_the_ping_that_they_return returned only the last of up to 1,000 pings, which is the ambiguous case; it now returns each, as streams do, and asks at each.

--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -41,8 +41,8 @@
 # node without this pause, 0.75 with it.
 BATCHING_PAUSE_S = 0.3
 
-# A watch is answered every second while nothing changes, and peers report that
-# within another, so a longer silence means that the store is unreachable.
+# A watch is answered every second while nothing changes, and reports of it take
+# up to a second a hop. A longer silence means that the store is unreachable.
 MAX_STORE_AGE_S = 5.0
 
 # A node that does not watch the store reads it once its copy is older than this
--- a/packages/proxy/src/ferry_proxy/_peers.py
+++ b/packages/proxy/src/ferry_proxy/_peers.py
@@ -331,7 +331,7 @@
         if age_s < 0:
             return
         self.store_seen = self._heard_at - age_s
-        sent_at = self._echoes.sent_at(echo)
+        sent_at = self._echoes.note_returned(echo)
         if sent_at is not None:
             self.complete_at = sent_at - age_s
 
--- a/packages/proxy/src/ferry_proxy/_ping_echoes.py
+++ b/packages/proxy/src/ferry_proxy/_ping_echoes.py
@@ -7,8 +7,7 @@
 
 import collections
 
-# Counts are sent modulo this, so that they take one byte. A stream on which so
-# many pings are under way has been closed as silent long before.
+# Counts are sent modulo this, so that they take one byte.
 COUNT_CYCLE = 127
 
 
@@ -21,6 +20,7 @@
             maxlen=COUNT_CYCLE
         )
         self._received_count = 0
+        self._returned_count = 0
 
     @property
     def echo(self) -> int:
@@ -36,16 +36,26 @@
         """Records that a ping has arrived."""
         self._received_count += 1
 
-    def sent_at(self, echo: int) -> float | None:
-        """Returns when the ping was sent that a peer has returned.
+    def note_returned(self, echo: int) -> float | None:
+        """Records an echo and returns when the ping that it names was sent.
+
+        If the peer received a whole cycle of pings between two of its own, the
+        result belongs to an earlier ping, never to a later one.
 
         Args:
             echo: What the peer returned; 0 from builds that return nothing.
+
+        Returns:
+            The moment; None if it is not known.
         """
         if not 0 < echo <= COUNT_CYCLE:
             return None
-        newer = (_cyclic(self._sent_count) - echo) % COUNT_CYCLE
-        if newer >= len(self._sent_at):
+        advance = (echo - _cyclic(self._returned_count)) % COUNT_CYCLE
+        if not self._returned_count:
+            advance = echo
+        self._returned_count += advance
+        newer = self._sent_count - self._returned_count
+        if not 0 <= newer < len(self._sent_at):
             return None
         return self._sent_at[-1 - newer]
 
--- a/packages/proxy/src/ferry_proxy/tests/test_peers.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_peers.py
@@ -248,7 +248,26 @@
     for number in range(1, count + 1):
         near.note_sent(float(number))
         far.note_received()
+        assert near.note_returned(far.echo) == number
     echo = far.echo
     for number in range(under_way):
         near.note_sent(float(count + 1 + number))
-    assert near.sent_at(echo) == count
+    assert near.note_returned(echo) == count
+
+
+@pytest.mark.parametrize("under_way", [126, 127, 128, 300])
+def test_an_echo_that_waited_behind_many_pings_is_not_taken_for_a_newer_one(
+    under_way,
+):
+    near, far = _ping_echoes.PingEchoes(), _ping_echoes.PingEchoes()
+    for number in range(1, 11):
+        near.note_sent(float(number))
+        far.note_received()
+    assert near.note_returned(far.echo) == 10.0
+    for number in range(11, 11 + under_way):
+        near.note_sent(float(number))
+    assert near.note_returned(far.echo) in (10.0, None)
+    for _ in range(under_way):
+        far.note_received()
+    found = near.note_returned(far.echo)
+    assert found is None or found <= 10.0 + under_way
