Share rows of members, stored records and paced writes between records

A second record of each group is about to be kept in the store. Moves what it shares with the record of departures into modules of their own, and keeps the store's revision of a member's entry with the member.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -14,6 +14,7 @@
 from ferry_proxy import _active_configuration
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
+from ferry_proxy import _departure_records
 from ferry_proxy import _events
 from ferry_proxy import _grace
 from ferry_proxy import _member_entries
@@ -22,9 +23,10 @@
 from ferry_proxy import _records
 from ferry_proxy import _store
 from ferry_proxy import _stored_claims
-from ferry_proxy import _stored_departures
+from ferry_proxy import _stored_records
 from ferry_proxy import _team_placement
 from ferry_proxy import _teams
+from ferry_proxy import _voter_records
 
 
 @attrs.frozen(slots=True)
@@ -88,6 +90,7 @@
         nodes: The nodes by name.
         stored_claims: The claims in the store, and the orders recorded in them.
         stored_departures: The records of open departures in the store.
+        stored_voters: The records of voters in the store.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
         first_snapshot: The first snapshot that this node read in the store's
@@ -124,7 +127,12 @@
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.stored_claims = _stored_claims.StoredClaims()
-        self.stored_departures = _stored_departures.StoredDepartures()
+        self.stored_departures = _stored_records.StoredRecords(
+            _records.DEPARTURE_PREFIX, _departure_records.decode_item
+        )
+        self.stored_voters = _stored_records.StoredRecords(
+            _records.VOTER_PREFIX, _voter_records.decode_item
+        )
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
@@ -360,6 +368,8 @@
                 self.stored_claims.apply(item, self.revision.era, now)
             elif item.key.startswith(_records.DEPARTURE_PREFIX):
                 self.stored_departures.apply(item)
+            elif item.key.startswith(_records.VOTER_PREFIX):
+                self.stored_voters.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
 
--- a/packages/proxy/src/ferry_proxy/_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/_departure_records.py
@@ -13,21 +13,14 @@
 import ferry_decisions as decisions
 
 from ferry_proxy import _departures
+from ferry_proxy import _member_rows
 from ferry_proxy import _members
 from ferry_proxy import _records
+from ferry_proxy import _store
 
 # Most departures are covered sooner, and calls of the store are priced.
 RECORD_DELAY_S = 1.0
 MAX_ENTRIES = 32
-_MEMBER_FIELDS: dict[str, type] = {
-    "id": str,
-    "born": int,
-    "host": str,
-    "port": int,
-    "data_centre": str,
-    "slots": int,
-    "draining": bool,
-}
 
 
 @attrs.frozen(slots=True)
@@ -89,11 +82,7 @@
 def encode(entries: Collection[Entry]) -> bytes:
     """Returns the value of a record in the store."""
     rows = [
-        {
-            **{name: getattr(e.member, name) for name in _MEMBER_FIELDS},
-            "ended": e.has_ended,
-        }
-        for e in entries
+        {**_member_rows.encode(e.member), "ended": e.has_ended} for e in entries
     ]
     return json.dumps({"departures": rows}).encode()
 
@@ -114,18 +103,20 @@
     return entries
 
 
+def decode_item(service: str, item: _store.Item) -> DepartureRecord:
+    """Decodes a group's record from its item in the store.
+
+    Raises:
+        InvalidItemError: The record is malformed.
+    """
+    return DepartureRecord(decode(service, item.value or b""), item.revision)
+
+
 def _decode_entry(service: str, row: typing.Any, where: str) -> Entry:
-    if not isinstance(row, dict):
-        raise _records.InvalidItemError(f"{where}: no object")
-    for name, kind in {**_MEMBER_FIELDS, "ended": bool}.items():
-        if type(row.get(name)) is not kind:
-            raise _records.InvalidItemError(f"{where}: {name} is no {kind}")
-    if not row["id"] or not 0 < row["port"] <= _records.MAX_PORT:
-        raise _records.InvalidItemError(f"{where}: no id or no port")
-    if row["born"] < 0 or row["slots"] < 0:
-        raise _records.InvalidItemError(f"{where}: a negative number")
-    fields = {name: row[name] for name in _MEMBER_FIELDS}
-    return Entry(_members.Member(service=service, **fields), row["ended"])
+    member = _member_rows.decode(service, row, where)
+    if type(row.get("ended")) is not bool:
+        raise _records.InvalidItemError(f"{where}: ended is no bool")
+    return Entry(member, row["ended"])
 
 
 def next_entries(
--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -18,16 +18,12 @@
 from ferry_proxy import _departures
 from ferry_proxy import _events
 from ferry_proxy import _groups
+from ferry_proxy import _paced_writes
 from ferry_proxy import _peers
 from ferry_proxy import _records
 from ferry_proxy import _serving_peers
 from ferry_proxy import _store
 
-# The shortest pause after a write; it doubles while writes are not accepted.
-MIN_WRITE_PAUSE_S = 1.0
-MAX_WRITE_PAUSE_S = 30.0
-# The part of a pause by which groups differ, as many may lose members at once.
-STAGGERED_SHARE = 0.5
 PREFIX = _records.DEPARTURE_PREFIX
 
 
@@ -142,9 +138,9 @@
         self._read_era = -1
         self._read_keys: frozenset[str] = frozenset()
         self._removed: decisions.Revision | None = None
-        self._is_writing = False
-        self._pause_s = MIN_WRITE_PAUSE_S
-        self._next_write_at = float("-inf")
+        self._writes = _paced_writes.PacedWrites(
+            clock, PREFIX, group.service.name
+        )
 
     # -- reading ---------------------------------------------------------
 
@@ -167,18 +163,14 @@
     @property
     def _records(self) -> dict[int, _departure_records.DepartureRecord]:
         """The records of the group, by the era in which they were written."""
-        return {
-            key.era: record
-            for key, record in self._catalogue.stored_departures.records.items()
-            if key.service == self._group.service.name
-        }
+        stored = self._catalogue.stored_departures
+        return stored.of_group(self._group.service.name)
 
     # -- writing ---------------------------------------------------------
 
     def update(self) -> None:
         """Writes the record if it is this node's turn, and it has changed."""
-        is_paused = self._clock.now() < self._next_write_at
-        if self._is_writing or is_paused or not self._catalogue.is_read:
+        if not self._writes.is_ready or not self._catalogue.is_read:
             return
         service = self._group.service.name
         first = _serving_peers.first_connected(service, self._node, self._mesh)
@@ -255,10 +247,11 @@
         entries: tuple[_departure_records.Entry, ...],
         condition: decisions.Revision,
     ) -> None:
-        self._is_writing = True
         before = self._read_keys
-        fut = decisions.start(self._write(key, entries, condition))
-        fut.add_done_callback(lambda f: self._on_written(f, entries, before))
+        self._writes.run(
+            self._write(key, entries, condition),
+            lambda: self._note_written(entries, before),
+        )
 
     def _write(
         self,
@@ -278,31 +271,12 @@
             self._catalogue.take((item,), "own record")
         return item is not None
 
-    def _on_written(
+    def _note_written(
         self,
-        fut: "decisions.Future[bool]",
         entries: tuple[_departure_records.Entry, ...],
         before: frozenset[str],
     ) -> None:
-        self._is_writing = False
-        exc = fut.exception()
-        if exc is not None:
-            _events.emit(_events.DependencyLost("store", str(exc)))
-        is_done = exc is None and fut.result()
-        if is_done:
-            self._pause_s = MIN_WRITE_PAUSE_S
-            keys = [e.key for e in entries]
-            closed = sorted(before.difference(keys))
-            service = self._group.service.name
-            _events.emit(
-                _change_events.DeparturesRecorded(service, keys, closed)
-            )
-        self._next_write_at = self._clock.now() + self._staggered_pause_s
-        if not is_done:
-            self._pause_s = min(MAX_WRITE_PAUSE_S, 2 * self._pause_s)
-
-    @property
-    def _staggered_pause_s(self) -> float:
-        fraction = decisions.stagger_fraction(PREFIX, self._group.service.name)
-        pause_s = self._pause_s * (1.0 + STAGGERED_SHARE * fraction)
-        return min(MAX_WRITE_PAUSE_S, pause_s)
+        keys = [e.key for e in entries]
+        closed = sorted(before.difference(keys))
+        service = self._group.service.name
+        _events.emit(_change_events.DeparturesRecorded(service, keys, closed))
--- a/packages/proxy/src/ferry_proxy/_member_entries.py
+++ b/packages/proxy/src/ferry_proxy/_member_entries.py
@@ -107,7 +107,7 @@
         known = self.members.get(name)
         self._accepted[name] = item
         self._births[name] = member.born
-        self.members[name] = member
+        self.members[name] = attrs.evolve(member, revision=item.revision)
         if known != member:
             change = _change(known, member)
             _events.emit(_events.MemberChanged(name, member.service, change))
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -24,6 +24,8 @@
             distinguishes a restarted process with the same id; 0 if unknown.
         sequence: The number of entries written by this process; it orders two
             entries and is ignored when members are compared.
+        revision: The store's revision of the entry, likewise ignored; the
+            lowest one if unknown.
     """
 
     id: str
@@ -36,6 +38,9 @@
     leads: bool = False
     born: int = 0
     sequence: int = attrs.field(default=0, eq=False)
+    revision: decisions.Revision = attrs.field(
+        default=decisions.UNREAD_REVISION, eq=False
+    )
 
     def has_moved_from(self, before: "Member") -> bool:
         """Whether an earlier entry of this member has another address."""
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -10,6 +10,7 @@
 NODE_PREFIX = "ferry/nodes/"
 CLAIM_PREFIX = "ferry/claims/"
 DEPARTURE_PREFIX = "ferry/departures/"
+VOTER_PREFIX = "ferry/voters/"
 MAX_PORT = 65_535
 
 # Fencing tokens that each era has room for: one a second for eleven days.
