Record the voters of each group, and read them before a change of primary

Callers saw acknowledged commits vanish after a release of the nodes beside the replacement of a member: in the worst orders of events an empty replica led, and every commit was gone.

Cause: which members may hold acknowledged commits was inferred by each process from the lists of members it had seen. A process that starts knows of no departure, and took that for there being none; a departure was recorded only after a second, and never while the store was away.

Change: the store holds the voters of a group. A member is added once listed, the first time before a commit is told, and removed by a conditional write only after its departure is covered and the store does not list it. Whoever changes the primary reads the record after its claim, and takes voters that are not listed for departed members.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -23,7 +23,6 @@
 from ferry_proxy import _records
 from ferry_proxy import _store
 from ferry_proxy import _stored_claims
-from ferry_proxy import _stored_records
 from ferry_proxy import _team_placement
 from ferry_proxy import _teams
 from ferry_proxy import _voter_records
@@ -127,12 +126,8 @@
         )
         self.nodes: dict[str, _records.NodeEntry] = {}
         self.stored_claims = _stored_claims.StoredClaims()
-        self.stored_departures = _stored_records.StoredRecords(
-            _records.DEPARTURE_PREFIX, _departure_records.decode_item
-        )
-        self.stored_voters = _stored_records.StoredRecords(
-            _records.VOTER_PREFIX, _voter_records.decode_item
-        )
+        self.stored_departures = _departure_records.stored()
+        self.stored_voters = _voter_records.stored()
         self.era_seen_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
@@ -366,9 +361,8 @@
             elif item.key.startswith(_records.CLAIM_PREFIX):
                 now = self._clock.boot_now()
                 self.stored_claims.apply(item, self.revision.era, now)
-            elif item.key.startswith(_records.DEPARTURE_PREFIX):
+            else:
                 self.stored_departures.apply(item)
-            elif item.key.startswith(_records.VOTER_PREFIX):
                 self.stored_voters.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
--- a/packages/proxy/src/ferry_proxy/_change_events.py
+++ b/packages/proxy/src/ferry_proxy/_change_events.py
@@ -91,6 +91,21 @@
     closed: list[str]
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class VotersRecorded:
+    """The record of a group's voters was written.
+
+    Attributes:
+        service: The group.
+        voters: The keys of the voters that it now holds.
+        removed: The keys of those that it no longer holds.
+    """
+
+    service: str
+    voters: list[str]
+    removed: list[str]
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class DeparturesAdopted:
     """A node learned of departures that other nodes have observed.
--- a/packages/proxy/src/ferry_proxy/_departure_records.py
+++ b/packages/proxy/src/ferry_proxy/_departure_records.py
@@ -17,6 +17,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _stored_records
 
 # Most departures are covered sooner, and calls of the store are priced.
 RECORD_DELAY_S = 1.0
@@ -112,6 +113,12 @@
     return DepartureRecord(decode(service, item.value or b""), item.revision)
 
 
+def stored() -> _stored_records.StoredRecords[DepartureRecord]:
+    """Returns an empty collection of records."""
+    prefix = _records.DEPARTURE_PREFIX
+    return _stored_records.StoredRecords(prefix, decode_item)
+
+
 def _decode_entry(service: str, row: typing.Any, where: str) -> Entry:
     member = _member_rows.decode(service, row, where)
     if type(row.get("ended")) is not bool:
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -140,6 +140,7 @@
             decisions.RequestFailedError: It is unknown whether the commit is
                 durable.
         """
+        job.group.voters.require_record()
         acks = job.group.acks
         acks.note_replied(reply.position)
         yield from self._require_durable(job)
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -18,6 +18,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _voter_sync
 
 Reports = dict[str, _members.Report]
 
@@ -79,13 +80,16 @@
 
         A replica that this node does not know could still acknowledge commits.
         One that left before this node began to serve the group may have done
-        so, and the record of departures names it.
+        so, and the records of voters and of departures name it.
 
         Raises:
             ChangeAbandonedError: The store was restored from a copy, which may
                 lack a replica.
         """
         recorded = self._store.list(_records.DEPARTURE_PREFIX)
+        era = self._catalogue.revision.era
+        voter_key = _voter_sync.record_key(self._group, era)
+        voters = self._store.list(voter_key)
         listed = yield self._store.list(self._catalogue.member_prefix)
         if listed.revision.era != self._catalogue.revision.era:
             raise _change_steps.ChangeAbandonedError(
@@ -95,6 +99,9 @@
         items = (yield recorded).items
         now = self._clock.boot_now()
         _departure_sync.adopt_items(self._group, items, now)
+        for item in (yield voters).items:
+            if item.key == voter_key:
+                _voter_sync.adopt_item(self._group, item, now)
 
     def survey(self) -> "decisions.Flow[View]":
         """Asks the members that may hold or receive commits for their status.
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -21,6 +21,7 @@
 from ferry_proxy import _proofs
 from ferry_proxy import _queueing
 from ferry_proxy import _round_plans
+from ferry_proxy import _voters
 from ferry_proxy.queueing import _commit_stall
 
 # A status round is evaluated after this long. Members without load answer in
@@ -29,7 +30,11 @@
 
 
 class Group:
-    """The members of one service and their last known state."""
+    """The members of one service and their last known state.
+
+    Attributes:
+        voters: The members whose receipt of a commit counts.
+    """
 
     def __init__(
         self,
@@ -64,6 +69,7 @@
         self.departures = _departures.Departures()
         self.acks = _acknowledgements.AckWatch(clock)
         self.claimed_change = _claimed_changes.NONE
+        self.voters = _voters.Voters()
         self._asking: set[str] = set()
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -36,6 +36,7 @@
 from ferry_proxy import _stalls
 from ferry_proxy import _store
 from ferry_proxy import _succession
+from ferry_proxy import _voter_sync
 
 # Nodes claim one after the other, this far apart. A claim reaches the next
 # node in less time.
@@ -108,6 +109,9 @@
         self._repair = _paused_members.Repair(
             ctx.clock, ctx.policy, group, self._claims
         )
+        self._voters = _voter_sync.VoterSync(
+            ctx.clock, ctx.node, ctx.store, ctx.catalogue, group, ctx.mesh
+        )
         group.on_round.append(self._on_status_round)
 
     @property
@@ -123,6 +127,7 @@
 
     def _on_status_round(self, reports: dict[str, _members.Report]) -> None:
         self._stalls.update(reports)
+        self._voters.note_round(reports)
         self._repair.observe()
         self.check()
 
@@ -154,7 +159,10 @@
     def check(self) -> None:
         """Begins a change of the primary if the evidence requires one."""
         self._note_nodes()
-        if self._is_changing or self._is_stopped or self._ctx.is_stopping():
+        if self._is_stopped or self._ctx.is_stopping():
+            return
+        self._voters.update()
+        if self._is_changing:
             return
         if self._ctx.clock.now() < self._next_attempt_at:
             return
--- a/packages/proxy/src/ferry_proxy/_stored_records.py
+++ b/packages/proxy/src/ferry_proxy/_stored_records.py
@@ -39,11 +39,13 @@
         }
 
     def apply(self, item: _store.Item) -> None:
-        """Applies an item with a record's key.
+        """Applies an item; one with another kind of key is ignored.
 
         Raises:
             InvalidItemError: The record is malformed.
         """
+        if not item.key.startswith(self._prefix):
+            return
         found = _records.parse_group_key(self._prefix, item.key)
         if item.value is None:
             self.records.pop(found, None)
--- a/packages/proxy/src/ferry_proxy/_voter_records.py
+++ b/packages/proxy/src/ferry_proxy/_voter_records.py
@@ -17,6 +17,7 @@
 from ferry_proxy import _members
 from ferry_proxy import _records
 from ferry_proxy import _store
+from ferry_proxy import _stored_records
 
 # Members that were replaced stay in the record until they are covered.
 MAX_VOTERS = 64
@@ -71,6 +72,11 @@
     return VoterRecord(decode(service, item.value or b""), item.revision)
 
 
+def stored() -> _stored_records.StoredRecords[VoterRecord]:
+    """Returns an empty collection of records."""
+    return _stored_records.StoredRecords(_records.VOTER_PREFIX, decode_item)
+
+
 def next_voters(
     recorded: Collection[_members.Member],
     present: Collection[_members.Member],
