Tell callers of a commit only once voters have received it

Cause: a primary acknowledges a commit once any replica has received it. The node took a fresh floor, or replicas that were not paused, for proof that the members it knows hold the commit. They prove that the primary leads, not that they have received anything.

Change: a node asks voters for their status after each commit, one where it has received the commit, more after 30 ms or when the first has not. The answer waits until as many have received it as the service demands, until the deadline. All voters have to where the copy of the store is so old that others may have removed one. A report over a link that is younger than the copy of the store does not count: its process may have restarted and forgotten a pause. Commits that nobody was told of no longer refute a stall.

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -50,12 +50,11 @@
     def note_replied(self, end: decisions.Position | None) -> None:
         """Records that a primary replied to a commit.
 
-        Its log may hold further commits that are not acknowledged.
+        The caller is not told yet. Its log may hold further commits.
 
         Args:
             end: The end of its log, as it replied; None if unknown.
         """
-        self.newest_at = self._clock.boot_now()
         if end is not None:
             self.at_most = max(self.at_most, end)
 
@@ -73,6 +72,7 @@
             end_before: The end of the primary's log, as known before the
                 commit was sent; None if unknown.
         """
+        self.newest_at = self._clock.boot_now()
         if leader is not None and end_before is not None:
             index = end_before.index + 1
             position = decisions.Position(leader.term, index)
--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -92,6 +92,7 @@
         stored_voters: The records of voters in the store.
         era_seen_at: When this node first read the store in its current era, in
             boot time; minus infinity if the store does not report eras.
+        complete_at: The moment that this copy is complete for, in boot time.
         first_snapshot: The first snapshot that this node read in the store's
             current era; None before that.
         refused: The number of items that were rejected as invalid.
@@ -129,6 +130,7 @@
         self.stored_departures = _departure_records.stored()
         self.stored_voters = _voter_records.stored()
         self.era_seen_at = float("-inf")
+        self.complete_at = float("-inf")
         self.first_snapshot: SnapshotRead | None = None
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
@@ -251,8 +253,7 @@
             and item.value is not None
             and item.revision <= snapshot.revision
         ]
-        known = self.revision
-        is_first = self.first_snapshot is None
+        known, is_first = self.revision, self.first_snapshot is None
         is_restored = snapshot.revision.era > known.era
         if is_restored:
             self._begin_era(snapshot.revision.era, source)
@@ -262,9 +263,8 @@
         self.covered = max(self.covered, snapshot.revision)
         taken = self.take((*snapshot.items, *deleted), source)
         if is_first or is_restored:
-            self.first_snapshot = SnapshotRead(
-                snapshot.revision, self._clock.now()
-            )
+            now = self._clock.now()
+            self.first_snapshot = SnapshotRead(snapshot.revision, now)
         listed = len(snapshot.items)
         _events.emit(
             _events.ItemsRead(
--- a/packages/proxy/src/ferry_proxy/_control_commands.py
+++ b/packages/proxy/src/ferry_proxy/_control_commands.py
@@ -60,4 +60,6 @@
         if reply.report is None:
             reason = reply.reason or decisions.PROTOCOL_VIOLATION
             raise decisions.RequestFailedError(reason, reply.detail)
-        return attrs.evolve(reply.report, asked_at=asked_at)
+        return attrs.evolve(
+            reply.report, asked_at=asked_at, linked_at=pooled.opened_at
+        )
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _policy
 from ferry_proxy import _pooled_links
 from ferry_proxy import _pools
+from ferry_proxy import _receipts
 from ferry_proxy.placement import _outcome_recorder
 from ferry_proxy.placement import _read_members
 from ferry_proxy.placement import _read_waits
@@ -140,18 +141,20 @@
             decisions.RequestFailedError: It is unknown whether the commit is
                 durable.
         """
-        job.group.voters.require_record()
         acks = job.group.acks
         acks.note_replied(reply.position)
-        yield from self._require_durable(job)
+        yield from self._require_durable(job, reply)
         acks.note_confirmed(job.progress.leader, job.progress.log_end)
 
-    def _require_durable(self, job: _jobs.Job) -> "decisions.Flow[None]":
+    def _require_durable(
+        self, job: _jobs.Job, reply: _links.Reply
+    ) -> "decisions.Flow[None]":
         group = job.group
         took_s = self._clock.now() - job.progress.dispatched_at
         fresh = group.floor_age_s < self._policy.suspect_s
         was_claimed = yield from self._await_claimed_change(job)
         led = job.progress.leader
+        yield from self._require_receipts(job, reply)
         if (
             fresh
             and not was_claimed
@@ -171,6 +174,24 @@
                 decisions.NOT_CONFIRMED, f"{leader.member} leads by now"
             )
 
+    def _require_receipts(
+        self, job: _jobs.Job, reply: _links.Reply
+    ) -> "decisions.Flow[None]":
+        """Waits until enough voters have received a commit.
+
+        Raises:
+            decisions.RequestFailedError: They have not by the deadline.
+        """
+        group, leader = job.group, job.progress.leader
+        if not group.service.sync_replicas:
+            return  # No commit waits for a replica.
+        if leader is None or reply.position is None:
+            raise decisions.RequestFailedError(
+                decisions.NOT_CONFIRMED, "its position is unknown"
+            )
+        commit = _receipts.Commit(leader, reply.position)
+        yield from group.receipts.require(commit, job.deadline)
+
     def _await_claimed_change(self, job: _jobs.Job) -> "decisions.Flow[bool]":
         """Waits until a claimed change is over; returns whether there was one.
 
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -177,7 +177,11 @@
         return self.age_s < MAX_STORE_AGE_S
 
     def check(self) -> None:
-        """Detects from peers' reports that an outage of the store has ended."""
+        """Takes peers' reports of the store into account.
+
+        They may show that an outage of the store has ended.
+        """
+        self._publish_age()
         seen, before = self.seen_at, self._last_seen_at
         self._last_seen_at = seen
         if math.isfinite(before) and seen - before > MAX_STORE_AGE_S:
@@ -252,6 +256,12 @@
         """
         if merged.revision.era == self._catalogue.revision.era:
             self.copy_age.confirm(min(moment, self._clock.boot_now()))
+            self._publish_age()
+
+    def _publish_age(self) -> None:
+        """Lets other parts know how old the copy is."""
+        now = self._clock.boot_now()
+        self._catalogue.complete_at = now - self.copy_age.seconds
 
     def _note_answer(self) -> None:
         self._answered_at = self._clock.now()
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -20,6 +20,7 @@
 from ferry_proxy import _pools
 from ferry_proxy import _proofs
 from ferry_proxy import _queueing
+from ferry_proxy import _receipts
 from ferry_proxy import _round_plans
 from ferry_proxy import _voters
 from ferry_proxy.queueing import _commit_stall
@@ -34,6 +35,9 @@
 
     Attributes:
         voters: The members whose receipt of a commit counts.
+        copy_complete_at: Returns the moment that this node's copy of the store
+            is complete for, in boot time; infinity without a copy.
+        receipts: Tells which commits the voters have received.
     """
 
     def __init__(
@@ -70,6 +74,8 @@
         self.acks = _acknowledgements.AckWatch(clock)
         self.claimed_change = _claimed_changes.NONE
         self.voters = _voters.Voters()
+        self.copy_complete_at: Callable[[], float] = lambda: float("inf")
+        self.receipts = _receipts.Receipts(clock, self)
         self._asking: set[str] = set()
         self.primary_change_until = self.leader_found_at = float("-inf")
         self.on_round: list[Callable[[dict[str, _members.Report]], object]] = []
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -71,6 +71,8 @@
         received: The end of the log that it has received.
         paused_term: The term below which it accepts no primary; 0 for none.
         asked_at: The boot time, in seconds, before the request was sent.
+        linked_at: When the link that it came over was opened, in boot time;
+            minus infinity if unknown.
     """
 
     role: Role
@@ -78,6 +80,7 @@
     received: decisions.Position
     paused_term: int
     asked_at: float
+    linked_at: float = float("-inf")
 
     def proves(self, term: int) -> bool:
         """Whether it shows that `term` had not been replaced when asked.
--- a/packages/proxy/src/ferry_proxy/_pooled_links.py
+++ b/packages/proxy/src/ferry_proxy/_pooled_links.py
@@ -30,6 +30,7 @@
         is_committing: Whether the transaction's COMMIT has been sent.
         sent_at: Since when a reply is outstanding; None if there is none.
         last_used_at: When it was last acquired for a statement or transaction.
+        opened_at: When it was opened, in boot time; minus infinity if unknown.
     """
 
     link: _links.Link
@@ -43,6 +44,7 @@
     last_used_at: float = attrs.field(
         default=attrs.Factory(lambda self: self.last_reply_at, takes_self=True)
     )
+    opened_at: float = float("-inf")
     _next_name: int = 0
 
     def align(
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -289,7 +289,8 @@
         if self._closed:
             link.close()
             return
-        pooled = PooledLink(link, self._clock.now(), team)
+        opened_at = self._clock.boot_now()
+        pooled = PooledLink(link, self._clock.now(), team, opened_at=opened_at)
         self._idle.append(pooled)
         self.note_heard(pooled)
         self.serve()
--- a/packages/proxy/src/ferry_proxy/_served_groups.py
+++ b/packages/proxy/src/ferry_proxy/_served_groups.py
@@ -246,6 +246,7 @@
             ctx.policy,
             ctx.features,
         )
+        group.copy_complete_at = lambda: ctx.catalogue.complete_at
         mesh = _peers.PeerSubset(ctx.mesh, lambda: self._serving_names(name))
         promoter = _promotions.Promoter(
             self._promoter_context(name, mesh), group
