Do not take the silence of a leaving member for its end

Callers lost acknowledged commits when a member that was leaving was cut off from the node that changed the primary, and went on receiving commits.

Cause: a member that had announced to leave and did not answer counted as ended. Its departure was then covered by any later end of the primary's log, and the fence did not need it.

Change: only an address that refuses connections, or is another member's, shows that a process has ended. The fence does without a silent member that was leaving only if all serving nodes are in touch: they know that it left, so none of them counts what it receives. A node out of touch may, and the change then waits as for any other member out of reach.

A planned departure whose end is not seen delays no change while all nodes are in touch (existing test).

--- a/packages/proxy/src/ferry_proxy/_acknowledgements.py
+++ b/packages/proxy/src/ferry_proxy/_acknowledgements.py
@@ -1,5 +1,7 @@
 """The commits of a group that nodes passed on as acknowledged."""
 
+import math
+
 import attrs
 import ferry_decisions as decisions
 
@@ -29,6 +31,11 @@
     since: float
     newest_at: float = float("-inf")
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all nodes that may have passed on commits were heard."""
+        return math.isfinite(self.since)
+
 
 class AckWatch:
     """Observes the commits that this node passes on as acknowledged.
--- a/packages/proxy/src/ferry_proxy/_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/_departed_members.py
@@ -32,9 +32,9 @@
         age_s: Seconds since it was removed from the list.
         report: Its report; None if it sent none.
         has_ended: Whether its process has ended: its address refuses
-            connections or is another member's, or it was leaving and does not
-            answer at all.
+            connections or is another member's.
         failure: Why there is no report.
+        is_silent: Whether it did not answer at all.
     """
 
     departure: _departures.Departure
@@ -42,12 +42,24 @@
     report: _members.Report | None
     has_ended: bool
     failure: str
+    is_silent: bool = False
 
-    @property
-    def is_unsure(self) -> bool:
-        """Whether it may receive commits, out of reach of this node."""
-        may_run = self.age_s < _departures.MAX_RUNNING_S
-        return self.report is None and not self.has_ended and may_run
+    def is_unsure(self, is_known_to_all: bool) -> bool:
+        """Whether commits that it receives out of reach may be told.
+
+        One that was leaving and is silent has most likely ended. If it has
+        not, no node that knows that it left counts what it receives.
+
+        Args:
+            is_known_to_all: Whether all serving nodes are in touch, and so
+                know that it left.
+        """
+        if self.report is not None or self.has_ended:
+            return False
+        has_left = self.departure.member.draining and self.is_silent
+        if has_left and is_known_to_all:
+            return False
+        return self.age_s < _departures.MAX_RUNNING_S
 
     def describe(self) -> str:
         """Returns a description for the log."""
@@ -80,19 +92,17 @@
     fut = decisions.start(ask(pool))
     yield decisions.settled(fut)
     exc = fut.exception()
-    has_answered = pool.contact.heard > opened_at
-    has_left = departure.member.draining and not has_answered
-    has_ended = exc is not None and (pool.is_refused or has_left)
+    has_ended = exc is not None and pool.is_refused
     pool.close()
     if has_ended:
-        is_certain = pool.is_refused
-        group.departures.note_ended(departure.key, clock.boot_now(), is_certain)
+        group.departures.note_ended(departure.key, clock.boot_now())
     return Outcome(
         departure,
         clock.boot_now() - departure.removed_at,
         fut.result() if exc is None else None,
         has_ended,
         repr(exc),
+        is_silent=exc is not None and pool.contact.heard <= opened_at,
     )
 
 
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -143,25 +143,22 @@
             else:
                 self.note_ended(key, now)
 
-    def note_ended(self, key: str, now: float, is_certain: bool = True) -> None:
+    def note_ended(self, key: str, now: float) -> None:
         """Records that the process of a departed member has ended.
 
         Args:
             key: The departure's key.
             now: The current boot time, in seconds.
-            is_certain: Whether its address refuses connections or is another
-                member's, as opposed to silence of a member that was leaving.
         """
         known = self._open.get(key)
         if known is None:
             return
-        if is_certain:
-            _add_bounded(self._ended, known.member.id)
+        _add_bounded(self._ended, known.member.id)
         if now < known.latest_end:
             self._open[key] = attrs.evolve(known, ended_at=now)
 
     def has_ended(self, member: str) -> bool:
-        """Whether the process of a departed member has certainly ended.
+        """Whether the process of a departed member has ended.
 
         Args:
             member: The member's id.
--- a/packages/proxy/src/ferry_proxy/_fence_views.py
+++ b/packages/proxy/src/ferry_proxy/_fence_views.py
@@ -33,21 +33,28 @@
         pools: The pools of all other listed members, by id.
         departed: What members that are no longer listed replied, by id.
         sync_replicas: How many replicas must receive a commit.
+        is_known_to_all: Whether all serving nodes know who has left.
     """
 
     old_primary: str
     pools: dict[str, _pools.Pool]
     departed: dict[str, _departed_members.Outcome]
     sync_replicas: int
+    is_known_to_all: bool
 
     @property
     def needed(self) -> int:
         """How many of the listed members must be paused."""
-        unsure = sum(o.is_unsure for o in self.departed.values())
         return _fencing.fence_needed(
-            len(self.pools), unsure, self.sync_replicas
+            len(self.pools), len(self.unsure), self.sync_replicas
         )
 
+    @property
+    def unsure(self) -> list[_departed_members.Outcome]:
+        """The departed members that may receive commits, out of reach."""
+        known = self.is_known_to_all
+        return [o for o in self.departed.values() if o.is_unsure(known)]
+
 
 def failures(
     futs: "dict[str, decisions.Future[_members.Report]]",
@@ -103,12 +110,15 @@
             if item.key == voter_key:
                 _voter_sync.adopt_item(self._group, item, now)
 
-    def survey(self) -> "decisions.Flow[View]":
+    def survey(self, is_known_to_all: bool) -> "decisions.Flow[View]":
         """Asks the members that may hold or receive commits for their status.
 
         They may still serve other nodes, so none of them is paused unless
         enough of them can be.
 
+        Args:
+            is_known_to_all: Whether all serving nodes know who has left.
+
         Raises:
             ChangeAbandonedError: Too few members answer, or one leads already.
         """
@@ -128,10 +138,12 @@
             old_primary = ""  # It has stepped down, and counts as a replica.
         pools = {n: p for n, p in asked.items() if n != old_primary}
         sync_replicas = group.service.sync_replicas
-        view = View(old_primary, pools, departed, sync_replicas)
+        view = View(
+            old_primary, pools, departed, sync_replicas, is_known_to_all
+        )
         reached = len(answered & pools.keys())
         if reached < view.needed:
-            unsure = [o.describe() for o in departed.values() if o.is_unsure]
+            unsure = [o.describe() for o in view.unsure]
             raise _change_steps.ChangeAbandonedError(
                 f"{reached} reached, {view.needed} needed,"
                 f" of {sorted(pools)}: {failures(futs)} {unsure}"
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -148,7 +148,7 @@
         self._newcomers.pause(self.guard)
 
     def _survey(self, change: Change) -> "decisions.Flow[_fence_views.View]":
-        view = yield from self._views.survey()
+        view = yield from self._views.survey(change.acks.is_complete)
         if self._needs_level_replica(change.cause, view):
             yield from self._views.require_caught_up(view)
         return view
--- a/packages/proxy/src/ferry_proxy/_fencing.py
+++ b/packages/proxy/src/ferry_proxy/_fencing.py
@@ -116,8 +116,8 @@
 
     Args:
         replicas: Listed members without the old primary.
-        unsure: Members that are no longer listed, did not leave in an orderly
-            way, and may still receive commits.
+        unsure: Members that are no longer listed, and may still receive
+            commits that callers are told of.
         sync_replicas: How many replicas must receive a commit before it is
             acknowledged.
     """
