Tell a departure from an earlier one of the same process

Callers could lose acknowledged commits when a process that was cut off came back and departed again: nodes that had missed its return closed the second departure as covered, or ignored its record.

Cause: departures were known by the process alone. What had been found covered once stayed covered.

Change: a departure carries the store's revision of the entry that it ended. Nodes ask whether that one is covered, and adopt a later one from the record or from peers. Keys without a revision, as older builds send them, mean the earliest departure; rows of records without one are read as before.

--- a/packages/proxy/src/ferry_proxy/_departure_sync.py
+++ b/packages/proxy/src/ferry_proxy/_departure_sync.py
@@ -104,10 +104,14 @@
 
     Args:
         group: The group.
-        keys: The keys of the departures.
+        keys: The keys of the departures, or their instances.
         source: Where this is known from, for the log.
     """
-    closed = [d.key for d in group.departures.open() if d.key in keys]
+    closed = [
+        d.key
+        for d in group.departures.open()
+        if d.key in keys or d.instance in keys
+    ]
     if closed:
         group.departures.cover(closed)
         service = group.service.name
--- a/packages/proxy/src/ferry_proxy/_departures.py
+++ b/packages/proxy/src/ferry_proxy/_departures.py
@@ -8,6 +8,8 @@
 """
 
 from collections.abc import Collection
+import re
+import typing
 
 import attrs
 import ferry_decisions as decisions
@@ -23,6 +25,7 @@
 # Departures that are remembered. Those that ended earlier are covered by the
 # same sample as the latest one.
 MAX_DEPARTURES = 32
+_INSTANCE = re.compile(r"(?P<key>.*)#(?P<era>\d{1,18}):(?P<number>\d{1,18})")
 
 
 def key_of(member: _members.Member) -> str:
@@ -45,11 +48,24 @@
     removed_at: float
     ended_at: float = float("inf")
 
+    @property
+    def revision(self) -> decisions.Revision:
+        """The store's revision of the last entry, as far as known."""
+        return self.member.revision
+
     @property
     def key(self) -> str:
         """A name that differs between the processes of a member."""
         return key_of(self.member)
 
+    @property
+    def instance(self) -> str:
+        """The key, and the entry after which the process departed.
+
+        A process may be listed again, and depart again, under the same key.
+        """
+        return f"{self.key}#{self.revision.era}:{self.revision.number}"
+
     @property
     def latest_end(self) -> float:
         """By when the process no longer receives commits, in boot time."""
@@ -75,6 +91,18 @@
         return self.latest_end <= floor.at and received >= floor.floor
 
 
+def _parse_instance(instance: str) -> tuple[str, decisions.Revision]:
+    """Returns the key and the revision of a departure's instance.
+
+    Older builds send the key alone.
+    """
+    match = _INSTANCE.fullmatch(instance)
+    if match is None:
+        return instance, decisions.UNREAD_REVISION
+    era, number = int(match["era"]), int(match["number"])
+    return match["key"], decisions.Revision(era, number)
+
+
 @attrs.frozen(slots=True)
 class PrimaryEnd:
     """The end of a primary's log at some point in time.
@@ -95,7 +123,7 @@
 
     def __init__(self) -> None:
         self._open: dict[str, Departure] = {}
-        self._covered: dict[str, None] = {}
+        self._covered: dict[str, decisions.Revision] = {}
         self._ended: dict[str, None] = {}
         self._end: PrimaryEnd | None = None
 
@@ -108,6 +136,26 @@
         """The keys of departures covered lately, the latest one last."""
         return list(self._covered)
 
+    def is_covered(self, instance: str) -> bool:
+        """Whether a departure was covered, and not only an earlier one.
+
+        Args:
+            instance: The instance of the departure.
+        """
+        key, revision = _parse_instance(instance)
+        covered = self._covered.get(key)
+        return covered is not None and revision <= covered
+
+    def is_open(self, instance: str) -> bool:
+        """Whether a departure, or a later one of the process, is open.
+
+        Args:
+            instance: The instance of the departure.
+        """
+        key, revision = _parse_instance(instance)
+        known = self._open.get(key)
+        return known is not None and revision <= known.revision
+
     def note_removed(self, member: _members.Member, now: float) -> None:
         """Records that a member was removed from the list.
 
@@ -153,7 +201,8 @@
         known = self._open.get(key)
         if known is None:
             return
-        _add_bounded(self._ended, known.member.id)
+        self._ended[known.member.id] = None
+        _drop_earliest(self._ended)
         if now < known.latest_end:
             self._open[key] = attrs.evolve(known, ended_at=now)
 
@@ -170,15 +219,19 @@
 
         The caller leaves out members that are listed.
         """
-        is_known = departure.key in self._open or departure.key in self._covered
-        if not is_known:
+        known = self._open.get(departure.key)
+        if known is not None and known.revision >= departure.revision:
+            return
+        covered = self._covered.get(departure.key)
+        if covered is None or covered < departure.revision:
             self._add(departure)
 
     def cover(self, keys: Collection[str]) -> None:
         """Closes departures that another node found to be covered."""
         for key in keys:
-            if self._open.pop(key, None) is not None:
-                _add_bounded(self._covered, key)
+            known = self._open.pop(key, None)
+            if known is not None:
+                self._note_covered(known)
 
     def cover_before(self, moment: float) -> None:
         """Closes the departures of processes that ended before a moment.
@@ -190,7 +243,7 @@
         for key, departure in list(self._open.items()):
             if departure.latest_end <= moment:
                 del self._open[key]
-                _add_bounded(self._covered, key)
+                self._note_covered(departure)
 
     def observe(
         self,
@@ -229,18 +282,21 @@
             d.latest_end <= end.at for d in self._open.values()
         )
 
+    def _note_covered(self, departure: Departure) -> None:
+        self._covered[departure.key] = departure.revision
+        _drop_earliest(self._covered)
+
     def _add(self, departure: Departure) -> None:
+        self._covered.pop(departure.key, None)
         self._open.pop(departure.key, None)
         self._open[departure.key] = departure
-        if len(self._open) > MAX_DEPARTURES:
-            del self._open[next(iter(self._open))]
+        _drop_earliest(self._open)
 
 
-def _add_bounded(names: dict[str, None], name: str) -> None:
-    """Adds a name, and drops the earliest one if there are too many."""
-    names[name] = None
-    if len(names) > MAX_DEPARTURES:
-        del names[next(iter(names))]
+def _drop_earliest(known: dict[str, typing.Any]) -> None:
+    """Drops the earliest entry if there are too many."""
+    if len(known) > MAX_DEPARTURES:
+        del known[next(iter(known))]
 
 
 def _holders(end: PrimaryEnd, reports: dict[str, _members.Report]) -> int:
--- a/packages/proxy/src/ferry_proxy/_peer_messages.py
+++ b/packages/proxy/src/ferry_proxy/_peer_messages.py
@@ -288,7 +288,8 @@
 
     Attributes:
         service: The group.
-        departures: The keys of the departures that are open at the sender.
+        departures: The departures that are open at the sender, as instances;
+            older builds send keys.
     """
 
     service: str
@@ -308,7 +309,8 @@
         age_s: Seconds, at the time of sending, since the floor covered all
             acknowledged commits; negative if there is no floor.
         heard_ago_s: Seconds since the primary last answered the sender.
-        covered: The keys of the requested departures that are covered.
+        covered: Those of the requested departures that are covered, as they
+            were requested.
     """
 
     member: str
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -96,7 +96,7 @@
 
     def _ask(self, group: _groups.Group, stream: _peers.Peer) -> None:
         asked_at = self._clock.boot_now()
-        departures = tuple(d.key for d in group.departures.open())
+        departures = tuple(d.instance for d in group.departures.open())
         question = _peer_messages.SurveyRequest(group.service.name, departures)
         fut = decisions.with_timeout(
             self._clock, SURVEY_TIMEOUT_S, stream.call(question)
@@ -131,7 +131,7 @@
 
         Args:
             group: The group.
-            departures: The keys of the departures that are open at the peer.
+            departures: The instances of the departures open at the peer.
         """
         self._ask_unknown(group, departures)
         leader = group.leader
@@ -146,7 +146,7 @@
             sample.floor.index,
             self._clock.boot_now() - sample.at,
             pool.contact.silence_s,
-            tuple(k for k in group.departures.covered_keys if k in departures),
+            tuple(d for d in departures if group.departures.is_covered(d)),
         )
 
     def _ask_unknown(
@@ -156,8 +156,12 @@
 
         It may have started since. As the surveyor, it has them recorded.
         """
-        known = {d.key for d in group.departures.open()}
-        unknown = set(departures) - known - set(group.departures.covered_keys)
+        known = group.departures
+        unknown = [
+            d
+            for d in departures
+            if not (known.is_open(d) or known.is_covered(d))
+        ]
         now = self._clock.now()
         if unknown and now - self._peers_asked_at > PEERS_ASKED_INTERVAL_S:
             self._peers_asked_at = now
