Prove anew where a replica may have restarted during a change of primary

A node that heard neither the store nor its peers told callers of commits that only a replica held which had restarted after a fence.

Cause: a process that restarts forgets that it was paused, so it receives commits again and looks as if no change were under way. Nodes learn of the change from its claim, which this node did not hear of.

Change: a node notes when its links to a member were opened anew after all were lost. If such a replica has received a commit, the node asks all replicas, and tells nothing while one of them is paused for a later term. The same holds wherever a proof was required before. Members without a time of birth restart under another id, so their receipts need no such proof.

--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -154,17 +154,18 @@
         fresh = group.floor_age_s < self._policy.suspect_s
         was_claimed = yield from self._await_claimed_change(job)
         led = job.progress.leader
-        yield from self._require_receipts(job, reply)
+        may_be_restarted = yield from self._require_receipts(job, reply)
         if (
             fresh
             and not was_claimed
+            and not may_be_restarted
             and group.leader == led
             and not group.is_membership_changing
             and took_s < self._policy.doubt_s
         ):
             return
         try:
-            leader: _members.Leader = yield group.prove()
+            leader: _members.Leader = yield group.prove_unfenced()
         except decisions.RequestFailedError as exc:
             raise decisions.RequestFailedError(
                 decisions.NOT_CONFIRMED, exc.detail
@@ -176,21 +177,25 @@
 
     def _require_receipts(
         self, job: _jobs.Job, reply: _links.Reply
-    ) -> "decisions.Flow[None]":
+    ) -> "decisions.Flow[bool]":
         """Waits until enough voters have received a commit.
 
+        Returns:
+            Whether one of them may have restarted lately.
+
         Raises:
             decisions.RequestFailedError: They have not by the deadline.
         """
         group, leader = job.group, job.progress.leader
         if not group.service.sync_replicas:
-            return  # No commit waits for a replica.
+            return False  # No commit waits for a replica.
         if leader is None or reply.position is None:
             raise decisions.RequestFailedError(
                 decisions.NOT_CONFIRMED, "its position is unknown"
             )
         commit = _receipts.Commit(leader, reply.position)
         yield from group.receipts.require(commit, job.deadline)
+        return group.receipts.may_be_restarted(commit)
 
     def _await_claimed_change(self, job: _jobs.Job) -> "decisions.Flow[bool]":
         """Waits until a claimed change is over; returns whether there was one.
--- a/packages/proxy/src/ferry_proxy/_groups.py
+++ b/packages/proxy/src/ferry_proxy/_groups.py
@@ -243,6 +243,10 @@
         """
         return self._proofs.prove()
 
+    def prove_unfenced(self) -> "decisions.Future[_members.Leader]":
+        """Confirms in addition that no replica that replies is fenced."""
+        return self._proofs.prove_unfenced()
+
     def ask(
         self,
         pool: _pools.Pool,
--- a/packages/proxy/src/ferry_proxy/_members.py
+++ b/packages/proxy/src/ferry_proxy/_members.py
@@ -93,6 +93,10 @@
         not_paused = self.paused_term <= term
         return self.role is Role.REPLICA and self.term <= term and not_paused
 
+    def is_fenced(self, term: int) -> bool:
+        """Whether it is a replica's that is paused for a later term."""
+        return self.role is Role.REPLICA and self.paused_term > term
+
     def leads(self, leader: "Leader") -> bool:
         """Whether it is a primary's, in the term in which it is known."""
         return self.role is Role.PRIMARY and self.term == leader.term
--- a/packages/proxy/src/ferry_proxy/_pools.py
+++ b/packages/proxy/src/ferry_proxy/_pools.py
@@ -30,7 +30,12 @@
 
 
 class Pool:
-    """Links to one member and the queue of requests for them."""
+    """Links to one member and the queue of requests for them.
+
+    Attributes:
+        relinked_at: When a link was opened after all earlier ones were lost,
+            in boot time; minus infinity if none was.
+    """
 
     def __init__(
         self,
@@ -60,6 +65,8 @@
         self.parallel = limit
         self.reported = _reported_position.ReportedPosition(clock)
         self.contact = _contact.Contact(clock)
+        self._was_linked = False
+        self.relinked_at = float("-inf")
         self._drain_window = _drain_window.DrainWindow(policy.drain_s)
         self.note_entry(member)
 
@@ -290,6 +297,9 @@
             link.close()
             return
         opened_at = self._clock.boot_now()
+        if not any(not p.link.lost for p in (*self._idle, *self._used)):
+            self.relinked_at = opened_at if self._was_linked else float("-inf")
+        self._was_linked = True
         pooled = PooledLink(link, self._clock.now(), team, opened_at=opened_at)
         self._idle.append(pooled)
         self.note_heard(pooled)
--- a/packages/proxy/src/ferry_proxy/_proofs.py
+++ b/packages/proxy/src/ferry_proxy/_proofs.py
@@ -56,6 +56,7 @@
         self._clock = clock
         self._group = group
         self._rounds = decisions.SharedRounds(self._prove)
+        self._unfenced_rounds = decisions.SharedRounds(self._prove_unfenced)
 
     def prove(self) -> "decisions.Future[_members.Leader]":
         """Confirms, by new status requests, that the leader still leads.
@@ -64,6 +65,37 @@
         """
         return self._rounds.join()
 
+    def prove_unfenced(self) -> "decisions.Future[_members.Leader]":
+        """Confirms in addition that no replica that replies is fenced.
+
+        One that restarts after a fence is no longer paused, and a node without
+        the store and peers does not hear of it. The others still tell.
+
+        Fails with `decisions.RequestFailedError` if one is, or if too few
+        replicas confirm.
+        """
+        return self._unfenced_rounds.join()
+
+    def _prove_unfenced(self) -> "decisions.Flow[_members.Leader]":
+        leader, pools = self._group.leader, list(self._group.pools.values())
+        futs = [
+            decisions.start(self._group.ask(p, _links.Status()))
+            for p in pools
+            if self._group.is_responsive(p)
+        ]
+        proved: _members.Leader = yield self.prove()
+        replies = decisions.settle_all(futs, lambda _: False)
+        yield decisions.first_completed(
+            decisions.settled(replies),
+            decisions.sleep(self._clock, PROOF_HEDGE_S),
+        )
+        reports = [f.result() for f in futs if f.done() and not f.exception()]
+        if proved != leader or any(r.is_fenced(proved.term) for r in reports):
+            raise decisions.RequestFailedError(
+                decisions.NO_PRIMARY, "another member may be promoted"
+            )
+        return proved
+
     def _prove(self) -> "decisions.Flow[_members.Leader]":
         group = self._group
         leader = group.leader
--- a/packages/proxy/src/ferry_proxy/_receipts.py
+++ b/packages/proxy/src/ferry_proxy/_receipts.py
@@ -25,6 +25,9 @@
 HEDGE_S = 0.03
 # The pause before replicas are asked again that had not received a commit.
 RETRY_PAUSE_S = 0.01
+# A change of primary that was under way when a process restarted is over by
+# then.
+RESTART_S = 10.0
 # A voter that has left counts as running for this long at other nodes. Up to a
 # second less, it is still one although the copy of the store is that old.
 MAX_COPY_AGE_S = _departures.MAX_RUNNING_S - 1.0
@@ -155,6 +158,22 @@
                 decisions.NOT_CONFIRMED, "too few voters have received it"
             )
 
+    def may_be_restarted(self, commit: Commit) -> bool:
+        """Whether a voter that has received a commit may have restarted lately.
+
+        Its process has then forgotten that it was paused. Where members have
+        no time of birth, a restarted process has another id.
+
+        Args:
+            commit: The commit.
+        """
+        since = self._clock.boot_now() - RESTART_S
+        return any(
+            pool.member.born and pool.relinked_at > since
+            for pool in self._voters(commit.leader)
+            if self._holds(pool, commit)
+        )
+
     def _is_received(self, commit: Commit) -> bool:
         group = self._group
         voters = self._voters(commit.leader)
--- a/packages/proxy/src/ferry_proxy/tests/test_receipts.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_receipts.py
@@ -117,3 +117,19 @@
     assert write(lab, "not yet").reason is decisions.NOT_CONFIRMED
     voters.keys = voters.keys | {"d@1000"}
     assert write(lab, "now").reason is None
+
+
+def test_a_restarted_replica_confirms_nothing_beside_a_fenced_one():
+    """It was paused, too, and has forgotten it."""
+    lab = lab_with_voters()
+    for name in "bc":
+        lab.cluster.members[name].paused_term = 2
+    lab.cluster.restart("b")
+    assert write(lab, "after").reason is decisions.NOT_CONFIRMED
+
+
+def test_a_replica_that_reopened_a_link_confirms_commits():
+    lab = lab_with_voters()
+    lab.cluster.restart("b")
+    lab.cluster.members["c"].isolated = True
+    assert write(lab, "after").reason is None
