Record voters again soon after a restart or rejected writes

Callers were told less: of commits that only a replica had received which was listed but not recorded, for up to half a minute.

A former process was never removed while its successor was listed under the same id, and the rejection held up the new one, too. And pauses between writes that were not accepted doubled up to 30 s.

Change: a removal is given up only if the store has an entry of the member that this node's copy lacks. One test for each failed before.

--- a/packages/proxy/src/ferry_proxy/_commit_quorum.py
+++ b/packages/proxy/src/ferry_proxy/_commit_quorum.py
@@ -80,7 +80,7 @@
 
 
 class Group(typing.Protocol):
-    """The part of a group that replicas depend on.
+    """The part of a group that a commit quorum depends on.
 
     Attributes:
         service: Its description.
--- a/packages/proxy/src/ferry_proxy/_paced_writes.py
+++ b/packages/proxy/src/ferry_proxy/_paced_writes.py
@@ -17,16 +17,24 @@
 class PacedWrites:
     """Runs one write at a time, with pauses in between."""
 
-    def __init__(self, clock: _clocks.Clock, prefix: str, service: str) -> None:
+    def __init__(
+        self,
+        clock: _clocks.Clock,
+        prefix: str,
+        service: str,
+        max_pause_s: float = MAX_PAUSE_S,
+    ) -> None:
         """Creates a pacer.
 
         Args:
             clock: The clock.
             prefix: The prefix of the record's key.
             service: The group that the record belongs to.
+            max_pause_s: The longest pause while writes are not accepted.
         """
         self._clock = clock
         self._stagger = decisions.stagger_fraction(prefix, service)
+        self._max_pause_s = max_pause_s
         self._is_writing = False
         self._pause_s = MIN_PAUSE_S
         self._next_at = float("-inf")
@@ -64,9 +72,9 @@
             on_accepted()
         self._next_at = self._clock.now() + self._staggered_pause_s
         if not is_accepted:
-            self._pause_s = min(MAX_PAUSE_S, 2 * self._pause_s)
+            self._pause_s = min(self._max_pause_s, 2 * self._pause_s)
 
     @property
     def _staggered_pause_s(self) -> float:
         pause_s = self._pause_s * (1.0 + STAGGERED_SHARE * self._stagger)
-        return min(MAX_PAUSE_S, pause_s)
+        return min(self._max_pause_s, pause_s)
--- a/packages/proxy/src/ferry_proxy/_voter_sync.py
+++ b/packages/proxy/src/ferry_proxy/_voter_sync.py
@@ -31,6 +31,8 @@
 # How often voters that are not listed are looked for in the record. A node
 # that changes the primary reads the record anyway.
 ADOPTION_INTERVAL_S = 1.0
+# Commits that only a member receives that is not recorded yet are not told.
+MAX_WRITE_PAUSE_S = 3.0
 
 
 def record_key(group: _groups.Group, era: int) -> str:
@@ -101,7 +103,7 @@
         self._written = decisions.UNREAD_REVISION
         self._removed = decisions.UNREAD_REVISION
         self._writes = _paced_writes.PacedWrites(
-            clock, PREFIX, group.service.name
+            clock, PREFIX, group.service.name, MAX_WRITE_PAUSE_S
         )
         group.voters.keys = frozenset()
         group.voters.on_missing.append(self._write_first)
@@ -234,7 +236,7 @@
     ) -> "decisions.Flow[bool]":
         """Writes the record; returns whether the store did so."""
         for member in removed:
-            if (yield from self._is_listed(member)):
+            if not (yield from self._is_list_known(member)):
                 return False
         value = _voter_records.encode(members)
         item = yield self._store.put_if(key, value, condition)
@@ -242,11 +244,16 @@
             self._written = item.revision
         return item is not None
 
-    def _is_listed(self, member: _members.Member) -> "decisions.Flow[bool]":
-        """Whether the store lists a member; this node's copy may be older."""
+    def _is_list_known(self, member: _members.Member) -> "decisions.Flow[bool]":
+        """Whether the store has no newer entry of a member than the copy.
+
+        A member that is listed again must not be removed. Another process of
+        it may be listed, and known to be.
+        """
         key = self._catalogue.member_prefix + member.id
         found = yield self._store.list(key)
-        return any(i.key == key for i in found.items)
+        known = self._catalogue.item(key)
+        return all(i == known for i in found.items if i.key == key)
 
     def _note_written(
         self,
--- a/packages/proxy/src/ferry_proxy/tests/test_voters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_voters.py
@@ -181,3 +181,25 @@
         lambda m: m.id in covered,
     )
     assert "".join(m.id for m in found) == expected
+
+
+def test_a_member_that_restarts_is_soon_a_voter_again():
+    """Its former process is still recorded under the same id."""
+    fleet = fleet_with_record("n1", "n2")
+    fleet.cluster.restart("b")
+    fleet.enlist("b")
+    fleet.run(4.0)
+    assert recorded(fleet) == ["a@1000", "c@1000", "b@2000"]
+
+
+def test_a_member_is_recorded_soon_after_the_store_takes_writes_again():
+    """Commits that only it receives are not told before."""
+    fleet = fleet_with_record("n1", "n2")
+    fleet.cluster.members["d"] = fakes.FakeMember("d", fleet.cluster, REPLICA)
+    fleet.enlist("d")
+    fleet.store.writes_to_delay = 1_000
+    fleet.run(20.0)
+    assert recorded(fleet) == ALL
+    fleet.store.writes_to_delay = 0
+    fleet.run(4.5)
+    assert recorded(fleet) == [*ALL, "d@1000"]
