Replace a malformed record of voters

A malformed record stayed in the store for good: nodes refused it, went on with the voters they had decoded last, and saw no reason to write. A node that started then knew of no voter, and told callers of no commit before another write. The first node now writes again what it knows, as with departures.

--- a/packages/proxy/src/ferry_proxy/_voter_sync.py
+++ b/packages/proxy/src/ferry_proxy/_voter_sync.py
@@ -192,11 +192,19 @@
         members = _voter_records.next_voters(
             recorded, self._present, self._is_covered
         )
-        if members != recorded:
+        if members != recorded or self._is_malformed(era, current):
             self._write(era, recorded, members)
         elif records and current is not None:
             self._remove_outdated(records)
 
+    def _is_malformed(
+        self, era: int, current: _voter_records.VoterRecord | None
+    ) -> bool:
+        """Whether the store's item is not the record that was decoded last."""
+        item = self._catalogue.item(record_key(self._group, era))
+        known = current.revision if current is not None else None
+        return item is not None and item.revision != known
+
     @property
     def _present(self) -> list[_members.Member]:
         """The listed members, and those whose departure is open."""
--- a/packages/proxy/src/ferry_proxy/tests/test_voters.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_voters.py
@@ -203,3 +203,14 @@
     fleet.store.writes_to_delay = 0
     fleet.run(4.5)
     assert recorded(fleet) == [*ALL, "d@1000"]
+
+
+@pytest.mark.parametrize("value", [b"x", b"{}", b'{"voters": [1]}'])
+def test_a_malformed_record_is_replaced_and_hides_no_voter(value):
+    fleet = fleet_with_record("n1", "n2")
+    fleet.store.put(KEY, value)
+    fleet.run(3.0)
+    assert recorded(fleet) == ALL
+    assert {n.group.voters.keys for n in fleet.nodes.values()} == {
+        frozenset(ALL)
+    }
