Wait for no voter that has ended while the store is away

While the store was away for over 29 s, callers were told of no commit if a voter had ended before: all recorded voters had to have received it, and the record cannot change meanwhile. Voters whose processes have ended, or whose departure is covered, are now left out. One that may run still counts. The first case of the new test failed before.

--- a/packages/proxy/src/ferry_proxy/_commit_quorum.py
+++ b/packages/proxy/src/ferry_proxy/_commit_quorum.py
@@ -87,6 +87,7 @@
         leader: The primary as far as known; None if unknown.
         pools: The connection pools of its members, by id.
         voters: Its voters.
+        departures: Its departures.
         copy_complete_at: Returns the moment that this node's copy of the store
             is complete for, in boot time.
     """
@@ -95,6 +96,7 @@
     leader: _members.Leader | None
     pools: dict[str, _pools.Pool]
     voters: _voters.Voters
+    departures: _departures.Departures
     copy_complete_at: Callable[[], float]
 
     def is_responsive(self, pool: _pools.Pool) -> bool:
@@ -207,13 +209,17 @@
         ]
 
     def _voter_count(self, leader: _members.Leader) -> int:
-        """Returns the number of voters, listed or not, but the primary."""
-        keys = self._group.voters.keys
+        """Returns how many voters other than the primary may be running."""
+        group = self._group
+        keys = group.voters.keys
         if keys is None:
             return len(self._voters(leader))
-        pool = self._group.pools.get(leader.member)
+        pool = group.pools.get(leader.member)
         own = _departures.key_of(pool.member) if pool is not None else ""
-        return len(keys - {own})
+        now = self._clock.boot_now()
+        ended = {d.key for d in group.departures.open() if d.ended_at <= now}
+        covered = set(group.departures.covered_keys)
+        return len(keys - {own} - ended - covered)
 
     # -- rounds ----------------------------------------------------------
 
--- a/packages/proxy/src/ferry_proxy/tests/test_commit_quorum.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_commit_quorum.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ferry_proxy import _commit_quorum
+from ferry_proxy import _departures
 from ferry_proxy import _members
 from ferry_proxy.tests import fakes
 
@@ -133,3 +134,24 @@
     lab.cluster.restart("b")
     lab.cluster.members["c"].isolated = True
     assert write(lab, "after").reason is None
+
+
+@pytest.mark.parametrize("has_ended", [True, False])
+def test_a_voter_that_has_ended_is_not_waited_for_while_the_store_is_away(
+    has_ended,
+):
+    """It cannot be removed from the record meanwhile."""
+    lab = lab_with_voters()
+    complete_at = lab.clock.boot_now()
+    lab.group.copy_complete_at = lambda: complete_at
+    lab.run(30.0)
+    member = lab.cluster.members["b"].entry()
+    lab.group.set_members(
+        {n: e for n, e in lab.cluster.entries().items() if n != "b"}, lab.limit
+    )
+    lab.cluster.members["b"].dark = True
+    if has_ended:
+        key = _departures.key_of(member)
+        lab.group.departures.note_ended(key, lab.clock.boot_now())
+    expected = None if has_ended else decisions.NOT_CONFIRMED
+    assert write(lab, "after").reason is expected
