Ask the nearest level voter first, and less and less often

While replicas lag, each commit in flight had all voters asked every 10 ms, with a new timer each time; requests for status occupy slots of the members. A far replica that had once been first to hold a commit was asked first from then on.

Pauses between rounds now double up to 80 ms, a commit has one timer, and a near voter goes first unless it was behind when asked last. A commit that is given up tells which voters are known, what each has received, and how old the copy of the store is.

--- a/packages/proxy/src/ferry_proxy/_commit_quorum.py
+++ b/packages/proxy/src/ferry_proxy/_commit_quorum.py
@@ -23,8 +23,10 @@
 # The delay before one more replica is asked. A replica without load replies in
 # about 5 ms.
 HEDGE_S = 0.03
-# The pause before replicas are asked again that had not received a commit.
-RETRY_PAUSE_S = 0.01
+# The pause before replicas are asked again that had not received a commit. It
+# doubles, as each request occupies a slot of the member for a moment.
+MIN_RETRY_PAUSE_S = 0.01
+MAX_RETRY_PAUSE_S = 0.08
 # A change of primary that was under way when a process restarted is over by
 # then.
 RESTART_S = 10.0
@@ -123,7 +125,7 @@
         self._rounds = decisions.SharedRounds(self._ask_voters)
         self._reported: decisions.Future[None] = decisions.Future()
         self._newest: Commit | None = None
-        self._last_receiver = ""
+        self._behind: set[str] = set()
 
     def require(
         self, commit: Commit, deadline: float
@@ -138,12 +140,16 @@
             decisions.RequestFailedError: They have not, as far as known.
         """
         self._group.voters.require_record()
+        left_s = max(0.0, deadline - self._clock.now())
+        timeout = decisions.sleep(self._clock, left_s)
+        pause_s = MIN_RETRY_PAUSE_S
         while not self._is_received(commit):
             self._require_time(commit, deadline)
             self._note_newest(commit)
-            yield from self._await_round(commit, deadline)
+            yield from self._await_round(commit, timeout)
             if not self._is_received(commit):
-                yield decisions.sleep(self._clock, RETRY_PAUSE_S)
+                yield decisions.sleep(self._clock, pause_s)
+                pause_s = min(MAX_RETRY_PAUSE_S, 2 * pause_s)
 
     def _require_time(self, commit: Commit, deadline: float) -> None:
         """Checks that a commit may still be found received.
@@ -156,9 +162,18 @@
             detail = f"{leader.member} leads by now"
             raise decisions.RequestFailedError(decisions.NOT_CONFIRMED, detail)
         if self._clock.now() >= deadline:
-            raise decisions.RequestFailedError(
-                decisions.NOT_CONFIRMED, "too few voters have received it"
-            )
+            detail = f"too few voters have received it: {self._describe()}"
+            raise decisions.RequestFailedError(decisions.NOT_CONFIRMED, detail)
+
+    def _describe(self) -> str:
+        """Returns what is known of the voters, for the log."""
+        group = self._group
+        keys = group.voters.keys
+        found = {n: group.last_report(n) for n in group.pools}
+        ends = {n: str(r.received) for n, r in found.items() if r is not None}
+        age_s = self._clock.boot_now() - group.copy_complete_at()
+        voters = "not recorded" if keys is None else sorted(keys)
+        return f"voters {voters}, received {ends}, copy {age_s:.1f} s old"
 
     def may_be_restarted(self, commit: Commit) -> bool:
         """Whether a voter that has received a commit may have restarted lately.
@@ -179,16 +194,14 @@
     def _is_received(self, commit: Commit) -> bool:
         group = self._group
         voters = self._voters(commit.leader)
-        receivers = [p.member.id for p in voters if self._holds(p, commit)]
+        receivers = sum(self._holds(p, commit) for p in voters)
         copy_age_s = self._clock.boot_now() - group.copy_complete_at()
         needed = quorum_size(
             self._voter_count(commit.leader),
             max(1, group.service.sync_replicas),
             copy_age_s,
         )
-        if receivers:
-            self._last_receiver = receivers[0]
-        return len(receivers) >= needed
+        return receivers >= needed
 
     def _holds(self, pool: _pools.Pool, commit: Commit) -> bool:
         report = self._group.last_report(pool.member.id)
@@ -230,13 +243,10 @@
             self._newest = commit
 
     def _await_round(
-        self, commit: Commit, deadline: float
+        self, commit: Commit, timeout: "decisions.Future[None]"
     ) -> "decisions.Flow[None]":
         """Waits for a round to end, or to show that a commit is received."""
         done = decisions.settled(self._rounds.join())
-        timeout = decisions.sleep(
-            self._clock, max(0.0, deadline - self._clock.now())
-        )
         while not (done.done() or timeout.done() or self._is_received(commit)):
             either = decisions.first_completed(done, timeout)
             yield decisions.first_completed(either, self._reported)
@@ -250,6 +260,7 @@
         if newest is None:
             return
         futs = []
+        self._behind &= self._group.pools.keys()
         for pool in self._in_order(self._voters(newest.leader)):
             if self._is_received(newest):
                 return
@@ -266,12 +277,19 @@
             pools,
             key=lambda p: (
                 not group.is_responsive(p),
-                p.member.id != self._last_receiver,
+                p.member.id in self._behind,
                 not group.is_near(p),
             ),
         )
 
     def _ask(self, pool: _pools.Pool) -> "decisions.Flow[None]":
-        yield from self._group.ask(pool, _links.Status())
-        reported, self._reported = self._reported, decisions.Future()
-        decisions.resolve(reported, None)
+        """Asks a voter, and notes whether it is behind the newest commit."""
+        try:
+            yield from self._group.ask(pool, _links.Status())
+        finally:
+            if self._newest is not None and self._holds(pool, self._newest):
+                self._behind.discard(pool.member.id)
+            else:
+                self._behind.add(pool.member.id)
+            reported, self._reported = self._reported, decisions.Future()
+            decisions.resolve(reported, None)
