--- a/review/lab.py
+++ b/review/lab.py
@@ -34,7 +34,8 @@
     """Writes what was sent, answered and run to a file."""
 
     def __init__(self, path):
-        self._file = pathlib.Path(path).open("w", encoding="utf-8")
+        path = pathlib.Path(path)
+        self._file = path.open("w", encoding="utf-8")  # noqa: SIM115
         self._began = time.monotonic()
 
     def now(self):
@@ -308,15 +309,6 @@
             self.lab.shown[key] = shown
             self.lab.store.put(key, json.dumps(entry).encode())
 
-    def drain(self):
-        """Reports that it leaves; it goes on serving for longer than a script.
-
-        It may end `drainMs` after the store has accepted the report.
-        """
-        self.state = "draining"
-        self.register()
-        self.lab.record.note(f"{self.id} ({self.role}) reports draining")
-
     # -- replication -----------------------------------------------------
 
     def end(self, count=None):
@@ -829,42 +821,11 @@
                     self.acked[service].append((self.record.now(), entry))
                     return
 
-    async def add_member(self, service, name, zone):
-        """Starts a new member, which follows the primary."""
-        member = Member(self, service, name, zone)
-        self.groups[service].append(member)
-        self.members[name] = member
-        await member.start_again()
-
     def leader(self, service):
         """Returns the primary of the newest term."""
         leading = [m for m in self.groups[service] if m.role == "primary"]
         return max(leading, key=lambda m: m.term)
 
-    def turns(self, lease_s):
-        """Returns orders of a holder after another's, within `lease_s`."""
-        found = []
-        for service in self.groups:
-            orders = [o for o in self.orders if o[1] == service]
-            for first, last in itertools.combinations(range(len(orders)), 2):
-                same = orders[first][3] == orders[last][3]
-                between = {o[3] for o in orders[first:last]}
-                if same and len(between) > 1:
-                    if orders[last][0] - orders[first][0] < lease_s:
-                        found.append(orders[first : last + 1])
-        return found
-
-    def lower_tokens(self):
-        """Returns orders whose token is lower than an earlier one's."""
-        found = []
-        for service in self.groups:
-            newest = 0
-            for order in (o for o in self.orders if o[1] == service):
-                if order[4] < newest:
-                    found.append(order)
-                newest = max(newest, order[4])
-        return found
-
     def new_id(self):
         """Returns a new request id."""
         return f"{random.getrandbits(32):08x}{next(self._ids):08x}"
--- a/review/sheet.py
+++ b/review/sheet.py
@@ -1,4 +1,4 @@
-"""Settings and routes of two installations, as their sheets have them."""
+"""Settings and routes of the installation of a case, from its sheet."""
 
 import types
 
@@ -25,36 +25,6 @@
     "cloud.dutyPerS": "50.0",
 }
 
-LSPW = types.SimpleNamespace(
-    zones=("hall-a", "hall-b", "hall-c"),
-    nodes=7,
-    services=("dele69a", "gowu98c", "xano55b"),
-    max_connections=33,
-    slots=5,
-    promote_s=0.6,
-    apply_s=0.020,
-    primary_route={"timeoutMs": 1000, "targetLatencyMs": 200},
-    bounded_route={"timeoutMs": 3000, "targetLatencyMs": 800},
-    settings={
-        **_COMMON,
-        "limits.cpuShare": "0.537",
-        "limits.cores": "2",
-        "limits.memoryMb": "300",
-        "limits.maxFds": "4300",
-        "limits.linkMbps": "1000.0",
-        "contracts": "base,drain,config,cost,recover,sql,platform",
-        "bounds.stableWindowMs": "4000",
-        "bounds.ackMs": "5000",
-        "bounds.catchUpS": "4",
-        "bounds.drainMs": "7000",
-        "bounds.configApplyMs": "3000",
-        "bounds.maxSkewMs": "12000",
-        "bounds.recoveryS": "12",
-        "platform.writesPerS": "400",
-        "platform.readsPerS": "2000",
-    },
-)
-
 HUVUDBOK = types.SimpleNamespace(
     zones=("sthlm-a", "sthlm-b", "sthlm-c"),
     nodes=6,
