Review: case 1 leaves rolled back commits out, and ends its nodes if stopped

Looked for: the check of STALE with its excuse (commits that a promote rolled back don't count), and processes left by a script that is stopped.

--- a/review/lab.py
+++ b/review/lab.py
@@ -17,6 +17,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import traceback
@@ -764,6 +765,9 @@
         for at, entry in self.acked[chosen.service]:
             if entry not in held:
                 self.lost.append((at, entry))
+        # Commits that a promote rolls back do not count for STALE.
+        kept = [a for a in self.acked[chosen.service] if a[1] in held]
+        self.acked[chosen.service] = kept
         chosen.lead(max(m.term for m in group) + 1)
         self.record.note(f"{chosen.id} leads term {chosen.term}")
         for member in group:
@@ -920,6 +924,8 @@
 
 def run(main):
     """Runs a case; returns its exit status, 2 if it could not run."""
+    # A stop from outside ends the nodes, too, as the end of a case does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         return asyncio.run(main())
     except Exception:  # noqa: BLE001 - tells it apart from a broken rule
