--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,6 +1,6 @@
 """A planned stop cuts requests of consumers that have no long pauses.
 
-Eight consumers of one node send a statement 5 to 20 ms after the last answer.
+Six consumers of one node send a statement 5 to 20 ms after the last answer.
 The node gets SIGTERM. A request breaks LOST if it was sent more than 3 s later,
 was passed on to a member, and has no answer when its connection ends.
 """
@@ -17,7 +17,7 @@
 
 import cluster  # noqa: E402
 
-SESSIONS = 8
+SESSIONS = 6
 GRACE_S = 6.0
 # A request that was sent no later than this after SIGTERM may be cut.
 EXCUSED_S = 3.0
