Log the errors of flows that nobody waits for

Cause: `decisions.start` keeps the error of a flow in its future. Ten callers dropped that future, the following of the store among them, so that such a flow ended without a line in a log.

Change: `decisions.start_detached` logs the error with the name of the flow; the ten callers use it, and so does the failover of a database, whose callback ignored the error. A flag that says that such a flow is under way is reset in a `finally`, as a node would otherwise never poll a replica or check a statement again. Results of flows are passed on outside of the handler of StopIteration: a traceback quoted them as the context of the error, configured keys included.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -67,6 +67,7 @@
     from ferry_decisions._load import WorkKey as WorkKey
     from ferry_decisions._logs import log_debug as log_debug
     from ferry_decisions._logs import log_exception as log_exception
+    from ferry_decisions._logs import log_failure as log_failure
     from ferry_decisions._logs import log_warning as log_warning
     from ferry_decisions._membership import Membership as Membership
     from ferry_decisions._outcomes import ANSWER_LOST as ANSWER_LOST
@@ -182,6 +183,7 @@
     )
     from ferry_decisions._structuring import structure as structure
     from ferry_decisions._structuring import unstructure as unstructure
+    from ferry_decisions._supervision import start_detached as start_detached
     from ferry_decisions._timers import PeriodicTimer as PeriodicTimer
     from ferry_decisions._timers import Ticker as Ticker
     from ferry_decisions._timers import Timer as Timer
@@ -238,7 +240,7 @@
     ],
     "_hashing": ["rendezvous_score", "stagger_fraction"],
     "_load": ["Demand", "WorkKey"],
-    "_logs": ["log_debug", "log_exception", "log_warning"],
+    "_logs": ["log_debug", "log_exception", "log_failure", "log_warning"],
     "_membership": ["Membership"],
     "_outcomes": [
         "ANSWER_LOST",
@@ -324,6 +326,7 @@
     "_sessions": ["SessionState", "parse_staleness"],
     "_statements": ["SETTING_PREFIX", "Statement", "StatementKind", "classify"],
     "_structuring": ["InvalidDocumentError", "structure", "unstructure"],
+    "_supervision": ["start_detached"],
     "_timers": [
         "PeriodicTimer",
         "Ticker",
--- a/packages/decisions/src/ferry_decisions/_confirmations.py
+++ b/packages/decisions/src/ferry_decisions/_confirmations.py
@@ -21,6 +21,7 @@
 from ferry_decisions import _databases
 from ferry_decisions import _flows
 from ferry_decisions import _ports
+from ferry_decisions import _supervision
 from ferry_decisions import _timers
 
 # How long a replica may hold back its answer until it has received an index.
@@ -157,9 +158,15 @@
         for replica in self._replicas.values():
             if not replica.polling:
                 replica.polling = True
-                _flows.start(self._poll(replica))
+                _supervision.start_detached("poll", self._poll(replica))
 
     def _poll(self, replica: _Replica) -> "_flows.Flow[None]":
+        try:
+            yield from self._poll_while_pending(replica)
+        finally:
+            replica.polling = False
+
+    def _poll_while_pending(self, replica: _Replica) -> "_flows.Flow[None]":
         """Polls one replica for as long as confirmations are pending."""
         while self.pending and not self._replaced:
             wanted = 0
@@ -178,7 +185,6 @@
                 self._mark_replaced()
                 break
             self.note_status(status, asked_at)
-        replica.polling = False
 
     def _complete_confirmed(self) -> None:
         confirmed = self.confirmed
--- a/packages/decisions/src/ferry_decisions/_flows.py
+++ b/packages/decisions/src/ferry_decisions/_flows.py
@@ -79,20 +79,29 @@
 ) -> None:
     """Runs a flow until it yields a future that is not done."""
     while True:
+        failure: Exception | None = None
+        result: T | None = None
         try:
             yielded = resume()
         except StopIteration as exc:
-            resolve(out, exc.value)
-            return
+            result = exc.value
         except Exception as exc:  # noqa: BLE001 - passed on by the future
-            reject(out, exc)
-            return
-        if not yielded.done():
+            failure = exc
+        else:
+            if yielded.done():
+                resume = _resumption(flow, yielded)
+                continue
             yielded.add_done_callback(
                 lambda fut: _run_flow(flow, out, _resumption(flow, fut))
             )
             return
-        resume = _resumption(flow, yielded)
+        # The callbacks of `out` run outside of the handlers above: a traceback
+        # that is logged there would quote the result of this flow.
+        if failure is not None:
+            reject(out, failure)
+        else:
+            resolve(out, typing.cast(T, result))
+        return
 
 
 def _resumption(
--- a/packages/decisions/src/ferry_decisions/_logs.py
+++ b/packages/decisions/src/ferry_decisions/_logs.py
@@ -19,6 +19,13 @@
     logging.warning(message, *args)
 
 
+def log_failure(exc: BaseException, message: str, *args: object) -> None:
+    """Logs an exception that was caught before, with its traceback."""
+    from absl import logging
+
+    logging.error(message, *args, exc_info=exc)
+
+
 def log_exception(message: str, *args: object) -> None:
     """Logs an error with the traceback of the exception being handled."""
     from absl import logging
--- a/packages/decisions/src/ferry_decisions/_watch.py
+++ b/packages/decisions/src/ferry_decisions/_watch.py
@@ -16,6 +16,7 @@
 from ferry_decisions import _positions
 from ferry_decisions import _promotion
 from ferry_decisions import _replicas
+from ferry_decisions import _supervision
 from ferry_decisions import _timers
 
 # Delay after a failed promotion; half of it after a vote without a majority.
@@ -211,10 +212,10 @@
             if (due or silent) and member.name not in self._probing:
                 self._probing.add(member.name)
                 self._probed_at[member.name] = now
-                _flows.start(self._probe(member))
+                _supervision.start_detached("probe", self._probe(member))
         if not self._is_failing_over and self._needs_failover():
             self._is_failing_over = True
-            fut = _flows.start(self._run_failover())
+            fut = _supervision.start_detached("fail over", self._run_failover())
             fut.add_done_callback(lambda _: self._end_failover())
 
     def _end_failover(self) -> None:
--- a/packages/node/src/ferry_node/_execution.py
+++ b/packages/node/src/ferry_node/_execution.py
@@ -67,6 +67,14 @@
     check_interval_s: float = FIRST_LIVENESS_CHECK_S
     is_checking: bool = False
 
+    def note_checked(self, now: float) -> None:
+        """Records that a check has ended, and schedules the next one."""
+        self.is_checking = False
+        self.next_check_at = now + self.check_interval_s
+        self.check_interval_s = min(
+            2 * self.check_interval_s, MAX_LIVENESS_CHECK_S
+        )
+
 
 class Executor:
     """Runs batches at one member.
@@ -195,16 +203,23 @@
                 )
             elif now >= pending.next_check_at and not pending.is_checking:
                 pending.is_checking = True
-                decisions.start(self._check_lost(pending))
+                decisions.start_detached(
+                    "check a statement", self._check_lost(pending)
+                )
 
     def _check_lost(
         self, pending: "_PendingStatement"
     ) -> "decisions.Flow[None]":
-        """Fails a statement if the endpoint runs nothing on its connection.
+        """Fails a statement if the endpoint runs nothing on its connection."""
+        try:
+            if (yield from self._is_lost(pending)):
+                exc = _endpoint.EndpointLostError("silent, and runs nothing")
+                decisions.reject(pending.fut, exc)
+        finally:
+            pending.note_checked(self._timers.now())
 
-        The endpoint is asked twice, so that an answer in transit can arrive.
-        """
-        lost = True
+    def _is_lost(self, pending: "_PendingStatement") -> "decisions.Flow[bool]":
+        """Asks the endpoint twice, so that an answer in transit can arrive."""
         for _ in range(2):
             try:
                 running = yield self._watch.driver.is_running(
@@ -213,17 +228,9 @@
             except decisions.EndpointUnreachableError:
                 running = True
             if running or pending.fut.done():
-                lost = False
-                break
+                return False
             yield decisions.sleep(self._timers, LIVENESS_RECHECK_S)
-        if lost:
-            exc = _endpoint.EndpointLostError("silent, and runs nothing")
-            decisions.reject(pending.fut, exc)
-        pending.is_checking = False
-        pending.next_check_at = self._timers.now() + pending.check_interval_s
-        pending.check_interval_s = min(
-            2 * pending.check_interval_s, MAX_LIVENESS_CHECK_S
-        )
+        return True
 
     def _start_request(
         self, state: _request_checks.RequestState, conn: _endpoint.EndpointConn
--- a/packages/node/src/ferry_node/_ownership.py
+++ b/packages/node/src/ferry_node/_ownership.py
@@ -43,7 +43,7 @@
         self._closed = False
         self._had_guests = False
         self._lost_at = float("-inf")
-        decisions.start(self._maintain())
+        decisions.start_detached("own a member", self._maintain())
 
     def note_lost(self) -> None:
         """Notes that the member has another owner."""
--- a/packages/proxy/src/ferry_proxy/_departed_members.py
+++ b/packages/proxy/src/ferry_proxy/_departed_members.py
@@ -143,9 +143,8 @@
             asked_at = self._asked_at.get(departure.key, float("-inf"))
             if now - asked_at >= PROBE_INTERVAL_S:
                 self._asked_at[departure.key] = now
-                decisions.start(
-                    reach(self._clock, group, departure, _status_of(group))
-                )
+                probe = reach(self._clock, group, departure, _status_of(group))
+                decisions.start_detached("probe a departed member", probe)
 
 
 def _status_of(group: _groups.Group) -> Ask:
--- a/packages/proxy/src/ferry_proxy/_fences.py
+++ b/packages/proxy/src/ferry_proxy/_fences.py
@@ -121,7 +121,8 @@
         if change.cause is _fencing.Cause.STALLED:
             yield from self._demote(view.old_primary, term)
         elif change.cause is not _fencing.Cause.LEAVING:
-            decisions.start(self._demote(view.old_primary, term))
+            demoted = self._demote(view.old_primary, term)
+            decisions.start_detached("demote", demoted)
         self._newcomers.begin(view.old_primary, term, reports)
         return reports
 
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -136,7 +136,7 @@
 
     def start(self) -> None:
         """Starts following the store."""
-        decisions.start(self._follow())
+        decisions.start_detached("follow the store", self._follow())
 
     def stop(self) -> None:
         """Stops following the store."""
--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -159,7 +159,7 @@
         stream = self._sources.choose(near, far)
         if stream is not None:
             self._is_fetching = True
-            decisions.start(self._fetch(stream))
+            decisions.start_detached("fetch a copy", self._fetch(stream))
 
     def _is_near(self, stream: PeerInfo) -> bool:
         node = self._catalogue.nodes.get(stream.peer)
--- a/packages/proxy/src/ferry_proxy/_surveys.py
+++ b/packages/proxy/src/ferry_proxy/_surveys.py
@@ -165,7 +165,8 @@
         now = self._clock.now()
         if unknown and now - self._peers_asked_at > PEERS_ASKED_INTERVAL_S:
             self._peers_asked_at = now
-            decisions.start(_opinions.ask(self._clock, self._mesh, group))
+            asked = _opinions.ask(self._clock, self._mesh, group)
+            decisions.start_detached("ask for departures", asked)
 
     def _surveyor(self, group: _groups.Group) -> _peers.Peer | None:
         """Returns the stream to the surveyor; None if that is this node."""
--- a/packages/proxy/src/ferry_proxy/_transactions.py
+++ b/packages/proxy/src/ferry_proxy/_transactions.py
@@ -112,7 +112,9 @@
         if pooled_link.link.lost:
             pool.discard(pooled_link)
             return
-        decisions.start(self._roll_back(pool, pooled_link))
+        decisions.start_detached(
+            "roll back", self._roll_back(pool, pooled_link)
+        )
 
     def _roll_back(
         self, pool: _pools.Pool, pooled_link: _pooled_links.PooledLink
