Refuse stored numbers and texts that cannot be worked with

On related paths, values were accepted that fail later: whole numbers without a bound (a lease's `answered_ms` is divided, a configuration's version is part of each ping, which msgpack carries up to 64 bits only) and halves of surrogate pairs, which no message, label or digest can encode. A `born` far in the future was accepted too, and would have made all later entries of that member count as outdated.

--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -49,10 +49,13 @@
     from ferry_proxy._proxy import Proxy as Proxy
     from ferry_proxy._readiness import lets_callers_go as lets_callers_go
     from ferry_proxy._readiness import may_close_idle as may_close_idle
+    from ferry_proxy._records import MAX_INTEGER as MAX_INTEGER
     from ferry_proxy._records import MAX_PORT as MAX_PORT
     from ferry_proxy._records import Claim as Claim
     from ferry_proxy._records import InvalidItemError as InvalidItemError
     from ferry_proxy._records import NodeEntry as NodeEntry
+    from ferry_proxy._records import is_finite_number as is_finite_number
+    from ferry_proxy._records import is_text as is_text
     from ferry_proxy._records import json_object as json_object
     from ferry_proxy._sessions import Kind as Kind
     from ferry_proxy._sessions import Session as Session
@@ -117,8 +120,11 @@
     "_records": [
         "Claim",
         "InvalidItemError",
+        "MAX_INTEGER",
         "MAX_PORT",
         "NodeEntry",
+        "is_finite_number",
+        "is_text",
         "json_object",
     ],
     "_sessions": ["Kind", "Session"],
--- a/packages/proxy/src/ferry_proxy/_member_rows.py
+++ b/packages/proxy/src/ferry_proxy/_member_rows.py
@@ -49,8 +49,11 @@
             raise _records.InvalidItemError(f"{where}: {name} is no {kind}")
     if not row["id"] or not 0 < row["port"] <= _records.MAX_PORT:
         raise _records.InvalidItemError(f"{where}: no id or no port")
-    if row["born"] < 0 or row["slots"] < 0:
-        raise _records.InvalidItemError(f"{where}: a negative number")
+    if not all(map(_records.is_count, (row["born"], row["slots"]))):
+        raise _records.InvalidItemError(f"{where}: a number out of range")
+    texts = (row["id"], row["host"], row["data_centre"])
+    if not all(map(_records.is_text, texts)):
+        raise _records.InvalidItemError(f"{where}: a text without an encoding")
     fields = {name: row[name] for name in _FIELDS}
     revision = _decode_revision(row.get(_REVISION_FIELD, (0, 0)), where)
     return _members.Member(service=service, revision=revision, **fields)
@@ -58,6 +61,6 @@
 
 def _decode_revision(raw: typing.Any, where: str) -> decisions.Revision:
     is_pair = isinstance(raw, list | tuple) and len(raw) == 2
-    if not is_pair or any(type(n) is not int or n < 0 for n in raw):
+    if not is_pair or not all(map(_records.is_count, raw)):
         raise _records.InvalidItemError(f"{where}: no revision")
     return decisions.Revision(*raw)
--- a/packages/proxy/src/ferry_proxy/_records.py
+++ b/packages/proxy/src/ferry_proxy/_records.py
@@ -13,6 +13,9 @@
 VOTER_PREFIX = "ferry/voters/"
 MAX_PORT = 65_535
 
+# The largest whole number that messages between nodes can carry.
+MAX_INTEGER = (1 << 63) - 1
+
 # Fencing tokens that each era has room for: one a second for eleven days.
 TOKENS_PER_ERA = 1_000_000
 
@@ -95,6 +98,35 @@
     return raw
 
 
+def is_finite_number(value: object) -> typing.TypeGuard[float]:
+    """Whether a value from JSON is a number that a double holds."""
+    if type(value) not in (int, float):
+        return False
+    try:
+        return math.isfinite(typing.cast(float, value))
+    except OverflowError:
+        return False
+
+
+def is_count(value: object) -> typing.TypeGuard[int]:
+    """Whether a value from JSON is a whole number up to `MAX_INTEGER`."""
+    return type(value) is int and 0 <= value <= MAX_INTEGER
+
+
+def is_text(value: object) -> typing.TypeGuard[str]:
+    """Whether a value from JSON is a text that has an encoding.
+
+    JSON can express halves of surrogate pairs, which messages cannot carry.
+    """
+    if not isinstance(value, str):
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 @attrs.frozen(slots=True)
 class NodeEntry:
     """A node of the proxy.
@@ -132,7 +164,7 @@
         raw = json_object(value, f"node {name}")
         host, port = raw.get("host"), raw.get("port")
         data_centre = raw.get("data_centre", "")
-        if not isinstance(host, str) or not isinstance(data_centre, str):
+        if not is_text(host) or not is_text(data_centre):
             raise InvalidItemError(f"node {name}: a text of another type")
         if type(port) is not int or not 0 < port <= MAX_PORT:
             raise InvalidItemError(f"node {name}: no port")
@@ -148,7 +180,7 @@
         InvalidItemError: The value is not a finite, non-negative number.
     """
     value = raw.get(field, 0.0)
-    if type(value) not in (int, float) or not 0 <= value < math.inf:
+    if not is_finite_number(value) or value < 0:
         raise InvalidItemError(f"node {node}: {field} is no size")
     return float(value)
 
@@ -191,9 +223,9 @@
         numbers: list[typing.Any] = [
             raw.get(field) for field in ("token", "term", "attempts")
         ]
-        if not isinstance(member, str) or not member:
+        if not is_text(member) or not member:
             raise InvalidItemError(f"{where}: an order without a member")
-        if any(type(n) is not int or n < 0 for n in numbers):
+        if not all(map(is_count, numbers)):
             raise InvalidItemError(f"{where}: an order without numbers")
         return cls(member, *numbers)
 
@@ -241,10 +273,10 @@
             raise InvalidItemError(f"{where}: the lease is no object")
         holder, token = raw.get("holder"), raw.get("token")
         answered_ms = raw.get("answered_ms")
-        if not isinstance(holder, str) or not holder:
+        if not is_text(holder) or not holder:
             raise InvalidItemError(f"{where}: a lease without a holder")
         numbers = [token] if answered_ms is None else [token, answered_ms]
-        if any(type(n) is not int or n < 0 for n in numbers):
+        if not all(map(is_count, numbers)):
             raise InvalidItemError(f"{where}: a lease with invalid numbers")
         return cls(holder, typing.cast(int, token), answered_ms)
 
@@ -296,9 +328,9 @@
         raw = json_object(value, f"claim {service}")
         holder, token = raw.get("holder"), raw.get("token")
         done = raw.get("done")
-        if not isinstance(holder, str) or not isinstance(done, bool):
+        if not is_text(holder) or not isinstance(done, bool):
             raise InvalidItemError(f"claim {service}: a field of another type")
-        if type(token) is not int or token < 0:
+        if not is_count(token):
             raise InvalidItemError(f"claim {service}: no token")
         order = raw.get("order")
         if order is not None:
