Contain the failure of one stored item, or of one part that hears of it

Cause: `Catalogue.take` handled the typed error of the decoders only. Any other error of one item left the loop over the items, and with it the flow that follows the store. The failing item was marked as known by then, as were all before it, and the items after it in the same answer were never applied: the copy's revision had moved on. An error of a part that hears of changes did the same.

Change: an item whose decoding fails with any error is refused like an invalid one and logged with its key and the traceback. It is not tried again until it is written again: it would fail again. An error of a callback is logged, and the other callbacks are called.

--- a/packages/proxy/src/ferry_proxy/_catalogue.py
+++ b/packages/proxy/src/ferry_proxy/_catalogue.py
@@ -64,19 +64,6 @@
     kept: _store.Item | None = None
 
 
-@attrs.frozen(slots=True)
-class SnapshotRead:
-    """A read of a full snapshot of the store.
-
-    Attributes:
-        revision: The store's revision at the time.
-        read_at: When it was read, in the clock's seconds.
-    """
-
-    revision: decisions.Revision
-    read_at: float
-
-
 class Catalogue:
     """The decoded items of the store.
 
@@ -131,7 +118,7 @@
         self.stored_voters = _voter_records.stored()
         self.era_seen_at = float("-inf")
         self.complete_at = float("-inf")
-        self.first_snapshot: SnapshotRead | None = None
+        self.first_snapshot: _store.SnapshotRead | None = None
         self.refused = 0
         self.on_change: list[Callable[[], object]] = []
 
@@ -264,7 +251,7 @@
         taken = self.take((*snapshot.items, *deleted), source)
         if is_first or is_restored:
             now = self._clock.now()
-            self.first_snapshot = SnapshotRead(snapshot.revision, now)
+            self.first_snapshot = _store.SnapshotRead(snapshot.revision, now)
         listed = len(snapshot.items)
         _events.emit(
             _events.ItemsRead(
@@ -339,7 +326,10 @@
 
     def _note_change(self) -> None:
         for callback in self.on_change:
-            callback()
+            try:
+                callback()
+            except Exception:  # noqa: BLE001 - the copy is complete without it
+                decisions.log_exception("event=change_callback_failed")
 
     def _is_current(self, item: _store.Item) -> bool:
         return self._items.get(item.key) == item
@@ -366,6 +356,9 @@
                 self.stored_voters.apply(item)
         except _records.InvalidItemError as exc:
             self._refuse(item, str(exc))
+        except Exception as exc:  # noqa: BLE001 - the other items are applied
+            decisions.log_exception("event=item_failed key=%r", item.key)
+            self._refuse(item, repr(exc))
 
     def _refuse(self, item: _store.Item, detail: str) -> None:
         """Counts and logs an invalid item, which is then ignored."""
--- a/packages/proxy/src/ferry_proxy/_store.py
+++ b/packages/proxy/src/ferry_proxy/_store.py
@@ -45,6 +45,19 @@
     revision: decisions.Revision
 
 
+@attrs.frozen(slots=True)
+class SnapshotRead:
+    """A read of a full snapshot of the store.
+
+    Attributes:
+        revision: The store's revision at the time.
+        read_at: When it was read, in the clock's seconds.
+    """
+
+    revision: decisions.Revision
+    read_at: float
+
+
 class Store(typing.Protocol):
     """A linearizable store with revisions.
 
