Run a lasting flow anew after an error

Cause: the flow that follows the store, and the one that owns a member, ended for good with the first error that they do not expect.

Change: `decisions.Supervisor` logs the error with the name of the flow and runs the flow anew, after 0.1 s at first and 1 s at most. It requires a handler that makes the state fit to begin with: the follower reads all items anew, an owner claims its member anew. The gauge `store_follow_restarts` counts.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -183,6 +183,7 @@
     )
     from ferry_decisions._structuring import structure as structure
     from ferry_decisions._structuring import unstructure as unstructure
+    from ferry_decisions._supervision import Supervisor as Supervisor
     from ferry_decisions._supervision import start_detached as start_detached
     from ferry_decisions._timers import PeriodicTimer as PeriodicTimer
     from ferry_decisions._timers import Ticker as Ticker
@@ -326,7 +327,7 @@
     "_sessions": ["SessionState", "parse_staleness"],
     "_statements": ["SETTING_PREFIX", "Statement", "StatementKind", "classify"],
     "_structuring": ["InvalidDocumentError", "structure", "unstructure"],
-    "_supervision": ["start_detached"],
+    "_supervision": ["Supervisor", "start_detached"],
     "_timers": [
         "PeriodicTimer",
         "Ticker",
--- a/packages/node/src/ferry_node/_ownership.py
+++ b/packages/node/src/ferry_node/_ownership.py
@@ -43,7 +43,9 @@
         self._closed = False
         self._had_guests = False
         self._lost_at = float("-inf")
-        decisions.start_detached("own a member", self._maintain())
+        decisions.Supervisor(
+            timers, f"own {member.name}", self._maintain, self.note_lost
+        ).start()
 
     def note_lost(self) -> None:
         """Notes that the member has another owner."""
--- a/packages/proxy/src/ferry_proxy/_followers.py
+++ b/packages/proxy/src/ferry_proxy/_followers.py
@@ -132,16 +132,24 @@
         self._is_reader = True
         self._is_read_requested = False
         self._stopped = False
+        self._supervisor = decisions.Supervisor(
+            clock, "follow the store", self._follow, self._read_anew
+        )
         catalogue.on_change.append(self._update_role)
 
     def start(self) -> None:
         """Starts following the store."""
-        decisions.start_detached("follow the store", self._follow())
+        self._supervisor.start()
 
     def stop(self) -> None:
         """Stops following the store."""
         self._stopped = True
 
+    @property
+    def restarts(self) -> int:
+        """How often following the store ended with an error."""
+        return self._supervisor.restarts
+
     @property
     def is_watching(self) -> bool:
         """Whether this node watches the store itself."""
@@ -197,6 +205,13 @@
         nodes = self._catalogue.nodes.values()
         self._is_reader = is_reader(self._own, nodes)
 
+    def _read_anew(self) -> None:
+        """Makes the next run read all items.
+
+        The changes that were being applied may not all be part of the copy.
+        """
+        self._needs_snapshot = True
+
     def _follow(self) -> "decisions.Flow[None]":
         pause_s = RETRY_FIRST_S
         while not self._stopped:
--- a/packages/proxy/src/ferry_proxy/_gauges.py
+++ b/packages/proxy/src/ferry_proxy/_gauges.py
@@ -104,6 +104,7 @@
         "sessions": session_count,
         "store_age_seconds": lambda: sources.follower.age_s,
         "copy_age_seconds": lambda: sources.follower.copy_age.seconds,
+        "store_follow_restarts": lambda: sources.follower.restarts,
         "store_era": lambda: catalogue.revision.era,
         "store_revision": lambda: catalogue.revision.number,
         "configuration_version": lambda: catalogue.version,
--- a/packages/proxy/src/ferry_proxy/tests/test_failing_items.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_failing_items.py
@@ -108,3 +108,28 @@
     lab.clock.advance(1.0)
     assert heard[-1] == 10
     assert "change_callback_failed" in caplog.text
+
+
+# Guards against nodes that stop following the store for an unexpected error.
+@pytest.mark.parametrize("method", ["changes", "list"])
+def test_a_node_follows_the_store_again_after_an_error(
+    lab, method, monkeypatch
+):
+    reader = lab.reader
+    answer = getattr(lab.store, method)
+    failures = iter(range(3))
+
+    def fail_at_first(*args):
+        if next(failures, None) is not None:
+            raise ZeroDivisionError(method)
+        return answer(*args)
+
+    monkeypatch.setattr(lab.store, method, fail_at_first, raising=False)
+    if method == "list":
+        reader = test_followers.Node(lab, "n10")
+    lab.store.put("config", b"11")
+    lab.clock.advance(3.0)
+    lab.store.put("config", b"12")
+    lab.clock.advance(1.0)
+    assert reader.copy.version == 12
+    assert reader.follower.restarts == 3
