End a connection without a reset that destroys its last answer

Cause: `Stream.close_when_sent` closed the socket as soon as the last byte was handed to the kernel. If bytes of the peer had arrived and were not read, the close sent a reset, and a reset discards what the peer has not read yet: the answer or the error that the connection ended with.

Change: the stream ends its own direction once all is sent, ignores what still arrives, and closes when the peer has closed, after a second at the latest. It can tell when it has ended. `Listener.accept_waiting` takes the connections that are established already; to close the socket resets them. A stream that is paused can be closed.

Measured: before, a client whose second request was unread got ECONNRESET instead of the answer, and the close of a paused stream failed with a KeyError.

--- a/packages/runtime/src/ferry_runtime/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -17,6 +17,9 @@
 RECV_BYTES = 65_536
 MAX_READS_PER_EVENT = 4
 
+# How long a stream that has sent all it had to waits for its peer to close.
+LINGER_S = 1.0
+
 _READ = selectors.EVENT_READ
 _WRITE = selectors.EVENT_WRITE
 
@@ -37,10 +40,10 @@
     """A byte stream that reports received data through callbacks.
 
     Attributes:
-        closed: Whether the stream is closed.
+        closed: Whether the stream is closed, or closes once all is sent.
         on_data: Receives each chunk of data.
         on_closed: Receives the reason, once, when the stream fails or the peer
-            closes it. A local `close` or `abort` does not call it.
+            closes it. Closing it locally does not call it.
         on_open: Called when an outgoing connection is established.
     """
 
@@ -53,7 +56,9 @@
         "_opening",
         "_handshaking",
         "_paused",
-        "_closing",
+        "_is_finishing",
+        "_is_released",
+        "_on_finished",
         "closed",
         "on_data",
         "on_closed",
@@ -70,7 +75,9 @@
         self._opening = opening
         self._handshaking = False
         self._paused = False
-        self._closing = False
+        self._is_finishing = False
+        self._is_released = False
+        self._on_finished: Callable[[], object] = _no_op
         self.closed = False
         self.on_data: Callable[[bytes], object] = _ignore
         self.on_closed: Callable[[StreamClosedError], object] = _ignore
@@ -148,27 +155,59 @@
 
     def close(self) -> None:
         """Closes immediately, without calling `on_closed`."""
-        if self.closed:
-            return
         self.closed = True
+        if self._is_released:
+            return
+        self._is_released = True
         self._out = None
-        self._loop.unregister(self._sock)
+        if self._events:
+            self._loop.unregister(self._sock)
         self._sock.close()
+        self._on_finished()
 
     def abort(self) -> None:
         """Closes with a TCP reset, which discards bytes not yet delivered."""
-        if self.closed:
+        if self._is_released:
             return
         linger = struct.pack("ii", 1, 0)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.close()
 
-    def close_when_sent(self) -> None:
-        """Closes as soon as all queued bytes have been sent."""
-        if not self._out:
+    def close_when_sent(
+        self, on_finished: Callable[[], object] | None = None
+    ) -> None:
+        """Sends all queued bytes, and closes once the peer has closed, too.
+
+        To close a socket with unread bytes resets the connection, and a reset
+        discards bytes that the peer has not read yet. So this side only ends
+        its direction, and ignores what still arrives.
+
+        Args:
+            on_finished: Called when the connection has ended.
+        """
+        if self.closed:
+            if on_finished is not None:
+                on_finished()
+            return
+        if on_finished is not None:
+            self._on_finished = on_finished
+        if self._opening or self._handshaking:
             self.close()
             return
-        self._closing = True
+        self.closed = True
+        self._is_finishing = True
+        self.on_data = _ignore
+        self.resume()
+        if not self._out:
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()  # The peer has reset the connection.
+        else:
+            self._loop.after(LINGER_S, self.close)
 
     def _queue(self, data: bytes) -> None:
         if self._out is None:
@@ -177,7 +216,7 @@
         self._update_events()
 
     def _update_events(self) -> None:
-        if self.closed or self._opening or self._handshaking:
+        if self._is_released or self._opening or self._handshaking:
             return
         events = 0 if self._paused else _READ
         if self._out:
@@ -201,7 +240,7 @@
             return
         if events & _WRITE:
             self._flush()
-        if events & _READ and not self.closed:
+        if events & _READ and not self._is_released:
             self._receive()
 
     def _finish_opening(self) -> None:
@@ -243,9 +282,8 @@
         del self._out[:sent]
         if not self._out:
             self._out = None
-            if self._closing:
-                self.close()
-                return
+            if self._is_finishing:
+                self._end_sending()
         self._update_events()
 
     def _receive(self) -> None:
@@ -270,9 +308,10 @@
         return self._tls is not None and self._tls.has_pending
 
     def _fail(self, detail: str, refused: bool = False) -> None:
-        if self.closed:
-            return
+        is_closed = self.closed
         self.close()
+        if is_closed:
+            return
         self.on_closed(StreamClosedError(detail, refused))
 
 
@@ -303,8 +342,13 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._on_stream(Stream(self._loop, sock))
 
+    def accept_waiting(self) -> None:
+        """Accepts the connections that peers have already established."""
+        if self._open:
+            self._accept(_READ)
+
     def close(self) -> None:
-        """Stops listening."""
+        """Stops listening; resets connections that are not accepted yet."""
         if self._open:
             self._open = False
             self._loop.unregister(self._sock)
--- a/packages/runtime/src/ferry_runtime/_tls.py
+++ b/packages/runtime/src/ferry_runtime/_tls.py
@@ -65,6 +65,10 @@
         """Sets an option of the underlying socket."""
         self._sock.setsockopt(level, option, value)
 
+    def shutdown(self, how: int) -> None:
+        """Ends one or both directions of the connection."""
+        self._sock.shutdown(how)
+
     def fileno(self) -> int:
         """Returns the file descriptor of the underlying socket."""
         return self._sock.fileno()
