Let callers go between two requests before a planned stop ends

Cause: a connection was closed only after 50 ms of silence. A caller with shorter pauses never had such a silence, was served for the whole grace period, and was then cut wherever it was. Nothing ended a connection with an answer, refused new requests, or told callers of what still ran or waited at the end; queued output was lost, as the process ended without sending it. A caller whose pauses are near 50 ms was closed while its next request was on the way.

Change: once the balancer sends no callers, each connection gets a moment to leave, spread up to 0.45 of the grace period, so that not all of them connect elsewhere at once. From then on it ends right after the answer that it waits for, when no request of a caller that waits for answers can be on the way, or in a silence of several of the caller's usual pauses. A caller that pauses for less than a network trip could send before it notices the end; its next operation is refused instead ("not run"), until it pauses. From half of the grace period on no operation begins, here or for other nodes, which then ask another serving node. What still runs 0.6 s before the end is answered with what is known: not run (and never sent later), rolled back, or unknown. The process waits until answers are read, 0.15 s before the end at most.

--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -49,6 +49,10 @@
     from ferry_proxy._proxy import Proxy as Proxy
     from ferry_proxy._readiness import lets_callers_go as lets_callers_go
     from ferry_proxy._readiness import may_close_idle as may_close_idle
+    from ferry_proxy._readiness import (
+        may_close_with_answer as may_close_with_answer,
+    )
+    from ferry_proxy._readiness import usual_pause_s as usual_pause_s
     from ferry_proxy._records import MAX_INTEGER as MAX_INTEGER
     from ferry_proxy._records import MAX_PORT as MAX_PORT
     from ferry_proxy._records import Claim as Claim
@@ -116,7 +120,12 @@
     "_policy": ["Bounds", "Policy"],
     "_policy_file": ["InvalidPolicyError", "policy_from_file"],
     "_proxy": ["Proxy"],
-    "_readiness": ["lets_callers_go", "may_close_idle"],
+    "_readiness": [
+        "lets_callers_go",
+        "may_close_idle",
+        "may_close_with_answer",
+        "usual_pause_s",
+    ],
     "_records": [
         "Claim",
         "InvalidItemError",
--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -43,7 +43,7 @@
 
 @attrs.frozen(slots=True, repr=False, eq=False)
 class NodeStopped:
-    """The process ends; `cut` counts the sessions that were still busy."""
+    """The process ends; `cut` counts the statements that still ran."""
 
     cut: int
 
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -351,7 +351,14 @@
         pooled_link: _pooled_links.PooledLink,
         floor: decisions.Position | None,
     ) -> "decisions.Future[_links.Reply]":
-        """Sends a statement, preceded by the session state that it needs."""
+        """Sends a statement, preceded by the session state that it needs.
+
+        Raises:
+            decisions.RequestFailedError: Nobody waits for it any more.
+        """
+        if job.progress.is_abandoned:
+            pool.discard(pooled_link)
+            raise decisions.RequestFailedError(decisions.CANCELED)
         commands = pooled_link.align(job.values, job.prepared)
         name = pooled_link.prepared[job.prepared] if job.prepared else ""
         pool.note_sent(pooled_link)
--- a/packages/proxy/src/ferry_proxy/_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/_forwarding.py
@@ -192,7 +192,12 @@
         body: The message.
         request: The request; its progress is updated.
         lost: The reason to report if the message was sent but not answered.
+
+    Raises:
+        decisions.RequestFailedError: Nobody waits for the statement any more.
     """
+    if request.progress.is_abandoned:
+        raise decisions.RequestFailedError(decisions.CANCELED)
     clock = forwarder.clock
     sent = clock.now()
     limit = max(0.0, request.deadline - sent) + ANSWER_MARGIN_S
--- a/packages/proxy/src/ferry_proxy/_planned_stop.py
+++ b/packages/proxy/src/ferry_proxy/_planned_stop.py
@@ -1,4 +1,9 @@
-"""Graceful shutdown of a node: callers leave before its process ends."""
+"""Graceful shutdown of a node: callers leave before its process ends.
+
+Callers are let go between two operations, each at a moment of its own, once the
+load balancer sends no new ones. Later operations are refused, and statements
+that run to the end are answered with what is known of them.
+"""
 
 from collections.abc import Callable
 from collections.abc import Collection
@@ -9,13 +14,23 @@
 
 from ferry_proxy import _clocks
 from ferry_proxy import _events
+from ferry_proxy import _operation_gate
 from ferry_proxy import _serving
 from ferry_proxy import _sessions
 
 POLL_INTERVAL_S = 0.05
 
-# How long before the platform would kill the process it has to end by itself.
-END_MARGIN_S = 0.6
+# Shares of the grace period. Statements that begin in its first half have the
+# second half to end; callers leave before that, so that few are refused.
+LEAVING_SHARE = 0.45
+WORKING_SHARE = 0.5
+
+# How long before the platform would kill the process the statements that still
+# run are answered. Callers that read slowly have this time for their answers.
+INTERRUPTION_MARGIN_S = 0.6
+
+# How long before that moment the process ends by itself.
+EXIT_MARGIN_S = 0.15
 
 
 class FrontControl(typing.Protocol):
@@ -24,11 +39,57 @@
     def is_out_of_rotation(self) -> bool:
         """Whether the load balancer has stopped sending new callers."""
 
+    def let_callers_go(self, until: float) -> None:
+        """Stops accepting callers, and ends the connections one by one.
+
+        A connection ends with the answer that it waits for, or while it is
+        idle.
+
+        Args:
+            until: When the last one should end, in the clock's seconds.
+        """
+
     def close_idle(self) -> None:
-        """Stops accepting callers, and disconnects those without a request."""
+        """Ends the connections that are due and have no request."""
 
     def is_empty(self) -> bool:
-        """Whether all callers have disconnected."""
+        """Whether all connections have ended."""
+
+    def close(self) -> None:
+        """Ends all connections once their answers are sent."""
+
+
+@attrs.frozen(slots=True)
+class Schedule:
+    """The moments of a planned stop, in the clock's seconds.
+
+    Attributes:
+        leave_until: By when callers leave.
+        refuse_at: From when on no operation may begin, and idle transactions
+            are ended.
+        interrupt_at: When running statements are answered.
+        exit_at: When the process ends at the latest.
+    """
+
+    leave_until: float
+    refuse_at: float
+    interrupt_at: float
+    exit_at: float
+
+    @classmethod
+    def of(cls, begun_at: float, grace_s: float) -> "Schedule":
+        """Returns the schedule of a stop.
+
+        Args:
+            begun_at: When it began.
+            grace_s: The time after which the platform kills the process.
+        """
+        return cls(
+            begun_at + LEAVING_SHARE * grace_s,
+            begun_at + WORKING_SHARE * grace_s,
+            begun_at + grace_s - INTERRUPTION_MARGIN_S,
+            begun_at + grace_s - EXIT_MARGIN_S,
+        )
 
 
 @attrs.frozen(slots=True)
@@ -38,11 +99,13 @@
     Attributes:
         sessions: The live collection of its callers' sessions.
         serving: The statements that it runs for other nodes.
+        gate: Lets operations begin.
         is_primary_changing: Returns whether a change of primary is in progress.
     """
 
     sessions: Collection[_sessions.Session]
     serving: _serving.Serving
+    gate: _operation_gate.OperationGate
     is_primary_changing: Callable[[], bool]
 
     @property
@@ -50,12 +113,19 @@
         """Whether no work is in progress that other nodes wait for."""
         return self.serving.is_idle and not self.is_primary_changing()
 
-    def end_transactions(self) -> None:
-        """Ends the transactions that are idle."""
+    def refuse_operations(self) -> None:
+        """Lets no operation begin, and ends the transactions that are idle."""
+        self.gate.close()
         for session in list(self.sessions):
             session.end_transaction(decisions.TRANSACTION_LOST)
         self.serving.end_transactions(decisions.TRANSACTION_LOST)
 
+    def interrupt(self) -> int:
+        """Answers all running statements; returns how many there were."""
+        self.gate.close()
+        count = sum(s.interrupt() for s in list(self.sessions))
+        return count + self.serving.interrupt()
+
 
 def stop(
     clock: _clocks.Clock,
@@ -63,7 +133,7 @@
     front: FrontControl,
     work: RemainingWork,
 ) -> "decisions.Flow[int]":
-    """Waits for callers to leave, and returns how many sessions were cut off.
+    """Waits for callers to leave; returns how many statements were cut off.
 
     Open transactions may continue for half of the grace period.
 
@@ -73,16 +143,20 @@
         front: The callers' connections.
         work: The work that has to end first.
     """
-    begun_at = clock.now()
-    half_s = grace_s / 2
-    end_at = begun_at + grace_s - END_MARGIN_S
-    while not front.is_out_of_rotation() and clock.now() - begun_at < half_s:
+    schedule = Schedule.of(clock.now(), grace_s)
+    while not front.is_out_of_rotation() and clock.now() < schedule.refuse_at:
         yield decisions.sleep(clock, POLL_INTERVAL_S)
-    while clock.now() < end_at and not (front.is_empty() and work.is_finished):
+    front.let_callers_go(schedule.leave_until)
+    while clock.now() < schedule.interrupt_at and not (
+        front.is_empty() and work.is_finished
+    ):
         front.close_idle()
-        if clock.now() - begun_at >= half_s:
-            work.end_transactions()
+        if clock.now() >= schedule.refuse_at:
+            work.refuse_operations()
+        yield decisions.sleep(clock, POLL_INTERVAL_S)
+    cut = work.interrupt()
+    front.close()
+    while clock.now() < schedule.exit_at and not front.is_empty():
         yield decisions.sleep(clock, POLL_INTERVAL_S)
-    cut = len(work.sessions)
     _events.emit(_events.NodeStopped(cut))
     return cut
--- a/packages/proxy/src/ferry_proxy/_proxy.py
+++ b/packages/proxy/src/ferry_proxy/_proxy.py
@@ -16,6 +16,7 @@
 from ferry_proxy import _lost_nodes
 from ferry_proxy import _mesh
 from ferry_proxy import _metrics
+from ferry_proxy import _operation_gate
 from ferry_proxy import _peer_handler
 from ferry_proxy import _peer_messages
 from ferry_proxy import _planned_stop
@@ -89,7 +90,10 @@
         access = _access.Access(
             policy.has_teams, lambda: self.catalogue.configuration, refusals
         )
-        self._serving = _serving.Serving(loop, self._own_runner, access)
+        self._gate = _operation_gate.OperationGate()
+        self._serving = _serving.Serving(
+            loop, self._own_runner, access, self._gate
+        )
         self._connect_peers()
         self._session_context = _sessions.SessionContext(
             clock=loop,
@@ -99,6 +103,7 @@
             access=access,
             refusals=refusals,
             features=self._features,
+            gate=self._gate,
         )
         self.ticker.subscribe(policy.probe_s, self._groups.survey)
         self.ticker.subscribe(CHECK_S, self._check)
@@ -387,6 +392,7 @@
         work = _planned_stop.RemainingWork(
             sessions=self._sessions.values(),
             serving=self._serving,
+            gate=self._gate,
             is_primary_changing=lambda: self._groups.is_busy,
         )
         return decisions.start(
--- a/packages/proxy/src/ferry_proxy/_requests.py
+++ b/packages/proxy/src/ferry_proxy/_requests.py
@@ -24,6 +24,8 @@
         log_end: The end of that member's log as known before; None if it was
             unknown.
         via: The serving node that it was forwarded to; empty for none.
+        is_abandoned: Whether its caller has an answer, so that it must not be
+            sent to a member or to a serving node any more.
     """
 
     member: str = ""
@@ -34,6 +36,12 @@
     leader: _members.Leader | None = None
     log_end: decisions.Position | None = None
     via: str = ""
+    is_abandoned: bool = False
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether a member or a serving node may have received it."""
+        return bool(self.attempts or self.via)
 
     def note_offered(self, now: float) -> None:
         """Records that a member is contacted for it; the first time counts."""
--- a/packages/proxy/src/ferry_proxy/_serving.py
+++ b/packages/proxy/src/ferry_proxy/_serving.py
@@ -14,7 +14,9 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _events
 from ferry_proxy import _forward_messages
+from ferry_proxy import _interruptions
 from ferry_proxy import _links
+from ferry_proxy import _operation_gate
 from ferry_proxy import _requests
 from ferry_proxy import _runners
 from ferry_proxy import _statements
@@ -47,6 +49,25 @@
     is_ended: bool = False
 
 
+@attrs.define(slots=True, eq=False)
+class _Running:
+    """A statement that runs for an entry node.
+
+    Attributes:
+        received: When the statement arrived, in the clock's seconds.
+        statement: The statement.
+        fut: Completed with the reply.
+    """
+
+    received: float
+    statement: _interruptions.RunningStatement = attrs.field(
+        factory=_interruptions.RunningStatement
+    )
+    fut: "decisions.Future[_forward_messages.RunReply]" = attrs.field(
+        factory=decisions.Future
+    )
+
+
 class Serving:
     """Runs the statements that other nodes forward."""
 
@@ -55,6 +76,7 @@
         clock: _clocks.Clock,
         runner: "Callable[[str], _runners.Runner | None]",
         access: _access.Access,
+        gate: _operation_gate.OperationGate,
     ) -> None:
         """Initializes it without open transactions.
 
@@ -63,12 +85,14 @@
             runner: Returns the runner of a group's statements over this node's
                 own links; None if it has no links to the group.
             access: Verifies the team of a caller's key.
+            gate: Lets operations begin.
         """
         self._clock = clock
         self._runner = runner
         self._access = access
+        self._gate = gate
         self._transactions: dict[Entry, dict[int, _ServedTransaction]] = {}
-        self._running = 0
+        self._running: set[_Running] = set()
 
     @property
     def is_idle(self) -> bool:
@@ -83,7 +107,29 @@
         self, entry: Entry, body: _forward_messages.RunRequest
     ) -> "decisions.Future[_forward_messages.RunReply]":
         """Runs a statement; a failure is returned as a reply."""
-        return decisions.start(self._run(entry, body))
+        running = _Running(self._clock.now())
+        self._running.add(running)
+        running.fut = decisions.start(self._run(entry, body, running))
+        running.fut.add_done_callback(lambda _: self._running.discard(running))
+        return running.fut
+
+    def interrupt(self) -> int:
+        """Answers the running statements at once; returns how many there were.
+
+        Their replies cannot be waited for, as the process is about to end.
+        """
+        interrupted = list(self._running)
+        for running in interrupted:
+            reply = _links.Reply.failed(
+                STATES.IDLE, running.statement.abandon()
+            )
+            request = running.statement.request
+            progress = request.progress if request else _requests.Progress()
+            answer = _forward_messages.RunReply.of(
+                reply, progress, running.received
+            )
+            decisions.resolve(running.fut, answer)
+        return len(interrupted)
 
     def end(self, entry: Entry, number: int) -> None:
         """Ends a transaction, rolling it back if it is still open."""
@@ -111,11 +157,12 @@
                     served.transaction.fail(reason)
 
     def _run(
-        self, entry: Entry, body: _forward_messages.RunRequest
+        self,
+        entry: Entry,
+        body: _forward_messages.RunRequest,
+        running: _Running,
     ) -> "decisions.Flow[_forward_messages.RunReply]":
-        received = self._clock.now()
         progress = _requests.Progress()
-        self._running += 1
         try:
             request = body.request(self._clock)
             request = attrs.evolve(
@@ -123,24 +170,33 @@
                 progress=progress,
                 caller=self._access.confirm(request.caller),
             )
-            reply = yield from self._dispatch(entry, body, request)
+            running.statement.request = request
+            reply = yield from self._dispatch(
+                entry, body, request, running.statement
+            )
         except decisions.RequestFailedError as exc:
             reply = _links.Reply.failed(STATES.IDLE, exc)
         except ValueError as exc:
             reply = _failed(decisions.PROTOCOL_VIOLATION, str(exc))
-        finally:
-            self._running -= 1
-        self._record(entry, body, progress, reply, received)
-        return _forward_messages.RunReply.of(reply, progress, received)
+        self._record(entry, body, progress, reply, running.received)
+        return _forward_messages.RunReply.of(reply, progress, running.received)
 
     def _dispatch(
         self,
         entry: Entry,
         body: _forward_messages.RunRequest,
         request: _requests.Request,
+        running: _interruptions.RunningStatement,
     ) -> "decisions.Flow[_links.Reply]":
         if body.transaction:
-            return (yield from self._run_in_transaction(entry, body, request))
+            served = self._find_or_begin(entry, body)
+            running.transaction = served.transaction
+            return (
+                yield from self._run_in_transaction(
+                    entry, body, request, served
+                )
+            )
+        self._gate.check()
         runner = self._find_runner(body.service)
         return (yield from runner.run(request))
 
@@ -149,8 +205,8 @@
         entry: Entry,
         body: _forward_messages.RunRequest,
         request: _requests.Request,
+        served: _ServedTransaction,
     ) -> "decisions.Flow[_links.Reply]":
-        served = self._find_or_begin(entry, body)
         failure = served.transaction.failure
         if failure is not None:
             raise decisions.RequestFailedError(failure, "has failed before")
@@ -176,6 +232,7 @@
             raise decisions.RequestFailedError(
                 decisions.TRANSACTION_LOST, "unknown at the serving node"
             )
+        self._gate.check()
         runner = self._find_runner(body.service)
         served = _ServedTransaction(runner.begin(body.read_only))
         self._transactions.setdefault(entry, {})[body.transaction] = served
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -15,13 +15,16 @@
 from ferry_proxy import _clocks
 from ferry_proxy import _configuration
 from ferry_proxy import _features
+from ferry_proxy import _interruptions
 from ferry_proxy import _links
 from ferry_proxy import _metrics
+from ferry_proxy import _operation_gate
 from ferry_proxy import _policy
 from ferry_proxy import _refusals
 from ferry_proxy import _request_records
 from ferry_proxy import _requests
 from ferry_proxy import _runners
+from ferry_proxy import _session_settings
 from ferry_proxy import _statements
 from ferry_proxy.queueing import _kept_places
 from ferry_proxy.queueing import _refusal_advice
@@ -29,9 +32,6 @@
 Kind = _statements.Kind
 STATES = _statements.TransactionState
 
-# The most settings, and the most prepared statements, that a session may hold.
-MAX_SESSION_ENTRIES = 512
-
 _ids = itertools.count(1)
 
 
@@ -48,6 +48,7 @@
         access: Identifies the team that owns a caller's key.
         refusals: Creates the errors for what the configuration forbids.
         features: The optional features that are on.
+        gate: Lets operations begin.
     """
 
     clock: _clocks.Clock
@@ -57,6 +58,9 @@
     access: _access.Access
     refusals: _refusals.Refusals
     features: _features.Features = _features.NONE
+    gate: _operation_gate.OperationGate = attrs.field(
+        factory=_operation_gate.OperationGate
+    )
 
 
 class Session:
@@ -80,13 +84,15 @@
         self._ctx = ctx
         self._database = database
         self._key = key
-        self._values: dict[str, str] = {}
-        self._prepared: dict[str, _statements.Prepared] = {}
+        self._gate = ctx.gate
+        self._settings = _session_settings.SessionSettings()
         self._transaction: _runners.OpenTransaction | None = None
         self._route: _configuration.Route | None = None
         self._commits: dict[str, decisions.Position] = {}
         self._closed = False
         self._kept_place = _kept_places.KeptPlace()
+        self._running = _interruptions.RunningStatement()
+        self._answer: decisions.Future[_links.Reply] = decisions.Future()
         self.id = next(_ids)
         self.busy = False
 
@@ -116,9 +122,27 @@
     ) -> "decisions.Future[_links.Reply]":
         """Runs a statement; the one before must have finished."""
         self.busy = True
-        fut = decisions.start(self._run(statement))
-        fut.add_done_callback(lambda _: self._on_finished())
-        return fut
+        self._running = _interruptions.RunningStatement()
+        answer = self._answer = decisions.start(self._run(statement))
+        answer.add_done_callback(lambda _: self._on_finished())
+        return answer
+
+    def interrupt(self) -> bool:
+        """Answers the running statement at once; returns whether one runs.
+
+        Its reply cannot be waited for, as the process is about to end.
+        """
+        if not self.busy:
+            return False
+        request = self._running.request
+        exc = self._running.abandon()
+        if request and request.statement.kind is Kind.COMMIT:
+            self._transaction = None
+        answer = self._refused(exc)
+        if request is not None:
+            self._record(request, answer)
+        decisions.resolve(self._answer, answer)
+        return True
 
     def close(self) -> None:
         """Ends the session and rolls an open transaction back."""
@@ -127,6 +151,11 @@
         if transaction is not None and not self.busy:
             transaction.roll_back()
 
+    def refuse_operations(self) -> None:
+        """Lets no operation begin from now on; an open one may go on."""
+        self._gate = _operation_gate.OperationGate()
+        self._gate.close()
+
     def end_transaction(self, reason: decisions.Reason) -> None:
         """Fails an open transaction if no statement of it is running."""
         if self._transaction is not None and not self.busy:
@@ -186,6 +215,7 @@
         if route is None:
             return self._refused(self._unknown_database())
         try:
+            self._gate.check()
             caller = self._ctx.access.identify(route, self._key)
         except decisions.RequestFailedError as exc:
             return self._refused(exc)
@@ -197,25 +227,10 @@
         return _links.Reply(STATES.OPEN)
 
     def _change_state(self, statement: _statements.Statement) -> _links.Reply:
-        """Changes settings or prepared statements of the session.
-
-        A member receives them only with the next statement that runs there.
-        """
-        name = statement.name
-        is_full = (
-            max(len(self._values), len(self._prepared)) >= MAX_SESSION_ENTRIES
-        )
-        if statement.kind is Kind.CLOSE:
-            if self._prepared.pop(name, None) is None:
-                return self._unknown_prepared(name)
-        elif is_full:
-            return self._protocol_violation(
-                "too many values or prepared statements"
-            )
-        elif statement.kind is Kind.SET:
-            self._values = {**self._values, name: statement.value}
-        elif statement.prepared is not None:
-            self._prepared[name] = statement.prepared
+        try:
+            self._settings.change(statement)
+        except decisions.RequestFailedError as exc:
+            return self._failed(exc.reason, exc.detail)
         return _links.Reply(self.state)
 
     def _run_remote(
@@ -223,7 +238,7 @@
     ) -> "decisions.Flow[_links.Reply]":
         prepared = None
         if statement.kind is Kind.EXECUTE:
-            prepared = self._prepared.get(statement.name)
+            prepared = self._settings.prepared.get(statement.name)
             if prepared is None:
                 return self._unknown_prepared(statement.name)
         if statement.kind is Kind.COMMIT and self._transaction is None:
@@ -236,6 +251,8 @@
             request = self._request(statement, prepared, route)
         except decisions.RequestFailedError as exc:
             return self._refuse_access(statement, exc)
+        self._running.request = request
+        self._running.transaction = transaction
         try:
             reply = yield from self._dispatch(request, transaction)
         except decisions.RequestFailedError as exc:
@@ -246,10 +263,15 @@
             answer = self._apply_reply(request, transaction, reply)
         if answer.keeps_place and answer.retry_after_s:
             self._keep_place(request, answer.retry_after_s)
+        if not request.progress.is_abandoned:
+            self._record(request, answer)
+        return answer
+
+    def _record(self, request: _requests.Request, answer: _links.Reply) -> None:
+        now = self._ctx.clock.now()
         _request_records.record(
-            self._ctx.metrics, self._ctx.clock.now(), self.id, request, answer
+            self._ctx.metrics, now, self.id, request, answer
         )
-        return answer
 
     def _keep_place(self, request: _requests.Request, delay_s: float) -> None:
         self._kept_place.keep(
@@ -270,7 +292,7 @@
             statement=statement,
             prepared=prepared,
             route=route,
-            values=self._values,
+            values=self._settings.values,
             arrived=self._ctx.clock.now(),
             arrived_boot=self._ctx.clock.boot_now(),
             session_floor=(
@@ -289,6 +311,7 @@
     ) -> "decisions.Flow[_links.Reply]":
         if transaction is not None:
             return (yield from transaction.run(request))
+        self._gate.check()
         runner = self._ctx.runner(request.route.service, request.caller.team)
         if runner is None:
             raise _no_members()
--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -111,7 +111,9 @@
         self.reachable: set[str] = set()
         self.servings = {}
         for name in ("near", "far"):
-            serving = _serving.Serving(self.clock, self._serve, self.ctx.access)
+            serving = _serving.Serving(
+                self.clock, self._serve, self.ctx.access, self.ctx.gate
+            )
             self.servings[name] = serving
             self.mesh.by_name[name] = FakeStream(self.clock, name, serving)
         places = {"near": "hall-b", "far": "hall-c"}
@@ -506,3 +508,76 @@
     waited_s = lab.clock.now() - started_at
     assert waited_s < _forwarding.STREAM_OPEN_WAIT_S + 0.03
     assert (len(lab.near.sent) > 0, len(lab.far.sent) > 0) == (True, True)
+
+
+def interrupted_while_it_runs(texts, after_s):
+    """Stops the serving nodes' work while the last statement runs."""
+    lab = EntryLab()
+    session = lab.session()
+    for text in texts[:-1]:
+        lab.do(session, fakes.statement(text))
+    fut = session.run(fakes.statement(texts[-1], "last"))
+    lab.run(after_s)
+    cut = sum(s.interrupt() for s in lab.servings.values())
+    assert cut == 1
+    lab.run(0.01)
+    runs = [r for m in lab.cluster.members.values() for r in m.runs]
+    return fut, [r for r in runs if "last" in r]
+
+
+# Guards against entry nodes that wait for a serving node that is being stopped.
+@pytest.mark.parametrize(
+    ("texts", "reason"),
+    [
+        (["WRITE x 1"], "answer_lost"),
+        (["BEGIN", "WRITE x 1", "COMMIT"], "answer_lost"),
+        (["BEGIN", "READ y", "READ x"], "transaction_lost"),
+        (["BEGIN READ", "READ x", "COMMIT"], "transaction_lost"),
+    ],
+)
+def test_an_entry_node_learns_what_became_of_interrupted_work(texts, reason):
+    fut, _ = interrupted_while_it_runs(texts, NET_S + 0.004)
+    assert fut.result().reason.name == reason
+
+
+def test_an_interrupted_read_runs_at_another_serving_node():
+    lab = EntryLab()
+    fut = lab.session().run(fakes.statement("READ x"))
+    lab.run(NET_S + 0.004)
+    assert lab.servings["near"].interrupt() == 1
+    lab.run(0.1)
+    assert fut.result().reason is None
+    assert lab.far.sent
+
+
+# Guards against a statement that runs after its caller was told otherwise.
+def test_a_queued_write_that_was_interrupted_is_never_sent():
+    lab = EntryLab()
+    for member in lab.cluster.members.values():
+        member.slots, member.slowness = 1, 50.0
+    sessions = [lab.session() for _ in range(30)]
+    futs = {
+        f"q{n}": s.run(fakes.statement("WRITE x 1", f"q{n}"))
+        for n, s in enumerate(sessions)
+    }
+    lab.run(0.05)
+    assert sum(s.interrupt() for s in sessions) == sum(
+        f.result().reason in (decisions.STOPPING, decisions.ANSWER_LOST)
+        for f in futs.values()
+        if f.done()
+    )
+    lab.run(60.0)
+    runs = {i for m in lab.cluster.members.values() for i, _ in m.runs}
+    refused = {n for n, f in futs.items() if f.result().not_run}
+    assert not refused & runs
+
+
+def test_a_closed_gate_lets_an_open_transaction_go_on():
+    lab = EntryLab()
+    session = lab.session()
+    assert lab.results(session, "BEGIN", "WRITE x 1") == ["", ""]
+    lab.ctx.gate.close()
+    assert lab.results(session, "READ x", "COMMIT") == ["", ""]
+    refused = ["stopping", "stopping", "stopping", ""]
+    texts = ["READ x", "WRITE x 1", "BEGIN", "SET a b"]
+    assert lab.results(session, *texts) == refused
