Note session state as in place only once the member has confirmed it

Cause: `PooledLink.align` recorded values and prepared statements as in place when the commands were built, and `Executor.send` read the reply to the last command only. A member that has lost the lead refuses SET in an open transaction. The transaction was rolled back and its link went back to the pool with a note of a value that the member did not have. PREPARE and RESET were noted in the same way. The class: state of the other side noted before its answer.

Change: `LinkState` holds what the member has confirmed. A value with a command under way or refused is in doubt, and is set again, or cleared with RESET, before the next session uses the link; a prepared statement counts once its PREPARE has succeeded, under a name that is never used again. A statement behind a refused command succeeds only as a COMMIT: a read or a statement of a transaction reports why the state could not be put in place (not run, rolled back), a single write that was committed reports an unknown outcome. "Unknown prepared statement" from a member is no longer passed on, as the session knows the statement: it is prepared again. No link is closed for it, so members with few connections lose none.

Other ways in: a lost link, a timeout and a silent link discard the link and its state; a cancelled or hedged read gives its link back after its reply; STATUS, BEGIN and ROLLBACK change no state.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -95,6 +95,9 @@
     )
     from ferry_decisions._outcomes import READ_CUT as READ_CUT
     from ferry_decisions._outcomes import REASONS_BY_NAME as REASONS_BY_NAME
+    from ferry_decisions._outcomes import (
+        SESSION_STATE_LOST as SESSION_STATE_LOST,
+    )
     from ferry_decisions._outcomes import STATEMENT_FAILED as STATEMENT_FAILED
     from ferry_decisions._outcomes import STATEMENT_TIMEOUT as STATEMENT_TIMEOUT
     from ferry_decisions._outcomes import STOPPING as STOPPING
@@ -268,6 +271,7 @@
         "REASONS_BY_NAME",
         "Reason",
         "RequestFailedError",
+        "SESSION_STATE_LOST",
         "STATEMENT_FAILED",
         "STATEMENT_TIMEOUT",
         "STOPPING",
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -12,6 +12,7 @@
 from ferry_proxy import _features
 from ferry_proxy import _groups
 from ferry_proxy import _jobs
+from ferry_proxy import _link_state
 from ferry_proxy import _links
 from ferry_proxy import _members
 from ferry_proxy import _policy
@@ -359,18 +360,24 @@
         if job.progress.is_abandoned:
             pool.discard(pooled_link)
             raise decisions.RequestFailedError(decisions.CANCELED)
-        commands = pooled_link.align(job.values, job.prepared)
-        name = pooled_link.prepared[job.prepared] if job.prepared else ""
+        state = pooled_link.state
+        alignment = state.align(job.values, job.prepared)
+        command = job.command(floor, alignment.prepared_as)
+        check = _link_state.Check(
+            state,
+            alignment,
+            job.statement,
+            job.prepared,
+            pooled_link.for_transaction,
+        )
         pool.note_sent(pooled_link)
         job.note_dispatched(pool.member.id, self._clock.now())
-        fut = pooled_link.link.run([*commands, job.command(floor, name)])[-1]
+        fut = check.follow(pooled_link.link.run([*alignment.commands, command]))
         pool.note_statement(pooled_link, job.work, fut)
         return fut
 
     def _retry_in_time(self, job: _jobs.Job, reply: _links.Reply) -> bool:
         """Whether there is time to retry a statement that did not run."""
-        if reply.reason is decisions.UNKNOWN_PREPARED:
-            return False
         until = job.retry_until
         if job.group.is_primary_changing:
             until = job.hold_end(self._policy)
--- a/packages/proxy/src/ferry_proxy/_hedged_reads.py
+++ b/packages/proxy/src/ferry_proxy/_hedged_reads.py
@@ -158,8 +158,6 @@
             is_early = self._clock.now() < self._executor.waits.retry_end(job)
             return is_early and self._executor.has_other(job, self._tried)
         now = self._clock.now()
-        if reply is not None and reply.reason is decisions.UNKNOWN_PREPARED:
-            return False
         until = self._executor.waits.retry_end(job)
         if job.progress.offered_at:
             return now < max(job.retry_until, until)
--- a/packages/proxy/src/ferry_proxy/_link_choice.py
+++ b/packages/proxy/src/ferry_proxy/_link_choice.py
@@ -46,7 +46,7 @@
     """
     return min(
         (t for t in idle if t.team == team),
-        key=lambda t: (t.distance(values), -t.last_reply_at),
+        key=lambda t: (t.state.distance(values), -t.last_reply_at),
         default=None,
     )
 
--- a/packages/proxy/src/ferry_proxy/tests/fakes.py
+++ b/packages/proxy/src/ferry_proxy/tests/fakes.py
@@ -43,6 +43,9 @@
 )
 
 
+STATE_COMMANDS = (_links.Reset, _links.SetValue, _links.Prepare)
+
+
 class Fault(enum.Enum):
     """How a member fails statements while it answers status requests."""
 
@@ -156,6 +159,7 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[str, _statements.Prepared] = {}
         self.state = STATES.IDLE
+        self.is_plain = False
         self.writes: list[str] = []
         self._pending: list[decisions.Future[_links.Reply]] = []
         member.links.append(self)
@@ -220,6 +224,8 @@
             member.commands.append(command)
             if member.is_control_busy:
                 return self._error(decisions.MEMBER_BUSY)
+        if isinstance(command, STATE_COMMANDS) and self._refuses_state:
+            return self._error(decisions.NOT_PRIMARY)
         match command:
             case _links.Status():
                 return self._ok(report=member.report())
@@ -285,9 +291,18 @@
         if self._behind(command.floor):
             return self._error(decisions.BEHIND)
         self.state = STATES.OPEN
+        self.is_plain = not command.read_only
         self.writes = []
         return self._ok()
 
+    @property
+    def _refuses_state(self) -> bool:
+        """Whether the member has lost the lead in a plain transaction."""
+        if self.state is STATES.IDLE or not self.is_plain:
+            return False
+        leads = self.member.role is _members.Role.PRIMARY
+        return self.state is STATES.FAILED or not leads
+
     def _statement(self, command):
         member = self.member
         statement = command.statement
@@ -297,6 +312,12 @@
         if self._behind(command.floor):
             member.cluster.behind_rejections += 1
             return self._error(decisions.BEHIND)
+        if self.state is STATES.FAILED:
+            return self._error(decisions.PROTOCOL_VIOLATION)
+        if statement.kind is _statements.Kind.EXECUTE and (
+            command.prepared_as not in self.prepared
+        ):
+            return self._error(decisions.UNKNOWN_PREPARED)
         writes = statement.kind is _statements.Kind.WRITE
         if statement.kind is _statements.Kind.EXECUTE:
             prepared = self.prepared[command.prepared_as]
--- a/packages/proxy/src/ferry_proxy/tests/test_link_choice.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_link_choice.py
@@ -14,9 +14,11 @@
 def link(team, last_used_at=0.0, last_reply_at=0.0, values=None):
     """Returns an idle link."""
     conn = fakes.FakeLink(MEMBER, team)
-    return _pooled_links.PooledLink(
-        conn, last_reply_at, team, values or {}, last_used_at=last_used_at
+    pooled = _pooled_links.PooledLink(
+        conn, last_reply_at, team, last_used_at=last_used_at
     )
+    pooled.state.values.update(values or {})
+    return pooled
 
 
 MEMBER = fakes.Lab().cluster.members["a"]
