Answer a statement that fails with an unexpected error

It was logged as a failed callback at best, and the caller, or the entry node, got no answer and waited until its own time was up.

Change: the session and the serving node log the error with its traceback, and answer with what is known of the statement, as at the end of a planned stop: not run if it reached nobody (`internal_failure`), else lost, rolled back or unknown. It is not sent again.

--- a/packages/decisions/src/ferry_decisions/__init__.py
+++ b/packages/decisions/src/ferry_decisions/__init__.py
@@ -78,6 +78,7 @@
     from ferry_decisions._outcomes import (
         IN_FAILED_TRANSACTION as IN_FAILED_TRANSACTION,
     )
+    from ferry_decisions._outcomes import INTERNAL_FAILURE as INTERNAL_FAILURE
     from ferry_decisions._outcomes import INVALID_SETTING as INVALID_SETTING
     from ferry_decisions._outcomes import LOGIN_REFUSED as LOGIN_REFUSED
     from ferry_decisions._outcomes import MEMBER_BUSY as MEMBER_BUSY
@@ -252,6 +253,7 @@
         "CANCELED",
         "DEADLINE_IN_QUEUE",
         "DUPLICATE_KEY",
+        "INTERNAL_FAILURE",
         "INVALID_SETTING",
         "IN_FAILED_TRANSACTION",
         "LOGIN_REFUSED",
--- a/packages/proxy/src/ferry_proxy/_interruptions.py
+++ b/packages/proxy/src/ferry_proxy/_interruptions.py
@@ -1,4 +1,7 @@
-"""Ends running statements with a true answer before the process ends."""
+"""Answers statements whose replies cannot be waited for any longer.
+
+The node's process is about to end, or running them has failed.
+"""
 
 import attrs
 import ferry_decisions as decisions
@@ -20,28 +23,30 @@
     request: _requests.Request | None = None
     transaction: _runners.OpenTransaction | None = None
 
-    def abandon(self) -> decisions.RequestFailedError:
-        """Ends the attempts to run it; returns what can be said of it."""
+    def abandon(
+        self, not_run: decisions.Reason, detail: str
+    ) -> decisions.RequestFailedError:
+        """Ends the attempts to run it; returns what can be said of it.
+
+        Args:
+            not_run: The reason to report if nobody has received it.
+            detail: Why it is abandoned.
+        """
         request = self.request
-        if request is not None:
-            request.progress.is_abandoned = True
-        reason = _reason(request, self.transaction)
-        return decisions.RequestFailedError(
-            reason, "this node is being stopped"
-        )
-
-
-def _reason(
-    request: _requests.Request | None,
-    transaction: _runners.OpenTransaction | None,
-) -> decisions.Reason:
-    """Returns why a statement that is abandoned now has no reply."""
-    if request is None or not request.progress.is_sent:
-        return decisions.STOPPING
-    if transaction is None:
-        return decisions.ANSWER_LOST if request.writes else decisions.READ_CUT
-    # The member rolls back an open transaction, as its connection ends.
-    is_commit = request.statement.kind is _statements.Kind.COMMIT
-    if is_commit and transaction.wrote:
-        return decisions.ANSWER_LOST
-    return decisions.TRANSACTION_LOST
+        if request is None:
+            return decisions.RequestFailedError(not_run, detail)
+        request.progress.is_abandoned = True
+        is_sent = request.progress.is_sent
+        reason = self._lost_reason(request) if is_sent else not_run
+        return decisions.RequestFailedError(reason, detail)
+
+    def _lost_reason(self, request: _requests.Request) -> decisions.Reason:
+        """Returns the reason to report if it may have run."""
+        if self.transaction is None:
+            is_write = request.writes
+            return decisions.ANSWER_LOST if is_write else decisions.READ_CUT
+        # The member rolls back an open transaction, as its connection ends.
+        is_commit = request.statement.kind is _statements.Kind.COMMIT
+        if is_commit and self.transaction.wrote:
+            return decisions.ANSWER_LOST
+        return decisions.TRANSACTION_LOST
--- a/packages/proxy/src/ferry_proxy/_operation_gate.py
+++ b/packages/proxy/src/ferry_proxy/_operation_gate.py
@@ -2,6 +2,8 @@
 
 import ferry_decisions as decisions
 
+DETAIL = "this node is being stopped"
+
 
 class OperationGate:
     """Decides whether new statements and transactions may begin."""
@@ -20,6 +22,4 @@
             decisions.RequestFailedError: The node is being stopped.
         """
         if self._is_closed:
-            raise decisions.RequestFailedError(
-                decisions.STOPPING, "this node is being stopped"
-            )
+            raise decisions.RequestFailedError(decisions.STOPPING, DETAIL)
--- a/packages/proxy/src/ferry_proxy/_runners.py
+++ b/packages/proxy/src/ferry_proxy/_runners.py
@@ -23,6 +23,13 @@
 from ferry_proxy.queueing import _refusal_advice
 
 
+def no_members() -> decisions.RequestFailedError:
+    """Returns the error for a group that has no runner."""
+    return decisions.RequestFailedError(
+        decisions.NO_PRIMARY, "no members are known"
+    )
+
+
 class OpenTransaction(typing.Protocol):
     """A session's transaction, local or at a serving node."""
 
--- a/packages/proxy/src/ferry_proxy/_serving.py
+++ b/packages/proxy/src/ferry_proxy/_serving.py
@@ -120,9 +120,10 @@
         """
         interrupted = list(self._running)
         for running in interrupted:
-            reply = _links.Reply.failed(
-                STATES.IDLE, running.statement.abandon()
+            exc = running.statement.abandon(
+                decisions.STOPPING, _operation_gate.DETAIL
             )
+            reply = _links.Reply.failed(STATES.IDLE, exc)
             request = running.statement.request
             progress = request.progress if request else _requests.Progress()
             answer = _forward_messages.RunReply.of(
@@ -178,6 +179,12 @@
             reply = _links.Reply.failed(STATES.IDLE, exc)
         except ValueError as exc:
             reply = _failed(decisions.PROTOCOL_VIOLATION, str(exc))
+        except Exception as exc:  # noqa: BLE001 - the entry node gets a reply
+            decisions.log_failure(
+                exc, "event=statement_failed entry=%s", entry.peer
+            )
+            lost = running.statement.abandon(decisions.INTERNAL_FAILURE, "")
+            reply = _links.Reply.failed(STATES.IDLE, lost)
         self._record(entry, body, progress, reply, running.received)
         return _forward_messages.RunReply.of(reply, progress, running.received)
 
--- a/packages/proxy/src/ferry_proxy/_sessions.py
+++ b/packages/proxy/src/ferry_proxy/_sessions.py
@@ -123,7 +123,7 @@
         """Runs a statement; the one before must have finished."""
         self.busy = True
         self._running = _interruptions.RunningStatement()
-        answer = self._answer = decisions.start(self._run(statement))
+        answer = self._answer = decisions.start(self._run_guarded(statement))
         answer.add_done_callback(lambda _: self._on_finished())
         return answer
 
@@ -134,15 +134,20 @@
         """
         if not self.busy:
             return False
+        answer = self._abandon(decisions.STOPPING, _operation_gate.DETAIL)
+        decisions.resolve(self._answer, answer)
+        return True
+
+    def _abandon(self, not_run: decisions.Reason, detail: str) -> _links.Reply:
+        """Returns an answer to the running statement with what is known."""
         request = self._running.request
-        exc = self._running.abandon()
+        exc = self._running.abandon(not_run, detail)
         if request and request.statement.kind is Kind.COMMIT:
             self._transaction = None
         answer = self._refused(exc)
         if request is not None:
             self._record(request, answer)
-        decisions.resolve(self._answer, answer)
-        return True
+        return answer
 
     def close(self) -> None:
         """Ends the session and rolls an open transaction back."""
@@ -176,6 +181,15 @@
 
     # -- statements ------------------------------------------------------
 
+    def _run_guarded(
+        self, statement: _statements.Statement
+    ) -> "decisions.Flow[_links.Reply]":
+        try:
+            return (yield from self._run(statement))
+        except Exception as exc:  # noqa: BLE001 - the caller gets an answer
+            decisions.log_failure(exc, "event=statement_failed id=%d", self.id)
+            return self._abandon(decisions.INTERNAL_FAILURE, "")
+
     def _run(
         self, statement: _statements.Statement
     ) -> "decisions.Flow[_links.Reply]":
@@ -221,7 +235,7 @@
             return self._refused(exc)
         runner = self._ctx.runner(route.service, caller.team)
         if runner is None:
-            return self._refused(_no_members())
+            return self._refused(_runners.no_members())
         self._route = route
         self._transaction = runner.begin(read_only)
         return _links.Reply(STATES.OPEN)
@@ -262,7 +276,8 @@
         else:
             answer = self._apply_reply(request, transaction, reply)
         if answer.keeps_place and answer.retry_after_s:
-            self._keep_place(request, answer.retry_after_s)
+            return_at = self._ctx.clock.now() + answer.retry_after_s
+            self._kept_place.keep_for(request, return_at)
         if not request.progress.is_abandoned:
             self._record(request, answer)
         return answer
@@ -273,14 +288,6 @@
             self._ctx.metrics, now, self.id, request, answer
         )
 
-    def _keep_place(self, request: _requests.Request, delay_s: float) -> None:
-        self._kept_place.keep(
-            request.route.name,
-            request.arrived - request.queued_for_s,
-            self._ctx.clock.now() + delay_s,
-            request.route.timeout_s,
-        )
-
     def _request(
         self,
         statement: _statements.Statement,
@@ -314,7 +321,7 @@
         self._gate.check()
         runner = self._ctx.runner(request.route.service, request.caller.team)
         if runner is None:
-            raise _no_members()
+            raise _runners.no_members()
         return (yield from runner.run(request))
 
     def _apply_reply(
@@ -389,9 +396,3 @@
     def _find_route(self) -> _configuration.Route | None:
         cfg = self._ctx.configuration()
         return cfg.routes.get(self._database) if cfg else None
-
-
-def _no_members() -> decisions.RequestFailedError:
-    return decisions.RequestFailedError(
-        decisions.NO_PRIMARY, "no members are known"
-    )
--- a/packages/proxy/src/ferry_proxy/queueing/_kept_places.py
+++ b/packages/proxy/src/ferry_proxy/queueing/_kept_places.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ferry_proxy import _requests
+
 # A place is kept for this many time limits of the route: a caller that was
 # refused more often than that has given up.
 MAX_TIME_LIMITS = 3
@@ -50,6 +52,17 @@
             return 0.0
         return now - place.arrived
 
+    def keep_for(self, request: _requests.Request, return_at: float) -> None:
+        """Keeps the place of a request that was refused.
+
+        Args:
+            request: The request.
+            return_at: When its caller was told to return.
+        """
+        route = request.route
+        arrived = request.arrived - request.queued_for_s
+        self.keep(route.name, arrived, return_at, route.timeout_s)
+
     def keep(
         self, route: str, arrived: float, return_at: float, timeout_s: float
     ) -> None:
--- a/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ferry_proxy import _configuration
+from ferry_proxy import _execution
 from ferry_proxy import _forward_messages
 from ferry_proxy import _forwarder
 from ferry_proxy import _forwarding
@@ -581,3 +582,29 @@
     refused = ["stopping", "stopping", "stopping", ""]
     texts = ["READ x", "WRITE x 1", "BEGIN", "SET a b"]
     assert lab.results(session, *texts) == refused
+
+
+# Guards against callers that wait without end for a statement that failed with
+# an unexpected error.
+@pytest.mark.parametrize("is_remote", [False, True])
+@pytest.mark.parametrize(
+    ("method", "text", "reason"),
+    [
+        ("primary", "WRITE x 1", "internal_failure"),
+        ("confirm", "WRITE x 1", "answer_lost"),
+        ("target", "READ x", "internal_failure"),
+    ],
+)
+def test_an_unexpected_error_is_logged_and_answered(
+    method, text, reason, is_remote, monkeypatch, caplog
+):
+    def fail(*_, **__):
+        raise ZeroDivisionError(method)
+
+    lab = EntryLab()
+    if not is_remote:
+        lab.runner = lab.local
+    monkeypatch.setattr(_execution.Executor, method, fail)
+    reply = lab.do(lab.session(), fakes.statement(text))
+    assert reply.reason.name == reason
+    assert "ZeroDivisionError" in caplog.text
