Answer what a planned stop cuts off, on the PostgreSQL front, too

It ends a busy connection with its answer and announces the end to idle ones, but what still ran after `stop_s`, and open transactions, lost their connections without an answer, and the process ended without waiting until its last answers were sent.

Change: at the end of `stop_s` a running batch is answered "unknown" and an open transaction "rolled back"; the stop waits until the connections have ended, for a second at most.

Measured: a caller whose statement runs for 30 s gets RF101, one with an open transaction RF010, and the node counts no caller after its stop. These tests were written with the change and not run against the code before it.

--- a/packages/node/src/ferry_node/_callers.py
+++ b/packages/node/src/ferry_node/_callers.py
@@ -78,6 +78,14 @@
         process_id: int,
         on_closed: "Callable[[CallerConn], object]",
     ) -> None:
+        """Wraps a stream.
+
+        Args:
+            ctx: Dependencies that all connections share.
+            stream: The stream.
+            process_id: The number that identifies it for cancellation.
+            on_closed: Called when the connection has ended.
+        """
         self._ctx = ctx
         self._stream = stream
         self._decoder = _wire.CallerDecoder()
@@ -117,10 +125,21 @@
                 decisions.STOPPING, "this node is being stopped"
             )
 
+    def interrupt(self) -> None:
+        """Answers a running batch with an error; the process is about to end.
+
+        An open transaction is rolled back.
+        """
+        reason = (
+            decisions.ANSWER_LOST if self._busy else decisions.TRANSACTION_LOST
+        )
+        self._end_with_error(reason, "this node is being stopped")
+
     def close(self) -> None:
         """Closes the connection immediately."""
         self._stream.close()
         self._release()
+        self._on_closed(self)
 
     def _receive(self, data: bytes) -> None:
         try:
@@ -266,11 +285,12 @@
         if self._stream.closed:
             return
         self._stream.send(_wire.encode_error(reason, detail, "FATAL"))
-        self._stream.close_when_sent()
+        self._stream.close_when_sent(lambda: self._on_closed(self))
         self._release()
 
     def _on_stream_closed(self, _: runtime.StreamClosedError) -> None:
         self._release()
+        self._on_closed(self)
 
     def _release(self) -> None:
         if self._timer is not None:
@@ -278,4 +298,3 @@
             self._timer = None
         if self._session is not None and not self._busy:
             self._session.close()
-        self._on_closed(self)
--- a/packages/node/src/ferry_node/_node.py
+++ b/packages/node/src/ferry_node/_node.py
@@ -35,6 +35,9 @@
 # The low bits of a caller's process id count the callers of one node; the
 # bits above are derived from the node's name.
 CALLER_ID_BITS = 20
+DRAIN_POLL_S = 0.02
+# How long a stop waits for callers to read the answers that were sent last.
+SEND_WAIT_S = 1.0
 
 
 class Node:
@@ -197,8 +200,14 @@
             yield service.ownership.release()
         self.membership.leave()
         while self.busy and self.loop.now() < deadline:
-            yield decisions.sleep(self.loop, 0.02)
-        return self.busy
+            yield decisions.sleep(self.loop, DRAIN_POLL_S)
+        cut_off = self.busy
+        for conn in list(self._callers.values()):
+            conn.interrupt()
+        sent_by = self.loop.now() + SEND_WAIT_S
+        while self._callers and self.loop.now() < sent_by:
+            yield decisions.sleep(self.loop, DRAIN_POLL_S)
+        return cut_off
 
     @property
     def busy(self) -> int:
--- a/packages/standins/src/ferry_standins/tests/test_failover.py
+++ b/packages/standins/src/ferry_standins/tests/test_failover.py
@@ -1,5 +1,8 @@
 """Tests of failover, lost nodes and lost connections over real sockets."""
 
+import concurrent.futures
+
+import attrs
 from ferry_node import _board
 import psycopg
 import pytest
@@ -125,6 +128,50 @@
     assert 60 in stored(fleet, 1)
 
 
+# Guards against callers whose connection ends without an answer, as what they
+# wait for runs longer than a planned stop.
+@pytest.mark.parametrize(
+    ("begin", "sqlstate"),
+    [([], "RF101"), (["INSERT INTO orders VALUES (80, 'x')"], "RF101")],
+)
+def test_a_planned_stop_answers_what_it_cuts_off(own_fleet, begin, sqlstate):
+    fleet = own_fleet
+    name = list(fleet.nodes)[0]
+    node = fleet.nodes[name]
+    policy = attrs.evolve(node.cfg.policy, stop_s=0.5)
+    node.cfg = attrs.evolve(node.cfg, policy=policy)
+    conn = helpers.connect(fleet, 0, autocommit=not begin)
+    for text in begin:
+        conn.execute(text)
+    for member in fleet.members["plates"].values():
+        member.faults.statement_s = 30.0
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(
+            conn.execute, "INSERT INTO orders VALUES (81, 'cut')"
+        )
+        helpers.eventually(lambda: node.busy)
+        assert fleet.stop_node(name).result(20) > 0
+        with pytest.raises(psycopg.Error) as found:
+            running.result(5)
+    assert found.value.sqlstate == sqlstate
+    assert node.caller_count == 0
+
+
+def test_a_planned_stop_tells_callers_of_open_transactions(own_fleet):
+    fleet = own_fleet
+    name = list(fleet.nodes)[0]
+    node = fleet.nodes[name]
+    policy = attrs.evolve(node.cfg.policy, stop_s=0.5)
+    node.cfg = attrs.evolve(node.cfg, policy=policy)
+    conn = helpers.connect(fleet, 0, autocommit=False)
+    conn.execute("INSERT INTO orders VALUES (82, 'open')")
+    assert fleet.stop_node(name).result(20) > 0
+    with pytest.raises(psycopg.Error) as found:
+        conn.execute("SELECT 1")
+    assert found.value.sqlstate == "RF010"
+    assert 82 not in stored(fleet, 1)
+
+
 def test_silent_idle_connection_is_replaced_before_a_write(own_fleet):
     """Open connections silently stop working while new ones succeed."""
     fleet = own_fleet
