Check that no flow is started without a reader of its outcome

The style check finds a call of `start` whose future is dropped, as its error is dropped with it; `start_detached` and `Supervisor` are for such flows.

--- a/tools/check_style.py
+++ b/tools/check_style.py
@@ -17,6 +17,7 @@
 NAME_IMPORTS_ALLOWED = frozenset({"typing", "collections.abc"})
 CODEC = "pygwire"
 CODEC_MODULE = "_wire.py"
+FLOW_STARTERS = frozenset({"decisions.start", "_flows.start"})
 STANDINS = "ferry_standins"
 STANDIN_USERS = frozenset({"ferry_ctl", "ferry_standins"})
 
@@ -62,6 +63,17 @@
                 yield f"{path}: shipped code uses the stand-ins"
 
 
+def dropped_flows(path: pathlib.Path, tree: ast.Module) -> Iterator[str]:
+    """Yields the flows whose future is dropped, and their errors with it."""
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Expr) or not isinstance(
+            node.value, ast.Call
+        ):
+            continue
+        if ast.unparse(node.value.func) in FLOW_STARTERS:
+            yield f"{path}:{node.lineno} starts a flow that nobody waits for"
+
+
 def findings() -> Iterator[str]:
     """Yields all findings in the workspace."""
     modules = module_names()
@@ -75,6 +87,8 @@
         if ast.get_docstring(tree) is None and not is_test(path):
             yield f"{path}: no doc comment"
         yield from import_findings(path, tree, modules)
+        if not is_test(path):
+            yield from dropped_flows(path, tree)
 
 
 def main() -> int:
