--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -363,16 +363,18 @@
         state = pooled_link.state
         alignment = state.align(job.values, job.prepared)
         command = job.command(floor, alignment.prepared_as)
-        check = _link_state.Check(
-            state,
-            alignment,
-            job.statement,
-            job.prepared,
-            pooled_link.for_transaction,
-        )
         pool.note_sent(pooled_link)
         job.note_dispatched(pool.member.id, self._clock.now())
-        fut = check.follow(pooled_link.link.run([*alignment.commands, command]))
+        *aligned, fut = pooled_link.link.run([*alignment.commands, command])
+        if aligned or job.prepared is not None:
+            check = _link_state.Check(
+                state,
+                alignment,
+                job.statement,
+                job.prepared,
+                pooled_link.for_transaction,
+            )
+            fut = check.follow(aligned, fut)
         pool.note_statement(pooled_link, job.work, fut)
         return fut
 
--- a/packages/proxy/src/ferry_proxy/_link_state.py
+++ b/packages/proxy/src/ferry_proxy/_link_state.py
@@ -35,6 +35,9 @@
     prepared_as: str = ""
 
 
+ALIGNED = Alignment(())
+
+
 class LinkState:
     """What a member's session holds.
 
@@ -80,6 +83,8 @@
             values: The session's values.
             prepared: The prepared statement that the next command executes.
         """
+        if prepared is None and values == self.values and not self._doubtful:
+            return ALIGNED
         commands: list[StateCommand] = []
         is_full = prepared is not None and self._prepared_count >= MAX_PREPARED
         if self._has_others(values) or is_full:
@@ -176,17 +181,16 @@
         self._refusal: decisions.Reason | None = None
 
     def follow(
-        self, futs: "list[decisions.Future[_links.Reply]]"
+        self,
+        aligned: "list[decisions.Future[_links.Reply]]",
+        fut: "decisions.Future[_links.Reply]",
     ) -> "decisions.Future[_links.Reply]":
         """Returns the checked reply to the statement.
 
         Args:
-            futs: The replies to the alignment and, as the last, to the
-                statement; they arrive in order.
+            aligned: The replies to the alignment, which arrive first.
+            fut: The reply to the statement.
         """
-        *aligned, fut = futs
-        if not aligned and self._prepared is None:
-            return fut
         for command, done in zip(
             self._alignment.commands, aligned, strict=True
         ):
--- a/packages/proxy/src/ferry_proxy/tests/test_link_state.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_link_state.py
@@ -83,7 +83,7 @@
             self.sent.append(
                 Message(command, is_refused, futs[-1], values, prepared)
             )
-        checked = check.follow(futs)
+        checked = check.follow(futs[:-1], futs[-1])
         sent = self.sent[-1]
         checked.add_done_callback(lambda fut: self._check(fut.result(), sent))
 
@@ -231,7 +231,7 @@
         decisions.Future(),
         decisions.Future(),
     ]
-    return check.follow(futs), futs
+    return check.follow(futs[:-1], futs[-1]), futs
 
 
 @pytest.mark.parametrize(
