--- a/packages/runtime/src/ferry_runtime/_streams.py
+++ b/packages/runtime/src/ferry_runtime/_streams.py
@@ -119,6 +119,12 @@
         if sent < len(data):
             self._queue(data[sent:])
 
+    def read_arrived(self) -> None:
+        """Reads what has arrived; a pause of the process may have hidden it."""
+        if self.closed or self._opening or self._handshaking or self._paused:
+            return
+        self._receive()
+
     def pause(self) -> None:
         """Stops reading until `resume` is called."""
         self._paused = True
--- a/packages/runtime/src/ferry_runtime/tests/test_streams.py
+++ b/packages/runtime/src/ferry_runtime/tests/test_streams.py
@@ -138,3 +138,17 @@
     assert len(accepted) == 1
     accepted[0].close()
     client.close()
+
+
+# Guards against a connection that is closed for silence although a request has
+# arrived while the process was paused.
+def test_what_has_arrived_can_be_read_before_the_next_step(server):
+    server.client.sendall(b"request")
+    select.select([server.stream._sock], [], [], 1.0)
+    assert server.received == b""
+    server.stream.read_arrived()
+    assert server.received == b"request"
+    server.stream.read_arrived()
+    server.stream.close()
+    server.stream.read_arrived()
+    assert server.received == b"request"
