Record voters at a node that is being stopped

Cause: `Promoter.check` did nothing while the node was stopping, the records of voters included, which commits wait for. The first of the connected serving nodes keeps that record, so the others leave it to a node that is being stopped for as long as it is connected.

Change: the record is kept until the node stops serving; only changes of the primary do not begin any more.

--- a/packages/proxy/src/ferry_proxy/_promotions.py
+++ b/packages/proxy/src/ferry_proxy/_promotions.py
@@ -159,10 +159,11 @@
     def check(self) -> None:
         """Begins a change of the primary if the evidence requires one."""
         self._note_nodes()
-        if self._is_stopped or self._ctx.is_stopping():
+        if self._is_stopped:
             return
+        # The others leave it to this node for as long as it is connected.
         self._voters.update()
-        if self._is_changing:
+        if self._is_changing or self._ctx.is_stopping():
             return
         if self._ctx.clock.now() < self._next_attempt_at:
             return
