Tell truly what has not run behind any refused command

Cause: where the refusal itself left its outcome open, "unknown prepared statement" behind it was passed on as unknown, although the statement had not run.

Change: one property decides the reason of what has not run.

Measured: of the two cases of the new test, that one failed before.

--- a/packages/proxy/src/ferry_proxy/_link_state.py
+++ b/packages/proxy/src/ferry_proxy/_link_state.py
@@ -7,8 +7,6 @@
 them, so what they put in place is in doubt until it has confirmed them.
 """
 
-import typing
-
 import attrs
 import ferry_decisions as decisions
 
@@ -229,29 +227,36 @@
 
     def verdict(self, reply: _links.Reply) -> _links.Reply:
         """Returns what the statement's reply means for its caller."""
-        lost = decisions.SESSION_STATE_LOST
         if reply.reason is decisions.UNKNOWN_PREPARED:
             # The session knows the statement, so the member's session does not.
-            self._state.forget(
-                typing.cast(_statements.Prepared, self._prepared)
-            )
-            return attrs.evolve(reply, reason=self._refusal or lost)
+            if self._prepared is not None:
+                self._state.forget(self._prepared)
+            return attrs.evolve(reply, reason=self._not_run_reason)
         if self._refusal is None:
             return reply
         if reply.reason is not None:
             # The refusal tells why, the replies after it follow from it.
-            is_promise = self._refusal.outcome is decisions.Outcome.NOT_RUN
-            reason = self._refusal if is_promise else lost
-            return (
-                attrs.evolve(reply, reason=reason) if reply.not_run else reply
-            )
+            reason = self._not_run_reason if reply.not_run else reply.reason
+            return attrs.evolve(reply, reason=reason)
         if self._statement.kind is _statements.Kind.COMMIT:
             return reply
         # It ran with the state of another session.
         is_kept = self._writes and not self._is_in_transaction
-        reason = decisions.STATEMENT_FAILED if is_kept else lost
+        reason = (
+            decisions.STATEMENT_FAILED
+            if is_kept
+            else decisions.SESSION_STATE_LOST
+        )
         return attrs.evolve(reply, rows=(), proof="", reason=reason)
 
+    @property
+    def _not_run_reason(self) -> decisions.Reason:
+        """Why a statement that has not run could not find its state."""
+        refusal = self._refusal
+        if refusal and refusal.outcome is decisions.Outcome.NOT_RUN:
+            return refusal
+        return decisions.SESSION_STATE_LOST
+
     @property
     def _writes(self) -> bool:
         if self._prepared is not None:
--- a/packages/proxy/src/ferry_proxy/tests/test_link_state.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_link_state.py
@@ -268,3 +268,16 @@
     for fut in futs:
         fut.set_exception(lost)
     assert out.exception() is lost
+
+
+# Guards against an unknown outcome for what has not run.
+@pytest.mark.parametrize(
+    "reply", [UNKNOWN, _links.Reply(STATES.IDLE, reason=decisions.MEMBER_BUSY)]
+)
+def test_a_statement_that_has_not_run_is_told_so_whatever_was_refused(reply):
+    out, futs = check_of("READ x")
+    refused = _links.Reply(STATES.IDLE, reason=decisions.STATEMENT_FAILED)
+    futs[0].set_result(refused)
+    futs[1].set_result(reply)
+    assert out.result().reason is decisions.SESSION_STATE_LOST
+    assert out.result().not_run
