Ask a peer whose copy cannot be merged after pauses

Cause: an unexpected error of a merge reset the flag of the fetch only, so that the node fetched the same copy ten times a second, with a traceback each.

Change: such a peer counts as one that brought nothing new, with its growing pauses.

--- a/packages/proxy/src/ferry_proxy/_registrar.py
+++ b/packages/proxy/src/ferry_proxy/_registrar.py
@@ -184,6 +184,9 @@
         ) as exc:
             self._sources.note_failure(stream.peer)
             _events.emit(_events.DependencyLost("peer's copy", str(exc)))
+        except Exception:
+            self._sources.note_failure(stream.peer)
+            raise
         finally:
             self._is_fetching = False
 
--- a/packages/proxy/src/ferry_proxy/tests/test_failing_items.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_failing_items.py
@@ -133,3 +133,18 @@
     lab.clock.advance(1.0)
     assert reader.copy.version == 12
     assert reader.follower.restarts == 3
+
+
+# Guards against a copy that is fetched without a pause, as its merge fails.
+def test_a_peer_whose_copy_cannot_be_merged_is_asked_after_pauses(
+    lab, monkeypatch
+):
+    def fail(*_):
+        raise ZeroDivisionError("merge")
+
+    monkeypatch.setattr(lab.other.copy, "merge_batch", fail)
+    lab.other.store.rejects_calls = True
+    lab.store.put("config", b"13")
+    lab.stream.calls = 0
+    lab.clock.advance(10.0)
+    assert 1 <= lab.stream.calls <= 15
