Log what a stop, a refused session state and an interrupted statement decide

`SessionStateRefused` names the request and the member and is written within the budget of failures; it was a warning without either, and without a bound. `CallersLeaving` tells how long the balancer went on and over which time connections end. A serving node records the statements that it interrupts.

--- a/packages/proxy/src/ferry_proxy/_events.py
+++ b/packages/proxy/src/ferry_proxy/_events.py
@@ -290,6 +290,16 @@
     attempts: int
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class SessionStateRefused:
+    """A member refused what was to put a session's state in place."""
+
+    request: str
+    member: str
+    command: str
+    reason: str
+
+
 @attrs.frozen(slots=True, repr=False, eq=False)
 class LinesLeftOut:
     """The numbers of lines dropped since the last such line."""
@@ -300,7 +310,12 @@
 
 
 _SUCCESSES = (RequestDone, RequestServed)
-_BOUNDED = (*_SUCCESSES, DocumentRefused, RefusedByConfiguration)
+_BOUNDED = (
+    *_SUCCESSES,
+    DocumentRefused,
+    RefusedByConfiguration,
+    SessionStateRefused,
+)
 
 
 class EventLog:
--- a/packages/proxy/src/ferry_proxy/_execution.py
+++ b/packages/proxy/src/ferry_proxy/_execution.py
@@ -373,6 +373,7 @@
                 job.statement,
                 job.prepared,
                 pooled_link.for_transaction,
+                pool.member.id,
             )
             fut = check.follow(aligned, fut)
         pool.note_statement(pooled_link, job.work, fut)
--- a/packages/proxy/src/ferry_proxy/_link_state.py
+++ b/packages/proxy/src/ferry_proxy/_link_state.py
@@ -10,6 +10,7 @@
 import attrs
 import ferry_decisions as decisions
 
+from ferry_proxy import _events
 from ferry_proxy import _links
 from ferry_proxy import _statements
 
@@ -161,6 +162,7 @@
         statement: _statements.Statement,
         prepared: _statements.Prepared | None,
         is_in_transaction: bool,
+        member: str,
     ) -> None:
         """Creates a check of one statement.
 
@@ -170,12 +172,14 @@
             statement: The statement.
             prepared: The prepared statement that it executes; None for none.
             is_in_transaction: Whether the link is in a transaction.
+            member: The member's id, for the log.
         """
         self._state = state
         self._alignment = alignment
         self._statement = statement
         self._prepared = prepared
         self._is_in_transaction = is_in_transaction
+        self._member = member
         self._refusal: decisions.Reason | None = None
 
     def follow(
@@ -208,10 +212,13 @@
         self._state.note_reply(command, reply)
         if reply.reason is not None and self._refusal is None:
             self._refusal = reply.reason
-            decisions.log_warning(
-                "event=session_state_refused command=%s reason=%s",
-                type(command).__name__,
-                reply.reason.name,
+            _events.emit(
+                _events.SessionStateRefused(
+                    self._statement.request_id,
+                    self._member,
+                    type(command).__name__,
+                    reply.reason.name,
+                )
             )
 
     def _finish(
--- a/packages/proxy/src/ferry_proxy/_planned_stop.py
+++ b/packages/proxy/src/ferry_proxy/_planned_stop.py
@@ -59,6 +59,21 @@
         """Ends all connections once their answers are sent."""
 
 
+@attrs.frozen(slots=True, repr=False, eq=False)
+class CallersLeaving:
+    """The node begins to end its callers' connections.
+
+    Attributes:
+        sessions: How many sessions are open.
+        waited_s: How long the load balancer went on sending callers.
+        window_s: The time over which the connections end.
+    """
+
+    sessions: int
+    waited_s: float
+    window_s: float
+
+
 @attrs.frozen(slots=True)
 class Schedule:
     """The moments of a planned stop, in the clock's seconds.
@@ -143,9 +158,18 @@
         front: The callers' connections.
         work: The work that has to end first.
     """
-    schedule = Schedule.of(clock.now(), grace_s)
+    begun_at = clock.now()
+    schedule = Schedule.of(begun_at, grace_s)
     while not front.is_out_of_rotation() and clock.now() < schedule.refuse_at:
         yield decisions.sleep(clock, POLL_INTERVAL_S)
+    now = clock.now()
+    _events.emit(
+        CallersLeaving(
+            len(work.sessions),
+            round(now - begun_at, 3),
+            round(max(0.0, schedule.leave_until - now), 3),
+        )
+    )
     front.let_callers_go(schedule.leave_until)
     while clock.now() < schedule.interrupt_at and not (
         front.is_empty() and work.is_finished
--- a/packages/proxy/src/ferry_proxy/_serving.py
+++ b/packages/proxy/src/ferry_proxy/_serving.py
@@ -54,11 +54,15 @@
     """A statement that runs for an entry node.
 
     Attributes:
-        received: When the statement arrived, in the clock's seconds.
+        entry: The stream from the entry node.
+        body: The message that the statement arrived in.
+        received: When it arrived, in the clock's seconds.
         statement: The statement.
         fut: Completed with the reply.
     """
 
+    entry: Entry
+    body: _forward_messages.RunRequest
     received: float
     statement: _interruptions.RunningStatement = attrs.field(
         factory=_interruptions.RunningStatement
@@ -107,9 +111,9 @@
         self, entry: Entry, body: _forward_messages.RunRequest
     ) -> "decisions.Future[_forward_messages.RunReply]":
         """Runs a statement; a failure is returned as a reply."""
-        running = _Running(self._clock.now())
+        running = _Running(entry, body, self._clock.now())
         self._running.add(running)
-        running.fut = decisions.start(self._run(entry, body, running))
+        running.fut = decisions.start(self._run(running))
         running.fut.add_done_callback(lambda _: self._running.discard(running))
         return running.fut
 
@@ -126,6 +130,7 @@
             reply = _links.Reply.failed(STATES.IDLE, exc)
             request = running.statement.request
             progress = request.progress if request else _requests.Progress()
+            self._record(running, progress, reply)
             answer = _forward_messages.RunReply.of(
                 reply, progress, running.received
             )
@@ -158,11 +163,9 @@
                     served.transaction.fail(reason)
 
     def _run(
-        self,
-        entry: Entry,
-        body: _forward_messages.RunRequest,
-        running: _Running,
+        self, running: _Running
     ) -> "decisions.Flow[_forward_messages.RunReply]":
+        entry, body = running.entry, running.body
         progress = _requests.Progress()
         try:
             request = body.request(self._clock)
@@ -185,7 +188,7 @@
             )
             lost = running.statement.abandon(decisions.INTERNAL_FAILURE, "")
             reply = _links.Reply.failed(STATES.IDLE, lost)
-        self._record(entry, body, progress, reply, running.received)
+        self._record(running, progress, reply)
         return _forward_messages.RunReply.of(reply, progress, running.received)
 
     def _dispatch(
@@ -255,22 +258,21 @@
 
     def _record(
         self,
-        entry: Entry,
-        body: _forward_messages.RunRequest,
+        running: _Running,
         progress: _requests.Progress,
         reply: _links.Reply,
-        received: float,
     ) -> None:
+        body = running.body
         _events.emit(
             _events.RequestServed(
                 request=body.request_id,
-                entry=entry.peer,
+                entry=running.entry.peer,
                 team=body.team,
                 service=body.service,
                 outcome=reply.reason.name if reply.reason else "ran",
                 detail=reply.detail,
                 member=progress.member,
-                elapsed_s=round(self._clock.now() - received, 4),
+                elapsed_s=round(self._clock.now() - running.received, 4),
                 attempts=progress.attempts,
             )
         )
--- a/packages/proxy/src/ferry_proxy/tests/test_link_state.py
+++ b/packages/proxy/src/ferry_proxy/tests/test_link_state.py
@@ -73,7 +73,7 @@
         run = _links.Run(statement, prepared_as=alignment.prepared_as)
         commands = [*alignment.commands, run]
         check = _link_state.Check(
-            self.state, alignment, statement, prepared, False
+            self.state, alignment, statement, prepared, False, "a"
         )
         futs: list[decisions.Future[_links.Reply]] = []
         is_refused = False
@@ -225,7 +225,7 @@
     alignment = state.align({"tz": "red"})
     statement = fakes.statement(text)
     check = _link_state.Check(
-        state, alignment, statement, None, is_in_transaction
+        state, alignment, statement, None, is_in_transaction, "a"
     )
     futs: list[decisions.Future[_links.Reply]] = [
         decisions.Future(),
