--- a/packages/node/src/ferry_node/_callers.py
+++ b/packages/node/src/ferry_node/_callers.py
@@ -130,9 +130,11 @@
 
         An open transaction is rolled back.
         """
-        reason = (
-            decisions.ANSWER_LOST if self._busy else decisions.TRANSACTION_LOST
-        )
+        reason = decisions.STOPPING
+        if self._busy:
+            reason = decisions.ANSWER_LOST
+        elif self.busy:
+            reason = decisions.TRANSACTION_LOST
         self._end_with_error(reason, "this node is being stopped")
 
     def close(self) -> None:
