End no connection in the midst of a request or of a pipeline

Callers saw (in new tests): a request that arrives in two parts, 0.7 s apart, without an answer, and a pipelining caller whose later requests were read by nobody, as their connections ended in between.

Cause: a connection counted as idle while a part of a request had arrived, and the pause before a request was measured from whatever came last: the gap between two parts, or the time since an answer that a pipelining caller does not wait for.

Change: a part of a request keeps a connection open; a request's pause ends with its first byte, and is none for a caller that pipelines, which is refused truthfully until it is silent. The decisions on a caller's pace, which were spread over the front and _readiness, are now `CallerPace`, tested without a network; the checks of test_readiness on silences moved to test_caller_pace unchanged.

--- a/packages/proxy/src/ferry_proxy/__init__.py
+++ b/packages/proxy/src/ferry_proxy/__init__.py
@@ -5,6 +5,7 @@
 from ferry_decisions import lazy
 
 if typing.TYPE_CHECKING:
+    from ferry_proxy._caller_pace import CallerPace as CallerPace
     from ferry_proxy._catalogue import Layout as Layout
     from ferry_proxy._configuration import Configuration as Configuration
     from ferry_proxy._configuration import (
@@ -48,11 +49,6 @@
     from ferry_proxy._policy_file import policy_from_file as policy_from_file
     from ferry_proxy._proxy import Proxy as Proxy
     from ferry_proxy._readiness import lets_callers_go as lets_callers_go
-    from ferry_proxy._readiness import may_close_idle as may_close_idle
-    from ferry_proxy._readiness import (
-        may_close_with_answer as may_close_with_answer,
-    )
-    from ferry_proxy._readiness import usual_pause_s as usual_pause_s
     from ferry_proxy._records import MAX_INTEGER as MAX_INTEGER
     from ferry_proxy._records import MAX_PORT as MAX_PORT
     from ferry_proxy._records import Claim as Claim
@@ -81,6 +77,7 @@
     from ferry_proxy._teams import digest_of as digest_of
 
 _NAMES = {
+    "_caller_pace": ["CallerPace"],
     "_catalogue": ["Layout"],
     "_configuration": [
         "Configuration",
@@ -120,12 +117,7 @@
     "_policy": ["Bounds", "Policy"],
     "_policy_file": ["InvalidPolicyError", "policy_from_file"],
     "_proxy": ["Proxy"],
-    "_readiness": [
-        "lets_callers_go",
-        "may_close_idle",
-        "may_close_with_answer",
-        "usual_pause_s",
-    ],
+    "_readiness": ["lets_callers_go"],
     "_records": [
         "Claim",
         "InvalidItemError",
